--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -10,8 +10,8 @@
 	"io"
 	"os"
 
-	"notchwheel/internal/wire"
-	"notchwheel/rules"
+	"cherryramp/internal/wire"
+	"cherryramp/rules"
 )
 
 func main() {
--- a/cmd/adapter/main_test.go
+++ b/cmd/adapter/main_test.go
@@ -6,8 +6,8 @@
 	"strings"
 	"testing"
 
-	"notchwheel/internal/wire"
-	"notchwheel/rules"
+	"cherryramp/internal/wire"
+	"cherryramp/rules"
 )
 
 func record(code byte, gateway uint16, fields ...any) []byte {
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -6,7 +6,7 @@
 	"strconv"
 	"strings"
 
-	"notchwheel/rules"
+	"cherryramp/rules"
 )
 
 // facts looks settings up and keeps the first complaint.
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -10,7 +10,7 @@
 	"io"
 	"math"
 
-	"notchwheel/rules"
+	"cherryramp/rules"
 )
 
 // MaxFrame bounds the length a batch may claim.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -8,7 +8,7 @@
 	"strings"
 	"testing"
 
-	"notchwheel/rules"
+	"cherryramp/rules"
 )
 
 func unhex(t testing.TB, s string) []byte {
--- a/rules/example_test.go
+++ b/rules/example_test.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"notchwheel/rules"
+	"cherryramp/rules"
 )
 
 // A host makes a router, tells it the list of servers, and hands it each
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -1,4 +1,4 @@
-// The decisions of notchwheel, all of them. The interface (settings, events,
+// The decisions of cherryramp, all of them. The interface (settings, events,
 // actions) is in api.go.
 package rules
 
