--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -10,6 +10,7 @@
 	"io"
 	"os"
 
+	"cherryramp/internal/config"
 	"cherryramp/internal/wire"
 	"cherryramp/rules"
 )
@@ -59,7 +60,7 @@
 			delete(pending, e.Gateway)
 			delete(gateways, e.Gateway)
 		case e.Start != nil:
-			settings, err := wire.ParseSettings(e.Start.Facts)
+			settings, err := config.ParseSettings(e.Start.Facts)
 			if err != nil {
 				return fmt.Errorf("gateway %d: %w", e.Gateway, err)
 			}
--- /dev/null
+++ b/cmd/cherryramp/main.go
@@ -0,0 +1,134 @@
+// Command cherryramp is one real front: it reads its configuration, wires the
+// parts together round the event loop, and ends on SIGTERM when all is answered.
+package main
+
+import (
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"cherryramp/internal/board"
+	"cherryramp/internal/config"
+	"cherryramp/internal/front/platform"
+	"cherryramp/internal/gateway"
+	"cherryramp/internal/loop"
+	"cherryramp/internal/transport"
+	"cherryramp/internal/upstream"
+)
+
+const (
+	memoryShare  = 0.6     // part of the memory limit that the heap may fill before it is swept harder
+	clientShare  = 0.4     // part of the descriptors for clients, who hold a third at most
+	poolShare    = 0.5     // part of them for cache nodes
+	poolMost     = 8       // connections to one node at most
+	idleShare    = 0.8     // part of the nodes' idle time after which we close first
+	drainAfter   = 750_000 // us after SIGTERM until which clients may still come
+	drainPoll    = 20_000  // us between looks at whether all is answered
+	fewestPooled = 16      // nodes that the connections must suffice for
+)
+
+func main() {
+	if err := run(); err != nil {
+		slog.Error("cherryramp ends", "error", err)
+		os.Exit(1)
+	}
+}
+
+func run() error {
+	level, err := config.LogLevel(os.Getenv)
+	if err != nil {
+		return err
+	}
+	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
+	slog.SetDefault(log)
+	cfg, err := config.Load(os.Getenv)
+	if err != nil {
+		return err
+	}
+	debug.SetMemoryLimit(int64(memoryShare * float64(cfg.MemoryMB) * (1 << 20)))
+	if err := transport.Setup(); err != nil {
+		return err
+	}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+
+	p, err := build(cfg, log)
+	if err != nil {
+		return err
+	}
+	go func() {
+		got := <-signals
+		p.loop.Post(func() { p.stop(got) })
+	}()
+	log.Info("serving", "name", cfg.Name, "listen", cfg.Listen, "board", cfg.Board)
+	p.loop.Run()
+	log.Info("ended: all is answered")
+	return nil
+}
+
+// program is the wired parts.
+type program struct {
+	log   *slog.Logger
+	loop  *loop.Loop
+	gate  *gateway.Gateway
+	front *platform.Front
+}
+
+// build wires the parts and starts to serve.
+func build(cfg *config.Config, log *slog.Logger) (*program, error) {
+	p := &program{log: log}
+	p.loop = loop.New(func() { p.gate.Settle() })
+	var err error
+	p.gate, err = gateway.New(gateway.Config{Settings: cfg.Settings, Zones: cfg.Zones, Kinds: cfg.Kinds,
+		Seed: cfg.Seed}, p.loop, log)
+	if err != nil {
+		return nil, err
+	}
+	nodes := fewestPooled
+	if cfg.Known != nil {
+		for _, e := range cfg.Known.Events {
+			if e.List != nil {
+				nodes = max(nodes, 2*len(e.List.Members))
+			}
+		}
+	}
+	p.gate.Use(upstream.New(upstream.Config{Lanes: cfg.Lanes, Streams: cfg.Streams,
+		Connections: max(1, min(poolMost, int(poolShare*float64(cfg.Sockets))/nodes)),
+		ConnectTime: cfg.ConnectTime, IdleTime: int64(idleShare * float64(cfg.ConnIdle))},
+		p.loop, p.gate, log))
+	news := board.New(p.loop, log, cfg.Board, cfg.Known, p.gate)
+	var classes []platform.Class
+	for i, c := range cfg.Settings.Classes {
+		classes = append(classes, platform.Class{Name: cfg.Lanes[i], Write: c.Write})
+	}
+	p.front = platform.New(platform.Config{Listen: cfg.Listen, Classes: classes,
+		Connections: int(clientShare * float64(cfg.Sockets))}, p.loop, p.gate, log)
+	if err := p.front.Start(); err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	if cfg.Board != "" {
+		news.Start()
+	}
+	return p, nil
+}
+
+// stop goes on serving while clients may still come, then ends once all is
+// answered.
+func (p *program) stop(got os.Signal) {
+	p.log.Info("told to end", "signal", got.String(), "open", p.gate.Open())
+	p.loop.At(loop.Now()+drainAfter, func() {
+		p.front.Drain()
+		p.watch()
+	})
+}
+
+func (p *program) watch() {
+	if p.gate.Open() == 0 && p.front.Busy() == 0 {
+		p.loop.Quit()
+		return
+	}
+	p.loop.At(loop.Now()+drainPoll, p.watch)
+}
--- /dev/null
+++ b/internal/board/news.go
@@ -0,0 +1,97 @@
+// Package board follows the notice board: a long poll whose numbered events
+// become members and purges. It starts from the events that the configuration
+// knows and resumes from the last number it has.
+package board
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"cherryramp/internal/gateway"
+	"cherryramp/rules"
+)
+
+// News is a run of events.
+type News struct {
+	Last   int64
+	Events []Event
+}
+
+// Event is one notice: news of the list, a purge, or neither.
+type Event struct {
+	Number int64
+	List   *List
+	Purge  *gateway.Purge
+}
+
+// List is the whole list of servers or what changed in it.
+type List struct {
+	Full    bool
+	Members []gateway.Member
+}
+
+type wireNews struct {
+	Rev     *int64       `json:"rev"`
+	Notices []wireNotice `json:"notices"`
+}
+
+type wireNotice struct {
+	Rev  int64 `json:"rev"`
+	Pool *struct {
+		Complete bool         `json:"complete"`
+		Members  []wireMember `json:"members"`
+	} `json:"pool"`
+	Flush *struct {
+		Asset      string `json:"asset"`
+		Collection int    `json:"collection"`
+		MS         int64  `json:"ms"`
+	} `json:"flush"`
+}
+
+type wireMember struct {
+	ID        string  `json:"id"`
+	HostPort  string  `json:"host_port"`
+	Locality  string  `json:"locality"`
+	Flavor    string  `json:"flavor"`
+	Cell      int     `json:"cell"`
+	Phase     string  `json:"phase"`
+	Size      float64 `json:"size"`
+	UpSinceMS int64   `json:"up_since_ms"`
+}
+
+var phases = map[string]rules.MemberState{"SERVING": rules.Ready, "DRAINING": rules.Draining,
+	"DELETED": rules.Gone}
+
+// ParseNews reads {"rev":LAST,"notices":[...]}.
+func ParseNews(data []byte) (*News, error) {
+	var w wireNews
+	if err := json.Unmarshal(data, &w); err != nil {
+		return nil, fmt.Errorf("board: %w", err)
+	}
+	if w.Rev == nil {
+		return nil, fmt.Errorf("board: rev: missing")
+	}
+	n := &News{Last: *w.Rev}
+	for _, x := range w.Notices {
+		e := Event{Number: x.Rev}
+		if x.Pool != nil {
+			e.List = &List{Full: x.Pool.Complete}
+			for _, m := range x.Pool.Members {
+				state, known := phases[m.Phase]
+				if !known || m.ID == "" {
+					return nil, fmt.Errorf("board: notice %d: member %q: phase %q is not known", x.Rev,
+						m.ID, m.Phase)
+				}
+				e.List.Members = append(e.List.Members, gateway.Member{Name: m.ID, Addr: m.HostPort,
+					Zone: m.Locality, Kind: m.Flavor, Cell: m.Cell, State: state, Weight: m.Size,
+					Born: m.UpSinceMS * 1000})
+			}
+		}
+		if x.Flush != nil {
+			e.Purge = &gateway.Purge{Object: x.Flush.Asset, Group: x.Flush.Collection,
+				At: x.Flush.MS * 1000}
+		}
+		n.Events = append(n.Events, e)
+	}
+	return n, nil
+}
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,217 @@
+package config
+
+import (
+	"bytes"
+	"cmp"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"strconv"
+	"strings"
+
+	"cherryramp/internal/board"
+	"cherryramp/rules"
+)
+
+// Defaults for what the platform's file may leave out.
+const (
+	defaultSockets  = 1024
+	defaultMemoryMB = 192
+	defaultStreams  = 32
+	defaultIdle     = 15_000_000
+	defaultConnect  = 400_000
+)
+
+// Config is all that the program is told.
+type Config struct {
+	Name     string
+	Listen   string
+	Seed     uint64
+	MemoryMB int
+	Sockets  int
+
+	Settings rules.Settings
+	Lanes    []string // names of the classes
+	Zones    []string
+	Kinds    []string
+
+	Streams     int          // attempts that a connection to a node carries together
+	ConnectTime rules.Micros // a connection not up by then has failed
+	ConnIdle    rules.Micros // nodes close connections that idle for so long
+
+	Board string // address of the notice board; empty: none
+	Known *board.News
+}
+
+// file is the platform's configuration file.
+type file struct {
+	Name   string `json:"name"`
+	Listen string `json:"listen"`
+	Seed   string `json:"seed"`
+	Limits struct {
+		MemoryMB float64 `json:"memory_mb"`
+		Sockets  int     `json:"sockets"`
+	} `json:"limits"`
+	Board    string          `json:"board"`
+	Known    json.RawMessage `json:"known"`
+	Settings json.RawMessage `json:"settings"`
+}
+
+// Load reads the configuration that the environment names.
+func Load(getenv func(string) string) (*Config, error) {
+	path := getenv("ROUTER_CONFIG")
+	if path == "" {
+		return nil, errors.New("config: ROUTER_CONFIG is not set")
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("config: ROUTER_CONFIG: %w", err)
+	}
+	c, err := Parse(data, getenv("ROUTER_NAME"), getenv("ROUTER_LISTEN"))
+	if err != nil {
+		return nil, fmt.Errorf("config: %s: %w", path, err)
+	}
+	return c, nil
+}
+
+// Parse reads the platform's file. A name and an address from the environment
+// go before those in it.
+func Parse(data []byte, name, listen string) (*Config, error) {
+	var f file
+	if err := json.Unmarshal(data, &f); err != nil {
+		var wrong *json.UnmarshalTypeError
+		if errors.As(err, &wrong) {
+			return nil, fmt.Errorf("%s: a %s can't be used", wrong.Field, wrong.Value)
+		}
+		return nil, fmt.Errorf("not JSON: %w", err)
+	}
+	c := &Config{Name: cmp.Or(name, f.Name, "front"), Listen: cmp.Or(listen, f.Listen), Board: f.Board,
+		MemoryMB: cmp.Or(int(f.Limits.MemoryMB), defaultMemoryMB),
+		Sockets:  cmp.Or(f.Limits.Sockets, defaultSockets)}
+	for _, x := range []struct{ key, address string }{{"listen", c.Listen}, {"board", c.Board}} {
+		if x.key == "board" && x.address == "" {
+			continue
+		}
+		if err := checkAddress(x.address); err != nil {
+			return nil, fmt.Errorf("%s: %w", x.key, err)
+		}
+	}
+	if c.MemoryMB < 16 {
+		return nil, fmt.Errorf("limits.memory_mb: %d is too little", c.MemoryMB)
+	}
+	if c.Sockets < 32 {
+		return nil, fmt.Errorf("limits.sockets: %d is too few", c.Sockets)
+	}
+	var err error
+	if f.Seed != "" {
+		if c.Seed, err = strconv.ParseUint(f.Seed, 16, 64); err != nil {
+			return nil, fmt.Errorf("seed: %q is not 16 hex digits", f.Seed)
+		}
+	}
+	if len(f.Known) > 0 {
+		if c.Known, err = board.ParseNews(f.Known); err != nil {
+			return nil, fmt.Errorf("known: %w", err)
+		}
+	}
+	if len(f.Settings) == 0 {
+		return nil, errors.New("settings: missing")
+	}
+	return c, c.settings(f.Settings)
+}
+
+func checkAddress(address string) error {
+	host, port, err := net.SplitHostPort(address)
+	if err != nil {
+		return fmt.Errorf("%q is not host:port", address)
+	}
+	if n, err := strconv.ParseUint(port, 10, 16); err != nil || n == 0 || net.ParseIP(host) == nil {
+		return fmt.Errorf("%q is not an IP address and port", address)
+	}
+	return nil
+}
+
+// settings reads the nested settings through the same lines as the simulator's.
+func (c *Config) settings(raw json.RawMessage) error {
+	var tree any
+	d := json.NewDecoder(bytes.NewReader(raw))
+	d.UseNumber()
+	if err := d.Decode(&tree); err != nil {
+		return fmt.Errorf("settings: %w", err)
+	}
+	if _, ok := tree.(map[string]any); !ok {
+		return errors.New("settings: not an object")
+	}
+	f := &facts{values: make(map[string]string)}
+	flatten(f.values, "", tree)
+	if c.Settings = f.settings(); f.err != nil {
+		return f.err
+	}
+	if len(c.Settings.Classes) == 0 {
+		return errors.New("settings: grades: no classes")
+	}
+	for i, class := range c.Settings.Classes {
+		if class.Name == "" || strings.ContainsAny(class.Name, " ,=/?%\r\n") {
+			return fmt.Errorf("settings: grades.%d.name=%s: can't be used", i, class.Name)
+		}
+		c.Lanes = append(c.Lanes, class.Name)
+	}
+	c.Zones, c.Kinds = f.list("zones"), f.list("machine-types")
+	c.Streams = f.int("limits.streams-per-conn", defaultStreams)
+	c.ConnectTime = f.micros("limits.connect-timeout-us", defaultConnect)
+	c.ConnIdle = f.micros("limits.conn-idle-us", defaultIdle)
+	return f.err
+}
+
+// flatten turns nested values into the path=value lines of the simulator.
+func flatten(out map[string]string, path string, v any) {
+	join := func(key string) string {
+		if path == "" {
+			return key
+		}
+		return path + "." + key
+	}
+	switch v := v.(type) {
+	case map[string]any:
+		for k, x := range v {
+			flatten(out, join(k), x)
+		}
+	case []any:
+		var words []string
+		for i, x := range v {
+			if m, ok := x.(map[string]any); ok {
+				flatten(out, join(strconv.Itoa(i)), m)
+				continue
+			}
+			words = append(words, scalar(x))
+		}
+		if len(words) < len(v) {
+			out[join("count")] = strconv.Itoa(len(v))
+			return
+		}
+		out[path] = strings.Join(words, ",")
+	default:
+		out[path] = scalar(v)
+	}
+}
+
+// scalar writes a simple value as the simulator does.
+func scalar(v any) string {
+	if v == nil {
+		return ""
+	}
+	return strings.NewReplacer(" ", "_", ",", "_").Replace(fmt.Sprint(v))
+}
+
+// LogLevel reads the level of the log from the environment.
+func LogLevel(getenv func(string) string) (level slog.Level, err error) {
+	const key = "CHERRYRAMP_LOG"
+	if text := getenv(key); text != "" {
+		if err := level.UnmarshalText([]byte(text)); err != nil {
+			return level, fmt.Errorf("config: %s: %w", key, err)
+		}
+	}
+	return level, nil
+}
--- a/internal/wire/settings.go
+++ b/internal/config/settings.go
@@ -1,4 +1,6 @@
-package wire
+// Package config is the only place where configuration is read, checked and
+// given defaults. Its errors name the faulty key.
+package config
 
 import (
 	"fmt"
@@ -110,7 +112,7 @@
 	return absent
 }
 
-// ParseSettings reads the path=value lines of an Init.
+// ParseSettings reads the path=value lines of the simulator's first message.
 func ParseSettings(text string) (rules.Settings, error) {
 	f := &facts{values: make(map[string]string)}
 	for n, line := range strings.Split(text, "\n") {
@@ -124,6 +126,12 @@
 		}
 		f.values[key] = value
 	}
+	s := f.settings()
+	return s, f.err
+}
+
+// settings reads what the module is told from facts that were looked up.
+func (f *facts) settings() rules.Settings {
 	s := rules.Settings{
 		Classes:      f.classes(),
 		Gateways:     f.int("balancers", 1),
@@ -176,7 +184,7 @@
 	for i, name := range f.list("report.fields") {
 		s.ReportAt[name] = i
 	}
-	return s, f.err
+	return s
 }
 
 func (f *facts) classes() []rules.Class {
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,434 @@
+// Package gateway is the core: requests, attempts, outcomes and deadlines, round
+// the one rules.Router that decides. It knows no wire, socket or header; fronts
+// hand it calls, a Nodes carries its attempts, and whoever follows the list of
+// servers tells it of members and purges. All of it runs on the event loop.
+package gateway
+
+import (
+	"cmp"
+	"fmt"
+	"hash/fnv"
+	"log/slog"
+
+	"cherryramp/internal/loop"
+	"cherryramp/rules"
+)
+
+// Micros is a moment or a span in microseconds of the Unix clock.
+type Micros = rules.Micros
+
+// Kind says how a call was answered.
+type Kind uint8
+
+// The final answers.
+const (
+	Served  Kind = iota // with the object's bytes
+	Current             // the client's own copy is the one
+	Refused             // surely not done: trying again is harmless
+	Failed
+)
+
+// Answer is the one final answer to a call.
+type Answer struct {
+	Kind  Kind
+	Body  []byte
+	Tag   string // names the copy, for the client's next time
+	Await Micros // with Refused: how long to stay away; 0 is no advice
+	Late  bool   // with Failed: time ran out
+}
+
+// Caller gets the answer to a call, once, on the loop.
+type Caller interface {
+	Answer(a Answer)
+}
+
+// Call is what a front asks for. The gateway owns it until it is answered or
+// left.
+type Call struct {
+	ID       string // the client's id of the request, passed on unchanged
+	Class    int
+	Object   string
+	Part     int
+	HasPart  bool
+	Group    int
+	Body     []byte
+	Tag      string // of the copy that the client holds
+	Repeat   bool
+	Deadline Micros // when the client stops waiting
+	Caller   Caller
+
+	id       rules.RequestID
+	attempts []*Attempt
+	out      int
+	over     bool
+}
+
+// Server is a listed server.
+type Server struct {
+	ID    rules.ServerID
+	Name  string
+	Addr  string
+	State rules.MemberState
+	Born  Micros
+}
+
+// Attempt is one send of a call to a server.
+type Attempt struct {
+	Call     *Call
+	Server   *Server
+	Source   *Server // nil: no fill
+	Deadline Micros
+	Keep     int
+	Join     bool
+	Held     bool
+	Pass     bool
+	Renew    bool
+
+	number  int
+	started Micros
+	born    Micros // of the server, when the module chose it
+	srcBorn Micros
+	maxAge  Micros
+	due     *loop.Deadline
+	done    bool
+}
+
+// End says how an attempt ended.
+type End struct {
+	Code   rules.Code
+	Note   rules.Note
+	Waited Micros
+	Answer Answer // with OK
+}
+
+// Nodes carries attempts to servers.
+type Nodes interface {
+	// Start sends an attempt once a connection takes it. Before its first byte
+	// it asks Gateway.Clear; how the attempt ends it tells Gateway.End.
+	Start(a *Attempt)
+	// Stop gives an attempt up. It tells whether any of it may have been sent
+	// whole; nothing more is told of it.
+	Stop(a *Attempt) (sent bool)
+	// Follow tells of a server that is new, has started anew or has gone.
+	Follow(s *Server)
+}
+
+// Member is a line of the list of servers, in the operators' words.
+type Member struct {
+	Name, Addr, Zone, Kind string
+	Cell                   int
+	State                  rules.MemberState
+	Weight                 float64
+	Born                   Micros
+}
+
+// Purge names an object or, where Object is empty, a group.
+type Purge struct {
+	Object string
+	Group  int
+	At     Micros
+}
+
+// Config is what a gateway is told at its start.
+type Config struct {
+	Settings rules.Settings
+	Zones    []string
+	Kinds    []string
+	Seed     uint64
+}
+
+// Gateway owns the router and the calls it holds.
+type Gateway struct {
+	cfg     Config
+	loop    *loop.Loop
+	router  *rules.Router
+	nodes   Nodes
+	events  []rules.Event
+	calls   map[rules.RequestID]*Call
+	last    rules.RequestID
+	servers map[rules.ServerID]*Server
+	purges  map[uint64]Micros // when; of objects and groups
+	swept   Micros
+	log     *slog.Logger
+}
+
+// New makes a gateway whose attempts nodes will carry.
+func New(cfg Config, l *loop.Loop, log *slog.Logger) (*Gateway, error) {
+	router, err := rules.New(cfg.Settings, cfg.Seed)
+	if err != nil {
+		return nil, fmt.Errorf("gateway: %w", err)
+	}
+	return &Gateway{cfg: cfg, loop: l, router: router, log: log, calls: map[rules.RequestID]*Call{},
+		servers: map[rules.ServerID]*Server{}, purges: map[uint64]Micros{}}, nil
+}
+
+// Use gives the gateway its nodes; it must come before anything else.
+func (g *Gateway) Use(nodes Nodes) { g.nodes = nodes }
+
+// Open counts the calls that are not answered yet.
+func (g *Gateway) Open() int { return len(g.calls) }
+
+// key maps a name to 64 bits, alike at every front and every start.
+func key(name string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(name))
+	return max(1, h.Sum64()) // 0 means none to the module
+}
+
+func groupKey(group int) uint64 { return key(fmt.Sprintf("group %d", group)) }
+
+// Submit takes a call; exactly one answer follows, unless the call is left.
+func (g *Gateway) Submit(c *Call) {
+	g.last++
+	c.id = g.last
+	g.calls[c.id] = c
+	g.events = append(g.events, rules.Request{ID: c.id, Class: c.Class, Object: key(c.Object),
+		Part: c.Part, Group: c.Group, Expires: max(0, c.Deadline-loop.Now()), Repeat: c.Repeat})
+}
+
+// Leave ends a call whose client has gone; its attempts are given up.
+func (g *Gateway) Leave(c *Call) {
+	if c.over {
+		return
+	}
+	c.over = true
+	g.events = append(g.events, rules.Expired{ID: c.id})
+	g.giveUp(c)
+}
+
+// giveUp stops what a finished call still has out.
+func (g *Gateway) giveUp(c *Call) {
+	for _, a := range c.attempts {
+		if a.done {
+			continue
+		}
+		code := rules.Moot
+		if g.nodes.Stop(a) {
+			code = rules.Cancelled
+		}
+		g.end(a, End{Code: code})
+	}
+	delete(g.calls, c.id)
+}
+
+// Members tells of the list of servers: all of it, or what changed.
+func (g *Gateway) Members(full bool, list []Member) {
+	e := rules.Members{Full: full}
+	seen := map[rules.ServerID]bool{}
+	for _, m := range list {
+		zone, kind := index(g.cfg.Zones, m.Zone), index(g.cfg.Kinds, m.Kind)
+		if zone < 0 || kind < 0 {
+			g.log.Warn("member of an unknown place or kind is left out", "server", m.Name,
+				"zone", m.Zone, "kind", m.Kind)
+			continue
+		}
+		id := rules.ServerID(key(m.Name))
+		seen[id] = true
+		e.List = append(e.List, rules.Member{ID: id, Kind: kind, Born: m.Born, State: m.State,
+			Cell: m.Cell, Zone: zone, Weight: m.Weight})
+		g.follow(id, m)
+	}
+	if full {
+		for id, s := range g.servers {
+			if !seen[id] && s.State != rules.Gone {
+				s.State = rules.Gone
+				g.nodes.Follow(s)
+			}
+		}
+	}
+	g.events = append(g.events, e)
+}
+
+func (g *Gateway) follow(id rules.ServerID, m Member) {
+	s := g.servers[id]
+	if s == nil {
+		s = &Server{ID: id, Name: m.Name}
+		g.servers[id] = s
+	} else if s.State != m.State || s.Born != m.Born {
+		g.log.Info("server changed", "server", m.Name, "kind", m.Kind, "state", stateName(m.State),
+			"started_us", m.Born)
+	}
+	s.State, s.Born = m.State, m.Born
+	if m.Addr != "" {
+		s.Addr = m.Addr
+	}
+	g.nodes.Follow(s)
+}
+
+func stateName(s rules.MemberState) string {
+	return [...]string{"gone", "ready", "draining"}[s]
+}
+
+func index(list []string, name string) int {
+	for i, x := range list {
+		if x == name {
+			return i
+		}
+	}
+	return -1
+}
+
+// Purge tells of a purge.
+func (g *Gateway) Purge(p Purge) {
+	now := loop.Now()
+	k, e := groupKey(p.Group), rules.Purge{Group: p.Group, Age: max(0, now-p.At)}
+	if p.Object != "" {
+		k = key(p.Object)
+		e = rules.Purge{Object: k, Age: e.Age}
+	}
+	g.purges[k] = max(g.purges[k], p.At)
+	if g.events = append(g.events, e); now-g.swept > g.cfg.Settings.PurgeSettle {
+		g.swept = now
+		for k, at := range g.purges {
+			if g.settled(at, now) {
+				delete(g.purges, k)
+			}
+		}
+	}
+}
+
+// settled tells whether no copy from before a purge can be left anywhere.
+func (g *Gateway) settled(at, now Micros) bool {
+	return now-at > g.cfg.Settings.PurgeSettle+1_000_000
+}
+
+// Settle runs the router until nothing new has come of what it asked for.
+func (g *Gateway) Settle() {
+	for len(g.events) > 0 {
+		events := g.events
+		g.events = nil
+		for _, a := range g.router.Step(loop.Now(), events) {
+			g.act(a)
+		}
+	}
+}
+
+func (g *Gateway) act(a rules.Action) {
+	switch a := a.(type) {
+	case rules.Get:
+		g.get(a)
+	case rules.Refuse:
+		g.finish(a.ID, Answer{Kind: Refused, Await: a.Await})
+	case rules.Fail:
+		g.finish(a.ID, Answer{Kind: Failed})
+	case rules.Cancel:
+		if c := g.calls[a.ID]; c != nil && a.Attempt < len(c.attempts) && !c.attempts[a.Attempt].done {
+			x := c.attempts[a.Attempt]
+			g.nodes.Stop(x)
+			g.end(x, End{Code: rules.Cancelled})
+		}
+	case rules.Log:
+		g.log.Info("module", "text", a.Text)
+	}
+}
+
+func (g *Gateway) finish(id rules.RequestID, a Answer) {
+	c := g.calls[id]
+	if c == nil || c.over {
+		return
+	}
+	c.over = true
+	a.Late = loop.Now() >= c.Deadline
+	g.giveUp(c)
+	c.Caller.Answer(a)
+}
+
+// get carries out the module's choice.
+func (g *Gateway) get(x rules.Get) {
+	c, now := g.calls[x.ID], loop.Now()
+	if c == nil || c.over {
+		return
+	}
+	a := &Attempt{Call: c, Server: g.servers[x.Server], Deadline: c.Deadline, Keep: x.Keep,
+		Join: x.Join, Held: x.Held, Pass: x.Pass, Renew: x.Renew, number: len(c.attempts),
+		started: now, maxAge: x.MaxAge}
+	c.attempts = append(c.attempts, a)
+	c.out++
+	if x.Within > 0 {
+		a.Deadline = min(a.Deadline, now+x.Within)
+	}
+	if a.Server != nil {
+		a.born = a.Server.Born
+	}
+	if x.Source != x.Server {
+		if a.Source = g.servers[x.Source]; a.Source != nil {
+			a.srcBorn = a.Source.Born
+		}
+	}
+	if a.Server == nil || x.Source != x.Server && a.Source == nil || a.Deadline <= now {
+		g.end(a, End{Code: rules.Moot})
+		return
+	}
+	a.due = g.loop.At(a.Deadline, func() { g.expire(a) })
+	g.nodes.Start(a)
+}
+
+// expire ends an attempt whose time is up.
+func (g *Gateway) expire(a *Attempt) {
+	if a.done {
+		return
+	}
+	code := rules.Moot
+	if g.nodes.Stop(a) {
+		code = rules.Timeout
+	}
+	g.end(a, End{Code: code})
+}
+
+// Clear tells, just before an attempt's first byte leaves, whether it still
+// may, and the oldest copy that will do (0: the class's default). Whoever
+// waited for a connection or a full socket may have been overtaken by its
+// deadline, by a drain or restart of the server or the source, or by a purge.
+// An attempt that may not leave must be ended as never sent.
+func (g *Gateway) Clear(a *Attempt) (maxAge Micros, ok bool) {
+	now := loop.Now()
+	if a.done || now >= a.Deadline || a.Server.State != rules.Ready || a.Server.Born != a.born ||
+		a.Source != nil && (a.Source.State != rules.Ready || a.Source.Born != a.srcBorn) {
+		return 0, false
+	}
+	maxAge = a.maxAge
+	for _, k := range []uint64{key(a.Call.Object), groupKey(a.Call.Group)} {
+		if at, known := g.purges[k]; known && !g.settled(at, now) {
+			if age := max(1000, now-at); maxAge == 0 || age < maxAge {
+				maxAge = age
+			}
+			if fresh := g.cfg.Settings.Classes[a.Call.Class].Fresh; a.maxAge == 0 && fresh > 0 {
+				maxAge = min(maxAge, fresh)
+			}
+		}
+	}
+	return maxAge, true
+}
+
+// End tells how an attempt ended.
+func (g *Gateway) End(a *Attempt, e End) {
+	if !a.done {
+		g.end(a, e)
+	}
+}
+
+func (g *Gateway) end(a *Attempt, e End) {
+	c := a.Call
+	a.done = true
+	c.out--
+	g.loop.Stop(a.due)
+	serves := e.Code == rules.OK && !c.over
+	g.events = append(g.events, rules.Outcome{ID: c.id, Attempt: a.number, Server: serverID(a.Server),
+		Code: e.Code, Spent: loop.Now() - a.started, Closed: c.over || serves, Note: e.Note,
+		Waited: e.Waited})
+	if serves {
+		c.over = true
+		g.giveUp(c)
+		c.Caller.Answer(e.Answer)
+	}
+}
+
+func serverID(s *Server) rules.ServerID {
+	if s == nil {
+		return 0
+	}
+	return s.ID
+}
+
+// Before compares calls by the order in which they came.
+func (c *Call) Before(o *Call) int { return cmp.Compare(c.id, o.id) }
--- /dev/null
+++ b/internal/httpwire/httpwire.go
@@ -0,0 +1,241 @@
+// Package httpwire is the program's one parser of HTTP/1.1. It reads whole
+// messages from the front of a buffer and keeps no state between calls, so that
+// a message cut anywhere gives the same result once its last byte is there.
+package httpwire
+
+import (
+	"bytes"
+	"fmt"
+	"strconv"
+	"strings"
+)
+
+// Limits bound what one message may hold.
+type Limits struct {
+	Head, Body int
+}
+
+// Error is a message that can't be read. Status is what its sender, if it is a
+// client, is to be told.
+type Error struct {
+	Status int
+	Reason string
+}
+
+func (e *Error) Error() string { return fmt.Sprintf("httpwire: %s (%d)", e.Reason, e.Status) }
+
+func bad(reason string) error { return &Error{Status: 400, Reason: reason} }
+
+// Field is one header field.
+type Field struct{ Name, Value string }
+
+// Header is the fields of a message, in their order.
+type Header []Field
+
+// Get gives the first field of a name, whatever its case.
+func (h Header) Get(name string) string {
+	for _, f := range h {
+		if strings.EqualFold(f.Name, name) {
+			return f.Value
+		}
+	}
+	return ""
+}
+
+// Count tells how many fields have a name.
+func (h Header) Count(name string) (n int) {
+	for _, f := range h {
+		if strings.EqualFold(f.Name, name) {
+			n++
+		}
+	}
+	return n
+}
+
+// Request is a client's message.
+type Request struct {
+	Method, Target string
+	Header         Header
+	Body           []byte
+	Close          bool // the client wants the connection closed after the answer
+}
+
+// Response is a server's message.
+type Response struct {
+	Status int
+	Header Header
+	Body   []byte
+	Close  bool
+}
+
+// ParseRequest reads a request from the front of b. It gives nil and 0 while
+// the request is not whole, and the bytes used once it is.
+func ParseRequest(b []byte, limits Limits) (*Request, int, error) {
+	head, err := parseHead(b, limits)
+	if head == nil || err != nil {
+		return nil, 0, err
+	}
+	method, rest, ok := strings.Cut(head.start, " ")
+	target, version, ok2 := strings.Cut(rest, " ")
+	switch {
+	case !ok || !ok2 || !isToken(method) || !isTarget(target):
+		return nil, 0, bad("request line is malformed")
+	case version != "HTTP/1.1" && version != "HTTP/1.0":
+		return nil, 0, bad("version is not HTTP/1.1")
+	}
+	if len(b) < head.size+head.body {
+		return nil, 0, nil
+	}
+	r := &Request{Method: method, Target: target, Header: head.fields,
+		Close: head.close || version == "HTTP/1.0"}
+	if head.body > 0 {
+		r.Body = bytes.Clone(b[head.size : head.size+head.body])
+	}
+	return r, head.size + head.body, nil
+}
+
+// ParseResponse reads a response from the front of b, as ParseRequest does.
+func ParseResponse(b []byte, limits Limits) (*Response, int, error) {
+	head, err := parseHead(b, limits)
+	if head == nil || err != nil {
+		return nil, 0, err
+	}
+	version, rest, _ := strings.Cut(head.start, " ")
+	code, _, _ := strings.Cut(rest, " ")
+	status, err := strconv.Atoi(code)
+	if !strings.HasPrefix(version, "HTTP/1.") || err != nil || len(code) != 3 || status < 100 {
+		return nil, 0, bad("status line is malformed")
+	}
+	if status == 204 || status == 304 {
+		head.body = 0
+	}
+	if len(b) < head.size+head.body {
+		return nil, 0, nil
+	}
+	r := &Response{Status: status, Header: head.fields, Close: head.close || version == "HTTP/1.0"}
+	if head.body > 0 {
+		r.Body = bytes.Clone(b[head.size : head.size+head.body])
+	}
+	return r, head.size + head.body, nil
+}
+
+// head is what stands before a body.
+type head struct {
+	start  string
+	fields Header
+	size   int // bytes of it, with the blank line
+	body   int // bytes that follow
+	close  bool
+}
+
+// parseHead gives nil while the head is not whole.
+func parseHead(b []byte, limits Limits) (*head, error) {
+	end := bytes.Index(b[:min(len(b), limits.Head)], []byte("\r\n\r\n"))
+	if end < 0 {
+		if len(b) >= limits.Head {
+			return nil, &Error{Status: 431, Reason: "head is too long"}
+		}
+		return nil, checkStart(b)
+	}
+	text := string(b[:end])
+	start, rest, more := strings.Cut(text, "\r\n")
+	h := &head{start: start, size: end + 4}
+	lengths := 0
+	for more {
+		var line string
+		line, rest, more = strings.Cut(rest, "\r\n")
+		name, value, ok := strings.Cut(line, ":")
+		if !ok || !isToken(name) {
+			return nil, bad("header field is malformed")
+		}
+		value = strings.Trim(value, " \t")
+		if strings.ContainsAny(value, "\r\n\x00") {
+			return nil, bad("header field is malformed")
+		}
+		h.fields = append(h.fields, Field{name, value})
+		switch {
+		case strings.EqualFold(name, "Content-Length"):
+			n, err := strconv.ParseUint(value, 10, 31)
+			if lengths++; err != nil || lengths > 1 {
+				return nil, bad("Content-Length is malformed")
+			}
+			h.body = int(n)
+		case strings.EqualFold(name, "Transfer-Encoding"):
+			return nil, bad("Transfer-Encoding is not taken")
+		case strings.EqualFold(name, "Connection"):
+			h.close = h.close || strings.EqualFold(value, "close")
+		}
+	}
+	if h.body > limits.Body {
+		return nil, &Error{Status: 413, Reason: "body is too long"}
+	}
+	return h, nil
+}
+
+// checkStart refuses early what can't become a message, so that garbage with no
+// end of line gets its answer at once.
+func checkStart(b []byte) error {
+	for _, x := range b[:min(len(b), 16)] {
+		if x == '\r' || x == '\n' {
+			break
+		}
+		if x < ' ' || x >= 0x7f {
+			return bad("not a message")
+		}
+	}
+	if len(b) > 0 && (b[0] == '\r' || b[0] == '\n' || b[0] == ' ') {
+		return bad("not a message")
+	}
+	return nil
+}
+
+func isToken(s string) bool {
+	for i := range len(s) {
+		c := s[i]
+		if c <= ' ' || c >= 0x7f || strings.IndexByte("\"(),/:;<=>?@[\\]{}", c) >= 0 {
+			return false
+		}
+	}
+	return s != ""
+}
+
+func isTarget(s string) bool {
+	for i := range len(s) {
+		if s[i] <= ' ' || s[i] >= 0x7f {
+			return false
+		}
+	}
+	return s != "" && s[0] == '/'
+}
+
+// reasons are the phrases of the statuses that the fronts use.
+var reasons = map[int]string{200: "OK", 304: "Not Modified", 400: "Bad Request", 403: "Forbidden",
+	404: "Not Found", 405: "Method Not Allowed", 413: "Content Too Large", 429: "Too Many Requests",
+	431: "Request Header Fields Too Large", 502: "Bad Gateway", 503: "Service Unavailable",
+	504: "Gateway Timeout"}
+
+// AppendResponse writes a response. A body of nil with bodiless set leaves out
+// the length too, as a 304 does.
+func AppendResponse(dst []byte, r *Response, bodiless bool) []byte {
+	dst = append(dst, "HTTP/1.1 "...)
+	dst = strconv.AppendInt(dst, int64(r.Status), 10)
+	dst = append(dst, ' ')
+	dst = append(dst, reasons[r.Status]...)
+	dst = append(dst, "\r\n"...)
+	for _, f := range r.Header {
+		dst = append(dst, f.Name...)
+		dst = append(dst, ": "...)
+		dst = append(dst, f.Value...)
+		dst = append(dst, "\r\n"...)
+	}
+	if !bodiless {
+		dst = append(dst, "Content-Length: "...)
+		dst = strconv.AppendInt(dst, int64(len(r.Body)), 10)
+		dst = append(dst, "\r\n"...)
+	}
+	if r.Close {
+		dst = append(dst, "Connection: close\r\n"...)
+	}
+	dst = append(dst, "\r\n"...)
+	return append(dst, r.Body...)
+}
--- /dev/null
+++ b/internal/upstream/upstream.go
@@ -0,0 +1,327 @@
+// Package upstream speaks the cache nodes' line protocol: many attempts share a
+// connection, and each server has a few connections at most. It decides nothing;
+// what waits for a connection or for a full socket is cleared with the gateway
+// once more before its first byte leaves.
+package upstream
+
+import (
+	"log/slog"
+	"slices"
+
+	"cherryramp/internal/gateway"
+	"cherryramp/internal/loop"
+	"cherryramp/internal/transport"
+	"cherryramp/rules"
+)
+
+const (
+	inputLimit = maxBody + 2*maxLine
+	pastLimit  = 512 // ids given up on a connection before it is retired
+	muteLimit  = 3   // attempts that run out on a silent connection before it is retired
+)
+
+// Config bounds the connections.
+type Config struct {
+	Lanes       []string       // names of the classes
+	Streams     int            // attempts that a connection carries together
+	Connections int            // connections to one server
+	ConnectTime gateway.Micros // a connection not up by then has failed
+	IdleTime    gateway.Micros // an idle connection is closed after it
+}
+
+// Clearer is what the pools ask of the gateway.
+type Clearer interface {
+	Clear(a *gateway.Attempt) (maxAge gateway.Micros, ok bool)
+	End(a *gateway.Attempt, e gateway.End)
+}
+
+// Pools holds the connections to all servers.
+type Pools struct {
+	cfg   Config
+	loop  *loop.Loop
+	gate  Clearer
+	log   *slog.Logger
+	pools map[rules.ServerID]*pool
+	where map[*gateway.Attempt]*conn // attempts that were given to a connection
+	buf   []byte
+}
+
+var _ gateway.Nodes = (*Pools)(nil)
+
+// New makes pools without connections.
+func New(cfg Config, l *loop.Loop, gate Clearer, log *slog.Logger) *Pools {
+	return &Pools{cfg: cfg, loop: l, gate: gate, log: log, pools: map[rules.ServerID]*pool{},
+		where: map[*gateway.Attempt]*conn{}}
+}
+
+// pool is one server's connections and what waits for them.
+type pool struct {
+	all     *Pools
+	name    string
+	addr    string
+	born    gateway.Micros
+	conns   []*conn
+	dialing int
+	waiting []*gateway.Attempt
+}
+
+// conn is one connection to a cache node.
+type conn struct {
+	pool    *pool
+	tc      *transport.Conn
+	open    map[string]*gateway.Attempt
+	past    map[string]struct{} // ids given up, whose answers may still cross
+	partial *gateway.Attempt    // what a full socket has not taken whole
+	retired bool                // takes nothing new; closed when nothing is open
+	mute    int                 // attempts that ran out since it last said anything
+	idle    *loop.Deadline
+}
+
+// Follow tells of a server's state. What was connected before its last start
+// speaks to a process that is no more.
+func (p *Pools) Follow(s *gateway.Server) {
+	x := p.pools[s.ID]
+	if x == nil {
+		if s.State == rules.Gone {
+			return
+		}
+		x = &pool{all: p, name: s.Name}
+		p.pools[s.ID] = x
+	}
+	if x.addr != s.Addr || x.born != s.Born || s.State == rules.Gone {
+		for _, c := range slices.Clone(x.conns) {
+			c.retire()
+		}
+	}
+	x.addr, x.born = s.Addr, s.Born
+	if s.State == rules.Gone && len(x.conns) == 0 && x.dialing == 0 && len(x.waiting) == 0 {
+		delete(p.pools, s.ID)
+	}
+}
+
+// Start sends an attempt as soon as a connection takes it.
+func (p *Pools) Start(a *gateway.Attempt) {
+	x := p.pools[a.Server.ID]
+	if x == nil {
+		p.gate.End(a, gateway.End{Code: rules.ConnectFailed})
+		return
+	}
+	x.waiting = append(x.waiting, a)
+	x.flush()
+}
+
+// Stop gives an attempt up and tells whether it may have been sent whole.
+func (p *Pools) Stop(a *gateway.Attempt) (sent bool) {
+	c := p.where[a]
+	if c == nil {
+		if x := p.pools[a.Server.ID]; x != nil {
+			x.waiting = slices.DeleteFunc(x.waiting, func(w *gateway.Attempt) bool { return w == a })
+		}
+		return false
+	}
+	if c.partial == a && len(c.open) == 1 { // the rest of it must not leave
+		c.forget(a)
+		c.retired = true
+		c.tc.Close()
+		return false
+	}
+	c.forget(a)
+	c.past[a.Call.ID] = struct{}{}
+	if c.mute++; c.mute >= muteLimit || len(c.past) >= pastLimit {
+		p.log.Info("connection retired", "server", c.pool.name, "silent", c.mute, "given_up", len(c.past))
+		c.retired = true
+	}
+	if _, err := c.tc.Send(appendCancel(p.buf[:0], a.Call.ID)); err != nil {
+		c.tc.Close()
+	}
+	c.rest()
+	return true
+}
+
+// flush hands what waits to connections, and opens one more where they don't
+// suffice.
+func (x *pool) flush() {
+	for len(x.waiting) > 0 {
+		a := x.waiting[0]
+		c := x.pick(a)
+		if c == nil {
+			break
+		}
+		x.waiting = slices.Delete(x.waiting, 0, 1)
+		x.send(c, a)
+	}
+	streams := max(1, x.all.cfg.Streams)
+	if len(x.waiting) > x.dialing*streams && len(x.conns)+x.dialing < x.all.cfg.Connections {
+		x.dial()
+	}
+}
+
+// pick finds the least busy connection that may carry an attempt. Two attempts
+// of one call never share one, since their answers would be alike.
+func (x *pool) pick(a *gateway.Attempt) (best *conn) {
+	for _, c := range x.conns {
+		_, open := c.open[a.Call.ID]
+		_, past := c.past[a.Call.ID]
+		if c.retired || open || past || len(c.open) >= max(1, x.all.cfg.Streams) || c.tc.Blocked() {
+			continue
+		}
+		if best == nil || len(c.open) < len(best.open) {
+			best = c
+		}
+	}
+	return best
+}
+
+func (x *pool) send(c *conn, a *gateway.Attempt) {
+	p := x.all
+	maxAge, ok := p.gate.Clear(a)
+	if !ok {
+		p.gate.End(a, gateway.End{Code: rules.Moot})
+		return
+	}
+	p.buf = appendServe(p.buf[:0], a, p.cfg.Lanes[a.Call.Class], loop.Now(), maxAge)
+	whole, err := c.tc.Send(p.buf)
+	if err != nil { // nothing of it can have come whole
+		c.retired = true
+		c.tc.Close()
+		p.gate.End(a, gateway.End{Code: rules.ConnectFailed})
+		return
+	}
+	p.loop.Stop(c.idle)
+	c.idle = nil
+	c.open[a.Call.ID] = a
+	p.where[a] = c
+	if !whole {
+		c.partial = a
+	}
+}
+
+func (x *pool) dial() {
+	x.dialing++
+	p := x.all
+	c := &conn{pool: x, open: map[string]*gateway.Attempt{}, past: map[string]struct{}{}}
+	addr, born := x.addr, x.born
+	transport.Dial(p.loop, addr, inputLimit, c, loop.Now()+p.cfg.ConnectTime,
+		func(tc *transport.Conn, err error) {
+			x.dialing--
+			if err == nil {
+				c.tc = tc
+				x.conns = append(x.conns, c)
+				c.retired = addr != x.addr || born != x.born
+				c.rest()
+			} else if x.dialing == 0 {
+				p.log.Warn("connect failed", "server", x.name, "error", err)
+				x.fail()
+			}
+			x.flush()
+		})
+}
+
+// fail ends what waits and no connection is left to take.
+func (x *pool) fail() {
+	for _, c := range x.conns {
+		if !c.retired {
+			return
+		}
+	}
+	waiting := x.waiting
+	x.waiting = nil
+	for _, a := range waiting {
+		x.all.gate.End(a, gateway.End{Code: rules.ConnectFailed})
+	}
+}
+
+func (c *conn) forget(a *gateway.Attempt) {
+	delete(c.open, a.Call.ID)
+	delete(c.pool.all.where, a)
+	if c.partial == a {
+		c.partial = nil
+	}
+}
+
+func (c *conn) retire() {
+	c.retired = true
+	c.rest()
+}
+
+// rest looks after a connection with nothing open: a retired one is closed, any
+// other after its idle time.
+func (c *conn) rest() {
+	if len(c.open) > 0 {
+		return
+	}
+	if c.retired {
+		c.tc.Close()
+		return
+	}
+	l := c.pool.all.loop
+	l.Stop(c.idle)
+	c.idle = l.At(loop.Now()+c.pool.all.cfg.IdleTime, func() {
+		c.retired = true
+		c.tc.Close()
+	})
+}
+
+// Readable takes the answers that have come.
+func (c *conn) Readable(tc *transport.Conn) {
+	c.mute = 0
+	for {
+		var ans answer
+		var used int
+		var err error
+		tc.Consume(func(b []byte) int {
+			ans, used, err = parseAnswer(b)
+			return used
+		})
+		if err != nil {
+			c.pool.all.log.Warn("answer can't be read", "server", c.pool.name, "error", err)
+			c.retired = true
+			c.drop()
+			tc.Close()
+			return
+		}
+		if used == 0 {
+			break
+		}
+		if a := c.open[ans.id]; a != nil {
+			c.forget(a)
+			c.pool.all.gate.End(a, ans.end)
+		}
+	}
+	c.rest()
+	c.pool.flush()
+}
+
+// Drained goes on with what waited for a full socket.
+func (c *conn) Drained(*transport.Conn) {
+	c.partial = nil
+	c.pool.flush()
+}
+
+// Closed ends what was open: what had not left whole never ran.
+func (c *conn) Closed(*transport.Conn) {
+	x := c.pool
+	c.retired = true
+	x.all.loop.Stop(c.idle)
+	x.conns = slices.DeleteFunc(x.conns, func(o *conn) bool { return o == c })
+	c.drop()
+	x.flush()
+}
+
+func (c *conn) drop() {
+	// In the order of their numbers, so that like events have like effects.
+	open := make([]*gateway.Attempt, 0, len(c.open))
+	for _, a := range c.open {
+		open = append(open, a)
+	}
+	slices.SortFunc(open, func(a, b *gateway.Attempt) int { return a.Call.Before(b.Call) })
+	partial := c.partial
+	for _, a := range open {
+		c.forget(a)
+		code := rules.Reset
+		if a == partial {
+			code = rules.ConnectFailed
+		}
+		c.pool.all.gate.End(a, gateway.End{Code: code})
+	}
+}
