When places for open requests run short, refuse the largest work per worth first

Lines at fault: rules.go onRequest took every request whatever it would hold.

Changed: the module's MaxHeld is a third of the descriptors at a real front; as places run short it gives up requests by work per worth.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -23,6 +23,7 @@
 	defaultStreams  = 32
 	defaultIdle     = 15_000_000
 	defaultConnect  = 400_000
+	clientPart      = 3
 )
 
 // Config is all that the program is told.
@@ -158,6 +159,10 @@
 		}
 		c.Lanes = append(c.Lanes, class.Name)
 	}
+	// Clients hold a third of the descriptors at most, one request on each.
+	if places := c.Sockets / clientPart; c.Settings.MaxHeld == 0 || c.Settings.MaxHeld > places {
+		c.Settings.MaxHeld = places
+	}
 	c.Zones, c.Kinds = f.list("zones"), f.list("machine-types")
 	c.Streams = f.int("limits.streams-per-conn", defaultStreams)
 	c.ConnectTime = f.micros("limits.connect-timeout-us", defaultConnect)
--- a/rules/guards_test.go
+++ b/rules/guards_test.go
@@ -430,3 +430,31 @@
 		}
 	}
 }
+
+// Guards against chance deciding who is turned away when every place for an open
+// request is taken: a front whose clients hold all their connections lost short
+// and long requests alike. The long ones make way a little before.
+func TestFullHouseTakesShortWorkFirst(t *testing.T) {
+	taken := func(open int, size float64) bool {
+		g := newRig(t, func(s *Settings) { s.MaxHeld = 100 })
+		for i := range 400 { // usual work, answered
+			get, _ := g.ask(Request{Object: uint64(i), Size: 500})
+			g.answer(get, 0, OK, NoteHit)
+		}
+		for i := range open {
+			g.now += 10 * milli
+			g.ask(Request{Object: uint64(1000 + i), Size: 10, Expires: 60 * second})
+		}
+		get, _ := g.ask(Request{Object: 7, Size: size})
+		return get.ID != 0
+	}
+	for _, x := range []struct {
+		open int
+		size float64
+		want bool
+	}{{0, 2000, true}, {60, 2000, true}, {90, 2000, false}, {90, 100, true}, {99, 400, false}} {
+		if got := taken(x.open, x.size); got != x.want {
+			t.Errorf("%d of 100 places taken, %v KB: taken %v, want %v", x.open, x.size, got, x.want)
+		}
+	}
+}
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -48,6 +48,9 @@
 	lostSlack      = 1.5         // times what an answer should take that it is waited for at least
 	slowMost       = 10          // a pace beyond this tells no more
 	warmTrust      = 1.5         // keys taken while warming, over the warm share; the budget guards the rest
+	crowdFrom      = 0.3         // part of the places for open requests that, once taken short, selects by worth
+	crowdMost      = 6           // times the usual work per worth that is taken where selection begins
+	crowdGain      = 0.01        // weight of one request in that usual work per worth
 	milli          = Micros(1000)
 	second         = Micros(1000000)
 )
@@ -159,6 +162,7 @@
 	load    float64 // recent mean of them, per unit of the caches' size
 	room    float64 // size of the caches together
 	loadAt  Micros
+	cost    float64 // usual work of a request over its worth, us
 	tiers   [3]pace
 	hitBy   [10]float64 // share of hits by how long ago the part was last asked for
 }
@@ -175,6 +179,7 @@
 	}
 	for _, c := range s.Classes {
 		r.mean = append(r.mean, workPriorShare*float64(max(c.Aim, milli)))
+		r.cost = max(r.cost, r.mean[len(r.mean)-1]/max(c.Worth, 0.01))
 	}
 	return r, nil
 }
@@ -323,9 +328,23 @@
 			q.work = p.work
 		}
 	}
+	if r.crowded(q) {
+		r.giveUp(q)
+		return
+	}
 	r.send(q)
 }
 
+// crowded tells whether a request must make way because few places for open requests are left.
+// Guards against a full house, where chance would turn away short and long ones alike: the largest
+// work per worth goes first. Harm: long ones are refused a little before the last place is taken.
+func (r *Router) crowded(q *request) bool {
+	cost := q.work / max(q.class.Worth, 0.01)
+	r.cost += crowdGain * (cost - r.cost)
+	left := 1 - float64(len(r.reqs))/float64(max(1, r.cfg.MaxHeld))
+	return r.cfg.MaxHeld > 0 && left < crowdFrom && cost > crowdMost*r.cost*max(0, left)/crowdFrom
+}
+
 // send starts the next attempt of a request that has none out, or gives up on it.
 func (r *Router) send(q *request) {
 	left, again := q.deadline-r.now, len(q.tries) > 0
