Keep own copies and serve them while the front's link is all but free

Ruled out: the module's choice alone (it can only pick who is turned away).

Changed: the gateway keeps answers that it passed on, in a quarter of its memory; it drops them on a purge, uses none past its fresh time, none when the notice board has not answered for 300 ms (so polls linger 150 ms), and none while its own link is behind.

--- a/cmd/cherryramp/main.go
+++ b/cmd/cherryramp/main.go
@@ -23,6 +23,7 @@
 
 const (
 	memoryShare  = 0.6     // part of the memory limit that the heap may fill before it is swept harder
+	copyShare    = 0.25    // part of the memory limit for copies of our own
 	clientShare  = 0.4     // part of the descriptors for clients, who hold a third at most
 	signedShare  = 0.1     // part of them for the clients of the signed front, where it is on
 	poolShare    = 0.4     // part of them for cache nodes
@@ -90,7 +91,7 @@
 	p.loop = loop.New(func() { p.gate.Settle() })
 	var err error
 	p.gate, err = gateway.New(gateway.Config{Settings: cfg.Settings, Zones: cfg.Zones, Kinds: cfg.Kinds,
-		Seed: cfg.Seed}, p.loop, log)
+		Seed: cfg.Seed, Copies: copies(cfg)}, p.loop, log)
 	if err != nil {
 		return nil, err
 	}
@@ -134,6 +135,16 @@
 	return p, nil
 }
 
+// copies bounds the gateway's own copies; without the figures of the link, or a
+// notice board to tell of purges, there are none.
+func copies(cfg *config.Config) gateway.Copies {
+	if cfg.Flow == 0 || cfg.Link == 0 || cfg.Board == "" {
+		return gateway.Copies{}
+	}
+	return gateway.Copies{Bytes: int(copyShare * float64(cfg.MemoryMB) * (1 << 20)), Flow: cfg.Flow,
+		Link: cfg.Link}
+}
+
 // signedFront makes the front for signed URLs and tokens.
 func signedFront(cfg *config.Config, s *config.Signed, log *slog.Logger) (*signed.Front, error) {
 	rules := signed.Rules{URLBase: s.URLBase, TokenName: s.TokenName, TokenHeader: s.TokenHeader,
--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	linger      = 2000      // ms that the board may hold a poll
+	linger      = 150       // ms that the board may hold a poll
 	answerSlack = 1_000_000 // us past it after which a connection is taken for dead
 	connectTime = 400_000   // us for a connection to come up
 	pauseFirst  = 20_000    // us before the next connection after a failed one; doubles
@@ -25,6 +25,7 @@
 type Sink interface {
 	Members(full bool, list []gateway.Member)
 	Purge(p gateway.Purge)
+	Heard()
 }
 
 // Board is a client of the notice board.
@@ -126,6 +127,7 @@
 	}
 	b.pause = pauseFirst
 	b.take(news)
+	b.sink.Heard()
 	if r.Close {
 		c.Close()
 		return
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -43,6 +43,8 @@
 	ConnectTime rules.Micros // a connection not up by then has failed
 	ConnIdle    rules.Micros // nodes close connections that idle for so long
 
+	Flow, Link float64 // bytes a second of one transfer of our own copies, and of all; 0: none
+
 	Board string // address of the notice board; empty: none
 	Known *board.News
 }
@@ -57,6 +59,8 @@
 		Sockets  int     `json:"sockets"`
 	} `json:"limits"`
 	Board    string          `json:"board"`
+	Flow     float64         `json:"flow_bytes_per_s"`
+	Link     float64         `json:"link_bytes_per_s"`
 	Known    json.RawMessage `json:"known"`
 	Settings json.RawMessage `json:"settings"`
 }
@@ -90,6 +94,7 @@
 		return nil, fmt.Errorf("not JSON: %w", err)
 	}
 	c := &Config{Name: cmp.Or(name, f.Name, "front"), Listen: cmp.Or(listen, f.Listen), Board: f.Board,
+		Flow: f.Flow, Link: f.Link,
 		MemoryMB: cmp.Or(int(f.Limits.MemoryMB), defaultMemoryMB),
 		Sockets:  cmp.Or(f.Limits.Sockets, defaultSockets)}
 	for _, x := range []struct{ key, address string }{{"listen", c.Listen}, {"board", c.Board}} {
@@ -100,6 +105,9 @@
 			return nil, fmt.Errorf("%s: %w", x.key, err)
 		}
 	}
+	if c.Flow < 0 || c.Link < 0 {
+		return nil, fmt.Errorf("flow_bytes_per_s, link_bytes_per_s: %v, %v: negative", c.Flow, c.Link)
+	}
 	if c.MemoryMB < 16 {
 		return nil, fmt.Errorf("limits.memory_mb: %d is too little", c.MemoryMB)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -34,6 +34,7 @@
 	Kind  Kind
 	Body  []byte
 	Tag   string // names the copy, for the client's next time
+	Born  Micros // with Served: when the origin gave the copy out; 0 if untold
 	Await Micros // with Refused: how long to stay away; 0 is no advice
 	Late  bool   // with Failed: time ran out
 }
@@ -136,6 +137,7 @@
 	Zones    []string
 	Kinds    []string
 	Seed     uint64
+	Copies   Copies
 }
 
 // Gateway owns the router and the calls it holds.
@@ -150,6 +152,7 @@
 	servers map[rules.ServerID]*Server
 	purges  map[uint64]Micros // when; of objects and groups
 	swept   Micros
+	copies  *copies
 	log     *slog.Logger
 }
 
@@ -160,7 +163,8 @@
 		return nil, fmt.Errorf("gateway: %w", err)
 	}
 	return &Gateway{cfg: cfg, loop: l, router: router, log: log, calls: map[rules.RequestID]*Call{},
-		servers: map[rules.ServerID]*Server{}, purges: map[uint64]Micros{}}, nil
+		servers: map[rules.ServerID]*Server{}, purges: map[uint64]Micros{},
+		copies: newCopies(cfg.Copies)}, nil
 }
 
 // Use gives the gateway its nodes; it must come before anything else.
@@ -178,8 +182,20 @@
 
 func groupKey(group int) uint64 { return key(fmt.Sprintf("group %d", group)) }
 
+// Heard tells that the notice board has just answered.
+func (g *Gateway) Heard() { g.copies.heard = loop.Now() }
+
 // Submit takes a call; exactly one answer follows, unless the call is left.
 func (g *Gateway) Submit(c *Call) {
+	if x := g.copies.find(c, &g.cfg.Settings.Classes[c.Class], loop.Now()); x != nil {
+		c.over = true
+		a := Answer{Kind: Served, Body: x.body, Tag: x.tag}
+		if c.Tag != "" && c.Tag == x.tag {
+			a = Answer{Kind: Current, Tag: x.tag}
+		}
+		c.Caller.Answer(a)
+		return
+	}
 	g.last++
 	c.id = g.last
 	g.calls[c.id] = c
@@ -278,6 +294,7 @@
 		e = rules.Purge{Object: k, Age: e.Age}
 	}
 	g.purges[k] = max(g.purges[k], p.At)
+	g.copies.purge(p)
 	if g.events = append(g.events, e); now-g.swept > g.cfg.Settings.PurgeSettle {
 		g.swept = now
 		for k, at := range g.purges {
@@ -420,10 +437,16 @@
 	if serves {
 		c.over = true
 		g.giveUp(c)
+		g.copies.keep(c, &g.cfg.Settings.Classes[c.Class], &e.Answer, g.purgedSince(c, e.Answer.Born))
 		c.Caller.Answer(e.Answer)
 	}
 }
 
+// purgedSince tells whether a call's object was purged after a moment.
+func (g *Gateway) purgedSince(c *Call, born Micros) bool {
+	return g.purges[key(c.Object)] >= born || g.purges[groupKey(c.Group)] >= born
+}
+
 func serverID(s *Server) rules.ServerID {
 	if s == nil {
 		return 0
--- /dev/null
+++ b/internal/gateway/gateway_test.go
@@ -0,0 +1,198 @@
+package gateway
+
+import (
+	"io"
+	"log/slog"
+	"testing"
+
+	"cherryramp/internal/loop"
+	"cherryramp/rules"
+)
+
+// nodes keeps what the gateway starts and stops.
+type nodes struct {
+	started, stopped []*Attempt
+	sent             bool // what Stop says
+}
+
+func (n *nodes) Start(a *Attempt)     { n.started = append(n.started, a) }
+func (n *nodes) Stop(a *Attempt) bool { n.stopped = append(n.stopped, a); return n.sent }
+func (n *nodes) Follow(*Server)       {}
+
+// caller counts answers.
+type caller struct{ got []Answer }
+
+func (c *caller) Answer(a Answer) { c.got = append(c.got, a) }
+
+const second = 1_000_000
+
+func newGateway(t *testing.T) (*Gateway, *nodes) {
+	t.Helper()
+	g, err := New(Config{
+		Settings: rules.Settings{
+			Classes: []rules.Class{
+				{Name: "video", Aim: second, AimStretch: 2, GiveUp: 5 * second, Worth: 2},
+				{Name: "page", Aim: second, GiveUp: 5 * second, Worth: 1, Fresh: 8 * second, Grace: 10 * second},
+				{Name: "pay", Aim: second, GiveUp: 3 * second, Worth: 3, Effect: rules.Unsafe, Write: true},
+			},
+			Gateways: 1, Zone: 0, ParentKind: 1, OriginKind: 2, Weights: rules.WeightsRough, Direct: true,
+			Siblings: rules.SiblingsAny, Notes: rules.NotesAll, MaxAttempts: 6, RetryAfter: true,
+			MaxAway: second / 2, Tick: 1000, PurgeSettle: 6 * second, PurgeGrace: second / 3,
+		},
+		Zones: []string{"edge"}, Kinds: []string{"box", "parent", "origin"}, Seed: 1,
+		Copies: Copies{Bytes: 1 << 20, Flow: 1 << 20, Link: 1 << 24},
+	}, loop.New(func() {}), slog.New(slog.NewTextHandler(io.Discard, nil)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := &nodes{sent: true}
+	g.Use(n)
+	g.Members(true, []Member{member("s-1", "box", rules.Ready), member("s-2", "box", rules.Ready),
+		member("s-p", "parent", rules.Ready), member("s-o", "origin", rules.Ready)})
+	g.Settle()
+	return g, n
+}
+
+func member(name, kind string, state rules.MemberState) Member {
+	return Member{Name: name, Addr: "127.0.0.1:1", Zone: "edge", Kind: kind, State: state, Weight: 100}
+}
+
+func submit(g *Gateway, class int, object string) (*Call, *caller) {
+	a := &caller{}
+	c := &Call{ID: "1", Class: class, Object: object, Group: 17, Deadline: loop.Now() + 4*second, Caller: a}
+	g.Submit(c)
+	g.Settle()
+	return c, a
+}
+
+// Guards against what waited for a connection leaving after its moment: each
+// change must be seen just before the first byte.
+func TestClearLooksAgain(t *testing.T) {
+	for name, change := range map[string]func(*Gateway, *Attempt){
+		"deadline":      func(_ *Gateway, a *Attempt) { a.Deadline = loop.Now() },
+		"server drains": func(g *Gateway, a *Attempt) { g.Members(false, []Member{member(a.Server.Name, "box", rules.Draining)}) },
+		"source drains": func(g *Gateway, a *Attempt) {
+			g.Members(false, []Member{member(a.Source.Name, "parent", rules.Draining)})
+		},
+		"source is gone":  func(g *Gateway, a *Attempt) { g.Members(false, []Member{member(a.Source.Name, "parent", rules.Gone)}) },
+		"server restarts": func(g *Gateway, a *Attempt) { a.Server.Born++ },
+		"client has left": func(g *Gateway, a *Attempt) { g.Leave(a.Call) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			g, n := newGateway(t)
+			submit(g, 0, "a")
+			a := n.started[0]
+			if _, ok := g.Clear(a); !ok || a.Source == nil {
+				t.Fatalf("not cleared at first: %+v", a)
+			}
+			change(g, a)
+			if _, ok := g.Clear(a); ok {
+				t.Error("cleared all the same")
+			}
+		})
+	}
+}
+
+// Guards against an age that was right when the module chose it and is not when
+// the bytes leave: a purge came between.
+func TestClearHeedsLatePurge(t *testing.T) {
+	for _, p := range []Purge{{Object: "a"}, {Group: 17}} {
+		g, n := newGateway(t)
+		submit(g, 0, "a")
+		p.At = loop.Now() - second
+		g.Purge(p)
+		age, ok := g.Clear(n.started[0])
+		if !ok || age < second || age > 2*second {
+			t.Errorf("%+v: age %d, %v", p, age, ok)
+		}
+	}
+}
+
+// Guards against a call with no answer, or with two.
+func TestOneAnswer(t *testing.T) {
+	g, n := newGateway(t)
+	_, got := submit(g, 0, "a")
+	g.End(n.started[0], End{Code: rules.OK})
+	g.End(n.started[0], End{Code: rules.OK})
+	g.Settle()
+	if len(got.got) != 1 || got.got[0].Kind != Served || g.Open() != 0 {
+		t.Errorf("answers %v, %d open", got.got, g.Open())
+	}
+	c, got := submit(g, 2, "b")
+	g.End(n.started[1], End{Code: rules.Reset}) // it may have run: failed, and not tried again
+	g.Settle()
+	if len(got.got) != 1 || got.got[0].Kind != Failed || len(n.started) != 2 {
+		t.Errorf("unsafe: answers %v, %d attempts", got.got, len(n.started))
+	}
+	g.Leave(c)
+	c, got = submit(g, 0, "c")
+	g.Leave(c)
+	g.Settle()
+	if len(got.got) != 0 || len(n.stopped) != 1 || g.Open() != 0 {
+		t.Errorf("left: answers %v, stopped %d, open %d", got.got, len(n.stopped), g.Open())
+	}
+}
+
+// Guards against a copy of our own that breaks the rules on purges or age, or
+// is served while a purge may have been missed.
+func TestOwnCopies(t *testing.T) {
+	for _, x := range []struct {
+		name    string
+		class   int
+		between func(g *Gateway)
+		served  bool
+	}{
+		{"kept", 0, func(*Gateway) {}, true},
+		{"object purged", 0, func(g *Gateway) { g.Purge(Purge{Object: "a", At: loop.Now()}) }, false},
+		{"group purged", 0, func(g *Gateway) { g.Purge(Purge{Group: 17, At: loop.Now()}) }, false},
+		{"other group purged", 0, func(g *Gateway) { g.Purge(Purge{Group: 18, At: loop.Now()}) }, true},
+		{"board silent", 0, func(g *Gateway) { g.copies.heard -= second }, false},
+		{"link busy", 0, func(g *Gateway) { g.copies.freeAt = loop.Now() + second }, false},
+		{"fresh", 1, func(*Gateway) {}, true},
+		{"past its fresh time", 1, func(g *Gateway) { age(g, 9*second) }, false},
+		{"old, of a class without an age", 0, func(g *Gateway) { age(g, 99*second) }, true},
+		{"a write", 2, func(*Gateway) {}, false},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			g, n := newGateway(t)
+			g.Heard()
+			submit(g, x.class, "a")
+			g.End(n.started[0], End{Code: rules.OK, Answer: Answer{Body: []byte("abc"), Tag: "t", Born: loop.Now()}})
+			x.between(g)
+			_, got := submit(g, x.class, "a")
+			if served := len(got.got) == 1 && string(got.got[0].Body) == "abc"; served != x.served {
+				t.Errorf("served %v, want %v", served, x.served)
+			}
+		})
+	}
+	// An answer that was under way when the purge came is passed on, but not kept.
+	g, n := newGateway(t)
+	g.Heard()
+	submit(g, 0, "a")
+	born := loop.Now()
+	g.Purge(Purge{Object: "a", At: born + 1})
+	g.End(n.started[0], End{Code: rules.OK, Answer: Answer{Body: []byte("abc"), Born: born}})
+	if len(g.copies.byKey) > 0 {
+		t.Error("a copy from before a purge was kept")
+	}
+}
+
+func age(g *Gateway, by Micros) {
+	for e := g.copies.order.Front(); e != nil; e = e.Next() {
+		e.Value.(*ownCopy).born -= by
+	}
+}
+
+// Guards against copies that outgrow the memory limit.
+func TestOwnCopiesAreBounded(t *testing.T) {
+	g, n := newGateway(t)
+	for i := range 200 {
+		submit(g, 0, string(rune('a'+i%26))+string(rune('a'+i/26)))
+		a := n.started[len(n.started)-1]
+		g.End(a, End{Code: rules.OK, Answer: Answer{Body: make([]byte, 60_000), Born: loop.Now()}})
+		g.Settle()
+	}
+	if g.copies.bytes > 1<<20 || g.copies.order.Len() != len(g.copies.byKey) || g.copies.bytes == 0 {
+		t.Errorf("%d bytes in %d copies", g.copies.bytes, g.copies.order.Len())
+	}
+}
--- a/internal/upstream/lines.go
+++ b/internal/upstream/lines.go
@@ -92,6 +92,12 @@
 				return errLine
 			}
 			a.end.Waited = gateway.Micros(ms * 1000)
+		case "t0":
+			ms, err := strconv.ParseInt(value, 10, 50)
+			if err != nil || ms < 0 {
+				return errLine
+			}
+			a.end.Answer.Born = ms * 1000
 		case "sum":
 			a.end.Answer.Tag = value
 		}
--- a/internal/upstream/lines_test.go
+++ b/internal/upstream/lines_test.go
@@ -27,7 +27,8 @@
 		want gateway.End
 	}{
 		{"a ok sum=t,t0=5,why=fill,slow=12.5 3\r\nxyz\r\n", gateway.End{Code: rules.OK,
-			Note: rules.NoteFilled, Waited: 12500, Answer: gateway.Answer{Body: []byte("xyz"), Tag: "t"}}},
+			Note: rules.NoteFilled, Waited: 12500,
+			Answer: gateway.Answer{Body: []byte("xyz"), Tag: "t", Born: 5000}}},
 		{"a current sum=t 0\r\n\r\n", gateway.End{Code: rules.OK,
 			Answer: gateway.Answer{Kind: gateway.Current, Body: []byte{}, Tag: "t"}}},
 		{"a nothing why=lacking 0\r\n\r\n", gateway.End{Code: rules.Miss, Note: rules.NoteSourceLacks,
