--- a/cmd/cherryramp/main.go
+++ b/cmd/cherryramp/main.go
@@ -9,9 +9,11 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"cherryramp/internal/board"
 	"cherryramp/internal/config"
+	"cherryramp/internal/ephemeral"
 	"cherryramp/internal/front/platform"
 	"cherryramp/internal/front/session"
 	"cherryramp/internal/front/signed"
@@ -107,7 +109,16 @@
 		Connections: max(1, min(poolMost, int(poolShare*float64(cfg.Sockets))/nodes)),
 		ConnectTime: cfg.ConnectTime, IdleTime: int64(idleShare * float64(cfg.ConnIdle))},
 		p.loop, p.gate, log))
-	news := board.New(p.loop, log, cfg.Board, cfg.Known, p.gate)
+	var sink board.Sink = p.gate
+	if e := operator.Ephemeral; e != nil {
+		sink = purgesOnly{p.gate}
+		err := ephemeral.Start(ephemeral.Config{Servers: e.Servers, Path: e.Path,
+			Session: time.Duration(e.SessionMS) * time.Millisecond}, p.loop, p.gate, log)
+		if err != nil {
+			return nil, err
+		}
+	}
+	news := board.New(p.loop, log, cfg.Board, cfg.Known, sink)
 	var classes []platform.Class
 	for i, c := range cfg.Settings.Classes {
 		classes = append(classes, platform.Class{Name: cfg.Lanes[i], Write: c.Write})
@@ -135,6 +146,12 @@
 	return p, nil
 }
 
+// purgesOnly is a gateway whose members come from elsewhere than the board.
+type purgesOnly struct{ *gateway.Gateway }
+
+// Members passes over the board's list.
+func (purgesOnly) Members(bool, []gateway.Member) {}
+
 // copies bounds the gateway's own copies; without the figures of the link, or a
 // notice board to tell of purges, there are none.
 func copies(cfg *config.Config) gateway.Copies {
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -21,12 +21,22 @@
 	defaultTokenHeader = "X-Edge-Token"
 	leastTokenSecret   = 16
 	urlSecret          = 16
+	defaultSessionMS   = 4000
+	leastSessionMS     = 1000
 )
 
 // Operator is what an operator sets up beside the platform's configuration.
 // Nil parts are off.
 type Operator struct {
-	Signed *Signed `json:"signed"`
+	Signed    *Signed    `json:"signed"`
+	Ephemeral *Ephemeral `json:"ephemeral"`
+}
+
+// Ephemeral takes the list of servers from ephemeral nodes.
+type Ephemeral struct {
+	Servers   []string `json:"servers"`
+	Path      string   `json:"path"`
+	SessionMS int      `json:"session_ms"`
 }
 
 // Signed sets up the front for signed URLs and tokens.
@@ -85,9 +95,33 @@
 			return nil, fmt.Errorf("signed.%w", err)
 		}
 	}
+	if o.Ephemeral != nil {
+		if err := o.Ephemeral.check(); err != nil {
+			return nil, fmt.Errorf("ephemeral.%w", err)
+		}
+	}
 	return &o, nil
 }
 
+func (e *Ephemeral) check() error {
+	if len(e.Servers) == 0 {
+		return errors.New("servers: none")
+	}
+	for i, address := range e.Servers {
+		if err := checkAddress(address); err != nil {
+			return fmt.Errorf("servers[%d]: %w", i, err)
+		}
+	}
+	if !strings.HasPrefix(e.Path, "/") || strings.HasSuffix(e.Path, "/") || strings.Contains(e.Path, "//") {
+		return fmt.Errorf("path: %q is not /name/name", e.Path)
+	}
+	e.SessionMS = cmp.Or(e.SessionMS, defaultSessionMS)
+	if e.SessionMS < leastSessionMS {
+		return fmt.Errorf("session_ms: %d is under %d", e.SessionMS, leastSessionMS)
+	}
+	return nil
+}
+
 func (s *Signed) check() error {
 	if err := checkAddress(s.Listen); err != nil {
 		return fmt.Errorf("listen: %w", err)
