--- a/rules/rules.go
+++ b/rules/rules.go
@@ -48,7 +48,7 @@
 	lostSlack      = 1.5         // times what an answer should take that it is waited for at least
 	slowMost       = 10          // a pace beyond this tells no more
 	warmTrust      = 1.5         // keys taken while warming, over the warm share; the budget guards the rest
-	crowdFrom      = 0.3         // part of the places for open requests that, once taken short, selects by worth
+	crowdFrom      = 0.3         // part of the places for open requests left, from which worth selects
 	crowdMost      = 6           // times the usual work per worth that is taken where selection begins
 	crowdGain      = 0.01        // weight of one request in that usual work per worth
 	milli          = Micros(1000)
