--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -3,10 +3,12 @@
 package platform
 
 import (
+	"cmp"
 	"log/slog"
 	"strconv"
 	"strings"
 
+	"cherryramp/internal/front/session"
 	"cherryramp/internal/gateway"
 	"cherryramp/internal/httpwire"
 	"cherryramp/internal/loop"
@@ -54,7 +56,7 @@
 func bad(reason string) *httpwire.Error { return &httpwire.Error{Status: 400, Reason: reason} }
 
 func (f *Front) read(r *httpwire.Request) (*gateway.Call, *httpwire.Error) {
-	target, query, parted := strings.Cut(r.Target, "?")
+	target, query, _ := strings.Cut(r.Target, "?")
 	rest, ok := strings.CutPrefix(target, path)
 	if !ok {
 		return nil, bad("target is unknown")
@@ -81,23 +83,9 @@
 		return nil, bad("Req-Wait-Ms is not a number")
 	}
 	c.Deadline = loop.Now() + int64(min(wait, longestWait))*1000
-	if text := r.Header.Get("X-Bucket"); text != "" {
-		group, err := strconv.ParseUint(text, 10, 8)
-		if err != nil {
-			return nil, bad("X-Bucket is not 0 to 255")
-		}
-		c.Group = int(group)
-	}
-	if parted {
-		text, ok := strings.CutPrefix(query, "seg=")
-		part, err := strconv.ParseUint(text, 10, 30)
-		if !ok || err != nil {
-			return nil, bad("query is not seg=N")
-		}
-		c.Part, c.HasPart = int(part), true
-	}
-	if tag := strings.Trim(r.Header.Get("If-None-Match"), `"`); gateway.IsName(tag) {
-		c.Tag = tag
+	group := cmp.Or(r.Header.Get("X-Bucket"), "0")
+	if fault := session.ReadCopy(c, query, group, r.Header); fault != "" {
+		return nil, bad(fault)
 	}
 	return c, nil
 }
--- a/internal/front/signed/signed.go
+++ b/internal/front/signed/signed.go
@@ -16,6 +16,7 @@
 	"strconv"
 	"strings"
 
+	"cherryramp/internal/front/session"
 	"cherryramp/internal/gateway"
 	"cherryramp/internal/httpwire"
 	"cherryramp/internal/loop"
@@ -62,20 +63,17 @@
 	g, err := f.rules.verify(r.Target, r.Header, now)
 	var call *gateway.Call
 	if err == nil {
-		call, err = f.read(g, now)
+		call, err = f.read(g, r.Header, now)
 	}
 	if err != nil {
 		f.log.Info("signed request refused", "status", 403, "reason", err.Error(), "key", g.key)
 		return nil, &httpwire.Response{Status: 403, Body: []byte(err.Error() + "\n")}
 	}
-	if tag := strings.Trim(r.Header.Get("If-None-Match"), `"`); gateway.IsName(tag) {
-		call.Tag = tag
-	}
 	return call, nil
 }
 
 // read turns a granted target into a call.
-func (f *Front) read(g grant, now gateway.Micros) (*gateway.Call, error) {
+func (f *Front) read(g grant, header httpwire.Header, now gateway.Micros) (*gateway.Call, error) {
 	rest, ok := strings.CutPrefix(g.path, path)
 	words := strings.Split(rest, "/")
 	if !ok || len(words) != 3 || !gateway.IsName(words[2]) {
@@ -87,19 +85,9 @@
 			c.Class, c.Deadline = i, now+x.GiveUp
 		}
 	}
-	group, err := strconv.ParseUint(words[1], 10, 8)
-	if c.Class < 0 || err != nil {
+	if c.Class < 0 || session.ReadCopy(c, g.query, words[1], header) != "" {
 		return nil, errTarget
 	}
-	c.Group = int(group)
-	if g.query != "" {
-		text, ok := strings.CutPrefix(g.query, "seg=")
-		part, err := strconv.ParseUint(text, 10, 30)
-		if !ok || err != nil {
-			return nil, errTarget
-		}
-		c.Part, c.HasPart = int(part), true
-	}
 	f.count++
 	c.ID = fmt.Sprintf("%016x", f.base+f.count)
 	return c, nil
--- /dev/null
+++ b/internal/loop/loop_test.go
@@ -0,0 +1,29 @@
+package loop
+
+import (
+	"slices"
+	"testing"
+)
+
+// Guards against deadlines that fire out of order, twice, or after they were
+// stopped, and against callbacks that overtake each other.
+func TestOrder(t *testing.T) {
+	var got []string
+	add := func(s string) func() { return func() { got = append(got, s) } }
+	settled := 0
+	l := New(func() { settled++ })
+	l.Post(add("first"))
+	l.Post(add("second"))
+	l.Post(func() {
+		now := Now()
+		l.At(now+3000, func() { got = append(got, "late"); l.Quit() })
+		stopped := l.At(now+1000, add("stopped"))
+		l.At(now+2000, add("early"))
+		l.At(now-1, func() { got = append(got, "overdue"); l.Stop(stopped) })
+		l.Stop(nil)
+	})
+	l.Run()
+	if want := []string{"first", "second", "overdue", "early", "late"}; !slices.Equal(got, want) || settled < 3 {
+		t.Errorf("got %v after %d batches, want %v", got, settled, want)
+	}
+}
