--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -249,6 +249,7 @@
 		for id, s := range g.servers {
 			if !seen[id] {
 				s.State = rules.Gone
+				g.log.Info("server changed", "server", s.Name, "state", stateName(s.State))
 				g.nodes.Follow(s)
 				delete(g.servers, id)
 			}
