--- a/rules/guards_test.go
+++ b/rules/guards_test.go
@@ -458,3 +458,22 @@
 		}
 	}
 }
+
+// Guards against repeats that can only be late taking the last places: what a
+// first try gets when places run short, a repeat of the same does not.
+func TestFullHousePrefersFirstTries(t *testing.T) {
+	for _, repeat := range []bool{false, true} {
+		g := newRig(t, func(s *Settings) { s.MaxHeld = 100 })
+		for i := range 400 {
+			get, _ := g.ask(Request{Object: uint64(i), Size: 500, Class: 1})
+			g.answer(get, 0, OK, NoteHit)
+		}
+		for i := range 85 {
+			g.now += 10 * milli
+			g.ask(Request{Object: uint64(1000 + i), Size: 10, Class: 1, Expires: 60 * second})
+		}
+		if get, _ := g.ask(Request{Object: 7, Size: 500, Class: 1, Repeat: repeat}); (get.ID != 0) == repeat {
+			t.Errorf("repeat %v: taken %v", repeat, get.ID != 0)
+		}
+	}
+}
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -340,7 +340,7 @@
 // work per worth goes first. Harm: long ones are refused a little before the last place is taken.
 func (r *Router) crowded(q *request) bool {
 	worth := q.class.Worth
-	if q.Repeat && float64(r.cfg.MaxAway/2)+q.work > float64(q.class.Aim)+q.class.AimStretch*q.work {
+	if q.Repeat && float64(r.cfg.MaxAway)+q.work > float64(q.class.Aim)+q.class.AimStretch*q.work {
 		worth *= q.class.LateWorth // its first try began too long ago
 	}
 	cost := q.work / max(worth, 0.01)
