Shut sockets instead of netpoll's Close, which stopped the poller; bound bad clients

Conn.receive closed a connection that sent more than its limit from within the poller's own callback. Close ends in FDOperator.unused, which spins until the poller has left the operator; the poller is the one that spins. The same could hit any Close from the loop that met a callback, since the runner is the poller. At fault: transport.go, receive, flush and Close. Ruled out: the loop (it posted and timed on), memory (9 of 64 MB), descriptors (83 of 384), the parsers. Now Close shuts the socket down and the poller ends it as it would for the other side. More than the limit is dropped, the handler told (Flooded); the open request is answered, then the connection ends. Clients that say nothing or half a request are ended after 2.3 s, idle connections make room for new ones when places run short, an id that is open is failed, ids, waits and groups are checked strictly.

--- a/cmd/cherryramp/front_test.go
+++ b/cmd/cherryramp/front_test.go
@@ -50,6 +50,9 @@
 		"unknown class":    {get("gifs", "1", 2000), 400},
 		"unknown target":   {"GET /elsewhere HTTP/1.1\r\n\r\n", 400},
 		"no id":            {strings.Replace(good, "Req-Id", "Req-Ix", 1), 400},
+		"no bucket":        {strings.Replace(good, "X-Bucket: 17\r\n", "", 1), 400},
+		"two ids":          {strings.Replace(good, "X-B", "Req-Id: 0123456789abcdef\r\nX-B", 1), 400},
+		"endless wait":     {get("guide-video", "1", 99_999_999), 400},
 		"no wait":          {strings.Replace(good, "Req-Wait-Ms", "Req-Wait", 1), 400},
 		"bad part":         {strings.Replace(good, "seg=3", "seg=-3", 1), 400},
 		"field in a name":  {get("guide-video", "1,next=s-9", 2000), 400},
@@ -77,6 +80,68 @@
 	}
 }
 
+// Guards against a client whose flood stops the poller, and with it every other
+// connection: its open request is answered, the connection then ends, and the
+// rest of the flood is dropped.
+func TestFloodHurtsNobodyElse(t *testing.T) {
+	s := newSite(t, 1, "")
+	flood := dial(t, s.addr)
+	flood.send(get("guide-video", "9f3a", 5000))
+	x := s.boxes[0].next(t)
+	flood.send(strings.Repeat(get("guide-video", "9f3b", 5000), 4000))
+	other := dial(t, s.addr)
+	other.send(get("guide-video", "9f3c", 5000))
+	y := s.boxes[0].next(t)
+	y.reply("ok", "sum=t1,t0=1,why=warm", object(y))
+	if r, _ := other.answer("GET"); r.StatusCode != 200 {
+		t.Errorf("beside a flood: got %d", r.StatusCode)
+	}
+	x.reply("ok", "sum=t1,t0=1,why=warm", object(x))
+	if r, body := flood.answer("GET"); r.StatusCode != 200 || body != object(x) || !r.Close {
+		t.Errorf("the flood's own request: got %d, close %v", r.StatusCode, r.Close)
+	}
+	if !flood.closed() {
+		t.Error("the flood's connection stays open")
+	}
+}
+
+// Guards against clients that hold a place and bring nothing: half a request is
+// answered, silence is ended, and what is too long gets its answer before the
+// rest of it has come.
+func TestSlowAndSilentClients(t *testing.T) {
+	s := newSite(t, 1, "")
+	half, silent, long := dial(t, s.addr), dial(t, s.addr), dial(t, s.addr)
+	half.send("GET /call/guide-video/9f3a?seg=3 HT")
+	long.send(strings.Replace(put(2000, ""), "Content-Length: 0", "Content-Length: 60000000", 1))
+	if r, _ := long.answer("PUT"); r.StatusCode != 413 {
+		t.Errorf("too long: got %d", r.StatusCode)
+	}
+	if r, _ := half.answer("GET"); r.StatusCode != 408 || !half.closed() {
+		t.Errorf("half a request: got %d", r.StatusCode)
+	}
+	if !silent.closed() {
+		t.Error("a silent connection stays open")
+	}
+}
+
+// Guards against an id that two requests hold at once: to a node they are one,
+// so the second must not be passed on.
+func TestOpenIDIsNotTakenTwice(t *testing.T) {
+	s := newSite(t, 1, "")
+	first, second := dial(t, s.addr), dial(t, s.addr)
+	text := get("guide-video", "9f3a", 5000)
+	first.send(text)
+	x := s.boxes[0].next(t)
+	second.send(strings.Replace(text, "9f3a", "9f3b", 1))
+	if r, _ := second.answer("GET"); r.StatusCode != 502 {
+		t.Errorf("second: got %d", r.StatusCode)
+	}
+	x.reply("ok", "sum=t1,t0=1,why=warm", object(x))
+	if r, body := first.answer("GET"); r.StatusCode != 200 || body != object(x) {
+		t.Errorf("first: got %d", r.StatusCode)
+	}
+}
+
 // Guards against work that goes on for a client that has gone.
 func TestResetCancels(t *testing.T) {
 	s := newSite(t, 1, "")
--- a/cmd/cherryramp/main.go
+++ b/cmd/cherryramp/main.go
@@ -26,9 +26,9 @@
 const (
 	memoryShare  = 0.6     // part of the memory limit that the heap may fill before it is swept harder
 	copyShare    = 0.25    // part of the memory limit for copies of our own
-	clientShare  = 0.4     // part of the descriptors for clients, who hold a third at most
+	clientShare  = 0.55    // part of the descriptors for clients; the usual ones hold a third at most
 	signedShare  = 0.1     // part of them for the clients of the signed front, where it is on
-	poolShare    = 0.4     // part of them for cache nodes
+	poolShare    = 0.25    // part of them for cache nodes
 	poolMost     = 8       // connections to one node at most
 	idleShare    = 0.8     // part of the nodes' idle time after which we close first
 	drainAfter   = 750_000 // us after SIGTERM until which clients may still come
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -3,7 +3,6 @@
 package platform
 
 import (
-	"cmp"
 	"log/slog"
 	"strconv"
 	"strings"
@@ -69,6 +68,8 @@
 		return nil, bad("class is unknown")
 	case !gateway.IsName(object):
 		return nil, bad("object is malformed")
+	case r.Header.Count("Req-Id") > 1 || r.Header.Count("Req-Wait-Ms") > 1 || r.Header.Count("X-Bucket") > 1:
+		return nil, bad("a field stands twice")
 	case len(id) != 16 || strings.Trim(id, "0123456789abcdefABCDEF") != "":
 		return nil, bad("Req-Id is not 16 hex digits")
 	case r.Method != "GET" && r.Method != "PUT" || f.classes[class].Write != (r.Method == "PUT"):
@@ -79,12 +80,11 @@
 	c := &gateway.Call{ID: id, Class: class, Object: object, Body: r.Body,
 		Repeat: r.Header.Get("Req-Retry") == "1"}
 	wait, err := strconv.ParseUint(r.Header.Get("Req-Wait-Ms"), 10, 32)
-	if err != nil {
-		return nil, bad("Req-Wait-Ms is not a number")
+	if err != nil || wait == 0 || wait > longestWait {
+		return nil, bad("Req-Wait-Ms is not 1 to 60000")
 	}
-	c.Deadline = loop.Now() + int64(min(wait, longestWait))*1000
-	group := cmp.Or(r.Header.Get("X-Bucket"), "0")
-	if fault := session.ReadCopy(c, query, group, r.Header); fault != "" {
+	c.Deadline = loop.Now() + int64(wait)*1000
+	if fault := session.ReadCopy(c, query, r.Header.Get("X-Bucket"), r.Header); fault != "" {
 		return nil, bad(fault)
 	}
 	return c, nil
--- a/internal/front/session/session.go
+++ b/internal/front/session/session.go
@@ -15,8 +15,13 @@
 )
 
 const (
-	idleMost   = 10_000_000 // us that a connection may stand without an open request
-	sweepEvery = 1_000_000  // us
+	idleMost     = 4_500_000 // us without an open request; clients close after 4 s themselves
+	requestMost  = 2_300_000 // us that a whole request may take to come, from connecting or its first byte
+	yieldSilent  = 400_000   // us after which one that has said nothing whole yet may have to make room
+	yieldIdle    = 50_000    // us after which an idle one may
+	sweepEvery   = 100_000   // us
+	refusalEvery = 1_000_000 // us between log lines about clients turned away
+	crowdShare   = 0.9       // part of the places from which new clients have others make room
 )
 
 // Config bounds the connections.
@@ -50,6 +55,7 @@
 	log     *slog.Logger
 	conns   map[*conn]struct{}
 	held    atomic.Int64
+	refused atomic.Int64 // when one was last turned away
 	closing bool
 	buf     []byte
 }
@@ -61,7 +67,9 @@
 	call   *gateway.Call // open
 	head   bool          // the open request wants no body
 	last   bool          // the connection ends with the answer
+	served bool          // it has brought a whole request
 	since  loop.Micros   // when it last became idle
+	begun  loop.Micros   // when the first byte came of a request that is not whole; 0: none
 	over   bool
 }
 
@@ -77,29 +85,65 @@
 	return transport.Listen(s.loop, s.cfg.Listen, s.cfg.Limits.Head+s.cfg.Limits.Body, s.admit)
 }
 
-// admit runs on the poller.
+// admit runs on the poller. Where few places are left, one of the connections
+// that stand idle has to make room.
 func (s *Server) admit(tc *transport.Conn) transport.Handler {
-	if s.held.Add(1) > int64(s.cfg.Connections) {
+	now, held := loop.Now(), s.held.Add(1)
+	if held > int64(s.cfg.Connections) {
 		s.held.Add(-1)
-		s.log.Warn("client turned away: too many connections", "limit", s.cfg.Connections)
+		if last := s.refused.Load(); now-last > refusalEvery && s.refused.CompareAndSwap(last, now) {
+			s.log.Warn("client turned away: too many connections", "limit", s.cfg.Connections)
+		}
+		s.loop.Post(s.makeRoom)
 		return nil
 	}
-	c := &conn{server: s, tc: tc, since: loop.Now()}
+	c := &conn{server: s, tc: tc, since: now}
 	s.loop.Post(func() {
 		if !c.over {
 			s.conns[c] = struct{}{}
 		}
 	})
+	if float64(held) > crowdShare*float64(s.cfg.Connections) {
+		s.loop.Post(s.makeRoom)
+	}
 	return c
 }
 
-// sweep closes connections that have stood idle, or not taken their answer, for
-// too long.
+// makeRoom ends the connection that is least missed: of those that have brought
+// no whole request for a while the oldest, else the one idle for longest. One
+// that has just come is left alone, since its first request may be under way.
+func (s *Server) makeRoom() {
+	var least *conn
+	now := loop.Now()
+	for c := range s.conns {
+		limit := loop.Micros(yieldIdle)
+		if !c.served {
+			limit = yieldSilent
+		}
+		if c.call != nil || c.last || now-c.since < limit || c.tc.Blocked() {
+			continue
+		}
+		if least == nil || c.served != least.served && !c.served ||
+			c.served == least.served && c.since < least.since {
+			least = c
+		}
+	}
+	if least != nil {
+		least.quit()
+	}
+}
+
+// sweep ends connections that have stood idle, or been silent or slow with a
+// request, for too long.
 func (s *Server) sweep() {
 	now := loop.Now()
 	for c := range s.conns {
-		if c.call == nil && now-c.since > idleMost {
-			c.tc.Close()
+		switch {
+		case c.call != nil || c.last:
+		case c.begun > 0 && now-c.begun > requestMost, !c.served && now-c.since > requestMost:
+			c.quit()
+		case now-c.since > idleMost:
+			c.quit()
 		}
 	}
 	s.loop.At(now+sweepEvery, s.sweep)
@@ -110,7 +154,7 @@
 	s.closing = true
 	for c := range s.conns {
 		if c.call == nil && !c.tc.Blocked() {
-			c.tc.Finish()
+			c.quit()
 		}
 	}
 }
@@ -132,8 +176,16 @@
 		var err error
 		tc.Consume(func(b []byte) (used int) {
 			r, used, err = httpwire.ParseRequest(b, c.server.cfg.Limits)
+			if begun := len(b) > 0 && r == nil; !begun {
+				c.begun = 0
+			} else if c.begun == 0 {
+				c.begun = loop.Now()
+			}
 			return used
 		})
+		if r == nil && err == nil && tc.Flooded() {
+			err = &httpwire.Error{Status: 400, Reason: "too much at once"}
+		}
 		var wrong *httpwire.Error
 		if errors.As(err, &wrong) {
 			c.server.log.Info("request can't be read", "status", wrong.Status, "reason", wrong.Reason,
@@ -148,8 +200,18 @@
 	}
 }
 
+// quit ends a connection without an open request. Half a request is answered.
+func (c *conn) quit() {
+	if c.begun > 0 {
+		c.write(&httpwire.Response{Status: 408, Close: true})
+		return
+	}
+	c.last = true
+	c.tc.Finish()
+}
+
 func (c *conn) take(r *httpwire.Request) {
-	c.head, c.last = r.Method == "HEAD", r.Close
+	c.served, c.head, c.last = true, r.Method == "HEAD", r.Close || c.tc.Flooded()
 	call, answer := c.server.app.Take(r)
 	if call == nil {
 		c.write(answer)
@@ -171,7 +233,7 @@
 
 func (c *conn) write(r *httpwire.Response) {
 	s := c.server
-	c.last = c.last || r.Close || s.closing
+	c.last = c.last || r.Close || s.closing || c.tc.Flooded()
 	r.Close = c.last
 	s.buf = httpwire.AppendResponse(s.buf[:0], r, c.head)
 	c.since = loop.Now()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -148,6 +148,7 @@
 	nodes   Nodes
 	events  []rules.Event
 	calls   map[rules.RequestID]*Call
+	open    map[string]struct{} // the clients' ids of the calls
 	last    rules.RequestID
 	servers map[rules.ServerID]*Server
 	purges  map[uint64]Micros // when; of objects and groups
@@ -163,7 +164,7 @@
 		return nil, fmt.Errorf("gateway: %w", err)
 	}
 	return &Gateway{cfg: cfg, loop: l, router: router, log: log, calls: map[rules.RequestID]*Call{},
-		servers: map[rules.ServerID]*Server{}, purges: map[uint64]Micros{},
+		open: map[string]struct{}{}, servers: map[rules.ServerID]*Server{}, purges: map[uint64]Micros{},
 		copies: newCopies(cfg.Copies)}, nil
 }
 
@@ -186,7 +187,13 @@
 func (g *Gateway) Heard() { g.copies.heard = loop.Now() }
 
 // Submit takes a call; exactly one answer follows, unless the call is left.
+// A call under the id of one that is open has failed: to the nodes they would be one.
 func (g *Gateway) Submit(c *Call) {
+	if _, open := g.open[c.ID]; open {
+		c.over = true
+		c.Caller.Answer(Answer{Kind: Failed})
+		return
+	}
 	if x := g.copies.find(c, &g.cfg.Settings.Classes[c.Class], loop.Now()); x != nil {
 		c.over = true
 		a := Answer{Kind: Served, Body: x.body, Tag: x.tag}
@@ -199,6 +206,7 @@
 	g.last++
 	c.id = g.last
 	g.calls[c.id] = c
+	g.open[c.ID] = struct{}{}
 	g.events = append(g.events, rules.Request{ID: c.id, Class: c.Class, Object: key(c.Object),
 		Part: c.Part, Group: c.Group, Expires: max(0, c.Deadline-loop.Now()), Repeat: c.Repeat})
 }
@@ -226,6 +234,7 @@
 		g.end(a, End{Code: code})
 	}
 	delete(g.calls, c.id)
+	delete(g.open, c.ID)
 }
 
 // Members tells of the list of servers: all of it, or what changed.
--- a/internal/httpwire/httpwire.go
+++ b/internal/httpwire/httpwire.go
@@ -212,7 +212,8 @@
 
 // reasons are the phrases of the statuses that the fronts use.
 var reasons = map[int]string{200: "OK", 304: "Not Modified", 400: "Bad Request", 403: "Forbidden",
-	404: "Not Found", 405: "Method Not Allowed", 413: "Content Too Large", 429: "Too Many Requests",
+	404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout", 413: "Content Too Large",
+	429: "Too Many Requests",
 	431: "Request Header Fields Too Large", 502: "Bad Gateway", 503: "Service Unavailable",
 	504: "Gateway Timeout"}
 
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -46,8 +46,10 @@
 	told     bool   // the loop is about to look at it
 	out      []byte // what a full socket did not take
 	flushing bool
-	closed   bool
+	closed   bool // the poller has said its last word; the descriptor may be another's
+	shut     bool // told to end
 	discard  bool // what comes in is of no more use
+	flooded  bool // more came than the limit; the rest is dropped
 	ending   bool // to be half-closed when all is out
 }
 
@@ -70,7 +72,7 @@
 
 // Listen accepts connections at an address. For each, admit is called on the
 // poller and gives the connection's handler; nil turns the connection away.
-// What a connection buffers is bounded by limit.
+// What a connection buffers is bounded by limit; see Flooded.
 func Listen(l *loop.Loop, address string, limit int, admit func(*Conn) Handler) error {
 	ln, err := netpoll.CreateListener("tcp", address)
 	if err != nil {
@@ -139,17 +141,17 @@
 	r := c.np.Reader()
 	p, err := r.Next(r.Len())
 	c.mu.Lock()
+	tell := !c.told && !c.discard
 	if err == nil && !c.discard {
-		c.in = append(c.in, p...)
+		if len(c.in)+len(p) > c.limit {
+			c.flooded, c.discard = true, true
+		} else {
+			c.in = append(c.in, p...)
+		}
 	}
-	over, tell := len(c.in) > c.limit, !c.told && !c.discard
 	c.told = c.told || tell
 	c.mu.Unlock()
 	_ = r.Release()
-	if over {
-		_ = c.np.Close()
-		return
-	}
 	if tell {
 		c.loop.Post(c.readable)
 	}
@@ -158,8 +160,19 @@
 func (c *Conn) readable() {
 	c.mu.Lock()
 	c.told = false
+	useless := c.shut || c.ending
 	c.mu.Unlock()
-	c.handler.Readable(c)
+	if !useless {
+		c.handler.Readable(c)
+	}
+}
+
+// Flooded tells whether more has come than the connection may buffer. What came
+// until then stands in the buffer; nothing more will.
+func (c *Conn) Flooded() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.flooded
 }
 
 // ended is the poller's last word on a connection; its descriptor is still open.
@@ -192,7 +205,7 @@
 func (c *Conn) Send(p []byte) (whole bool, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closed || c.ending {
+	if c.closed || c.shut || c.ending {
 		return false, ErrClosed
 	}
 	if !c.flushing {
@@ -249,7 +262,7 @@
 			err = c.np.Writer().Flush()
 		}
 		if err != nil { // Closed follows, and not Drained
-			_ = c.np.Close()
+			c.Close()
 			return
 		}
 	}
@@ -262,14 +275,25 @@
 	return c.flushing
 }
 
-// Close ends a connection now. Closed follows.
-func (c *Conn) Close() { _ = c.np.Close() }
+// Close ends a connection now. Closed follows. It only shuts the socket, which
+// the poller then takes for an end by the other side: netpoll's own Close waits
+// for the poller to leave the connection, and so for ever where the poller is
+// the one that carries it out.
+func (c *Conn) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed || c.shut {
+		return
+	}
+	c.shut, c.discard, c.in = true, true, nil
+	_ = syscall.Shutdown(c.fd, syscall.SHUT_RDWR)
+}
 
 // Finish ends a connection once all is out and the other side has seen it: what
 // still comes in is dropped, so that no reset overtakes the last answer.
 func (c *Conn) Finish() {
 	c.mu.Lock()
-	if c.closed || c.ending {
+	if c.closed || c.shut || c.ending {
 		c.mu.Unlock()
 		return
 	}
