SIGHUP reads the configuration again and moves to the new notice board

Now the file is read beside the loop, checked whole and swapped on the loop; a bad one keeps the old and logs the key. After SIGTERM what is still open is failed before SIGKILL can come, and the program ends. Tests: SIGHUP with a bad file, with keys that need a restart and with a new board; a board that breaks off and stops; a bounded SIGTERM.

--- a/cmd/cherryramp/front_test.go
+++ b/cmd/cherryramp/front_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"net"
+	"os"
 	"os/exec"
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 )
 
 func TestServesWholeAndCurrent(t *testing.T) {
@@ -319,6 +321,80 @@
 	}
 }
 
+// draining is a notice that the first box drains.
+func (s *site) draining() string {
+	return `"pool":{"complete":false,"members":[{"id":"s-0","host_port":"` + s.boxes[0].ln.Addr().String() +
+		`","locality":"edge-1","flavor":"box","phase":"DRAINING","size":100}]}`
+}
+
+// Guards against SIGHUP ending the program, against a bad file taking effect,
+// and against a board that is left too late or asked for the wrong events. The
+// request that is open meanwhile is answered.
+func TestSIGHUP(t *testing.T) {
+	s := newSite(t, 1, "")
+	c := dial(t, s.addr)
+	c.send(get("guide-video", "9f3a", 5000))
+	x := s.boxes[0].next(t)
+	good, err := os.ReadFile(s.config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	reload := func(text, until string) {
+		t.Helper()
+		if err := os.WriteFile(s.config, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if err := s.cmd.Process.Signal(syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+		s.log.await(t, until)
+	}
+	reload(strings.Replace(string(good), `"sockets":1024`, `"sockets":"many"`, 1), "limits.sockets")
+	reload(strings.Replace(string(good), `"sockets":1024`, `"sockets":512`, 1), "keys=[limits]")
+	other := newBoard(t)
+	s.board.add(`"flush":{"collection":17,"ms":1}`)
+	other.add(`"flush":{"collection":17,"ms":1}`)
+	other.add(s.draining())
+	reload(strings.Replace(string(good), s.board.addr, other.addr, 1), "state=draining")
+	x.reply("ok", "sum=t1,t0=1,why=warm", object(x))
+	if r, body := c.answer("GET"); r.StatusCode != 200 || body != object(x) {
+		t.Errorf("got %d", r.StatusCode)
+	}
+}
+
+// Guards against news that is lost when the board breaks off in the middle of an
+// event, or stops and stays open.
+func TestBoardBreaksAndStops(t *testing.T) {
+	s := newSite(t, 1, "")
+	s.board.mu.Lock()
+	s.board.cut, s.board.mute = 2, 1
+	s.board.mu.Unlock()
+	began := time.Now()
+	s.board.add(s.draining())
+	s.log.await(t, "state=draining")
+	if took := time.Since(began); took > 2*time.Second {
+		t.Errorf("heard after %v", took)
+	}
+}
+
+// Guards against a restart that is held up by a call that nobody answers: it is
+// failed in time, and the program ends.
+func TestSIGTERMIsBounded(t *testing.T) {
+	s := newSite(t, 1, "")
+	c := dial(t, s.addr)
+	c.send(get("guide-video", "9f3a", 9000))
+	s.boxes[0].next(t)
+	if err := s.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	if r, _ := c.answer("GET"); r.StatusCode != 502 {
+		t.Errorf("got %d", r.StatusCode)
+	}
+	if err := <-s.ended; err != nil {
+		t.Errorf("ended with %v", err)
+	}
+}
+
 func TestBadConfiguration(t *testing.T) {
 	for _, x := range []struct{ key, config, operator string }{
 		{"listen", `{"settings":{}}`, ""},
--- a/cmd/cherryramp/main.go
+++ b/cmd/cherryramp/main.go
@@ -24,16 +24,19 @@
 )
 
 const (
-	memoryShare  = 0.6     // part of the memory limit that the heap may fill before it is swept harder
-	copyShare    = 0.25    // part of the memory limit for copies of our own
-	clientShare  = 0.55    // part of the descriptors for clients; the usual ones hold a third at most
-	signedShare  = 0.1     // part of them for the clients of the signed front, where it is on
-	poolShare    = 0.25    // part of them for cache nodes
-	poolMost     = 8       // connections to one node at most
-	idleShare    = 0.8     // part of the nodes' idle time after which we close first
-	drainAfter   = 750_000 // us after SIGTERM until which clients may still come
-	drainPoll    = 20_000  // us between looks at whether all is answered
-	fewestPooled = 16      // nodes that the connections must suffice for
+	memoryShare  = 0.6       // part of the memory limit that the heap may fill before it is swept harder
+	copyShare    = 0.25      // part of the memory limit for copies of our own
+	clientShare  = 0.55      // part of the descriptors for clients; the usual ones hold a third at most
+	signedShare  = 0.1       // part of them for the clients of the signed front, where it is on
+	poolShare    = 0.25      // part of them for cache nodes
+	poolMost     = 8         // connections to one node at most
+	idleShare    = 0.8       // part of the nodes' idle time after which we close first
+	drainAfter   = 750_000   // us after SIGTERM until which clients may still come
+	drainPoll    = 20_000    // us between looks at whether all is answered
+	drainMost    = 3_000_000 // us that open calls may take after SIGTERM, if their classes allow as much
+	drainSlack   = 500_000   // us past it after which what is still open is failed
+	drainFlush   = 150_000   // us past that for the last answers to leave
+	fewestPooled = 16        // nodes that the connections must suffice for
 )
 
 func main() {
@@ -48,6 +51,8 @@
 	if err != nil {
 		return err
 	}
+	signals := make(chan os.Signal, 8)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
 	slog.SetDefault(log)
 	cfg, err := config.Load(os.Getenv)
@@ -62,34 +67,31 @@
 	if err := transport.Setup(); err != nil {
 		return err
 	}
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-
 	p, err := build(cfg, operator, log)
 	if err != nil {
 		return err
 	}
-	go func() {
-		got := <-signals
-		p.loop.Post(func() { p.stop(got) })
-	}()
+	go p.heed(signals)
 	log.Info("serving", "name", cfg.Name, "listen", cfg.Listen, "board", cfg.Board)
 	p.loop.Run()
-	log.Info("ended: all is answered")
+	log.Info("ended", "open", p.gate.Open())
 	return nil
 }
 
 // program is the wired parts.
 type program struct {
-	log    *slog.Logger
-	loop   *loop.Loop
-	gate   *gateway.Gateway
-	fronts []*session.Server
+	log      *slog.Logger
+	cfg      *config.Config // in force
+	loop     *loop.Loop
+	gate     *gateway.Gateway
+	news     *board.Board
+	fronts   []*session.Server
+	stopping bool
 }
 
 // build wires the parts and starts to serve.
 func build(cfg *config.Config, operator *config.Operator, log *slog.Logger) (*program, error) {
-	p := &program{log: log}
+	p := &program{log: log, cfg: cfg}
 	p.loop = loop.New(func() { p.gate.Settle() })
 	var err error
 	p.gate, err = gateway.New(gateway.Config{Settings: cfg.Settings, Zones: cfg.Zones, Kinds: cfg.Kinds,
@@ -118,7 +120,7 @@
 			return nil, err
 		}
 	}
-	news := board.New(p.loop, log, cfg.Board, cfg.Known, sink)
+	p.news = board.New(p.loop, log, cfg.Board, cfg.Known, sink)
 	var classes []platform.Class
 	for i, c := range cfg.Settings.Classes {
 		classes = append(classes, platform.Class{Name: cfg.Lanes[i], Write: c.Write})
@@ -141,7 +143,7 @@
 		}
 	}
 	if cfg.Board != "" {
-		news.Start()
+		p.news.Start()
 	}
 	return p, nil
 }
@@ -179,16 +181,64 @@
 	return signed.New(rules, classes, log)
 }
 
+// heed carries out signals for as long as the program runs. Files are read here,
+// beside the loop.
+func (p *program) heed(signals <-chan os.Signal) {
+	for got := range signals {
+		if got != syscall.SIGHUP {
+			p.loop.Post(func() { p.stop(got) })
+			continue
+		}
+		cfg, err := config.Load(os.Getenv)
+		if err != nil {
+			p.log.Error("configuration can't be used, the old one stays", "error", err)
+			continue
+		}
+		p.loop.Post(func() { p.reload(cfg) })
+	}
+}
+
+// reload takes over what a new configuration may change while the program runs.
+func (p *program) reload(cfg *config.Config) {
+	if fixed := p.cfg.Fixed(cfg); len(fixed) > 0 {
+		p.log.Warn("configuration: these keys need a restart, their old values stay", "keys", fixed)
+	}
+	p.cfg.Flow, p.cfg.Link = cfg.Flow, cfg.Link
+	if p.cfg.Board != "" && cfg.Board != "" {
+		p.cfg.Board = cfg.Board
+		p.news.Move(cfg.Board)
+	}
+	p.gate.Limit(copies(p.cfg))
+	p.log.Info("configuration read again", "board", p.cfg.Board)
+}
+
 // stop goes on serving while clients may still come, then ends once all is
-// answered.
+// answered, and before whoever sent the signal runs out of patience.
 func (p *program) stop(got os.Signal) {
+	if p.stopping {
+		return
+	}
+	p.stopping = true
 	p.log.Info("told to end", "signal", got.String(), "open", p.gate.Open())
-	p.loop.At(loop.Now()+drainAfter, func() {
+	now := loop.Now()
+	p.loop.At(now+drainAfter, func() {
 		for _, f := range p.fronts {
 			f.Drain()
 		}
 		p.watch()
 	})
+	var longest loop.Micros
+	for _, c := range p.cfg.Settings.Classes {
+		longest = max(longest, c.GiveUp)
+	}
+	last := max(drainAfter, min(longest, drainMost)+drainSlack)
+	p.loop.At(now+last, func() {
+		if open := p.gate.Open(); open > 0 {
+			p.log.Warn("out of time: what is open is failed", "open", open)
+			p.gate.Abandon()
+		}
+	})
+	p.loop.At(now+last+drainFlush, p.loop.Quit)
 }
 
 func (p *program) watch() {
--- a/cmd/cherryramp/standin_test.go
+++ b/cmd/cherryramp/standin_test.go
@@ -142,6 +142,9 @@
 	mu   sync.Mutex
 	more chan struct{} // closed when there is news
 	news []string
+	srv  *http.Server
+	cut  int // polls that break off in the middle of their answer
+	mute int // polls that are never answered
 }
 
 func newBoard(t *testing.T) *board {
@@ -151,9 +154,9 @@
 		t.Fatal(err)
 	}
 	b := &board{addr: ln.Addr().String(), more: make(chan struct{})}
-	s := &http.Server{Handler: http.HandlerFunc(b.poll), ReadHeaderTimeout: patience}
-	t.Cleanup(func() { _ = s.Close() })
-	go func() { _ = s.Serve(ln) }()
+	b.srv = &http.Server{Handler: http.HandlerFunc(b.poll), ReadHeaderTimeout: patience}
+	t.Cleanup(func() { _ = b.srv.Close() })
+	go func() { _ = b.srv.Serve(ln) }()
 	return b
 }
 
@@ -181,6 +184,19 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if len(b.news) >= watch && b.cut > 0 { // there is news, and it breaks off
+		b.cut--
+		w.Header().Set("Content-Length", "1000")
+		_, _ = io.WriteString(w, `{"rev":9,"notices":[{"rev":`)
+		panic(http.ErrAbortHandler)
+	}
+	if len(b.news) >= watch && b.mute > 0 {
+		b.mute--
+		b.mu.Unlock()
+		<-r.Context().Done()
+		b.mu.Lock()
+		return
+	}
 	_, _ = fmt.Fprintf(w, `{"rev":%d,"notices":[%s]}`, len(b.news)+1, strings.Join(b.news[watch-1:], ","))
 }
 
@@ -209,6 +225,7 @@
 	board  *board
 	addr   string
 	signed string
+	config string // path of the configuration
 	cmd    *exec.Cmd
 	log    *lines
 	ended  chan error
@@ -234,7 +251,8 @@
 		"limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"board":"%s",
 		"known":{"rev":1,"notices":[{"rev":1,"pool":{"revision":0,"complete":true,"members":[%s]}}]},
 		"settings":%s}`, s.addr, s.board.addr, strings.Join(members, ","), settings)
-	env := []string{"ROUTER_CONFIG=" + write(t, config)}
+	s.config = write(t, config)
+	env := []string{"ROUTER_CONFIG=" + s.config}
 	if operator != "" {
 		s.signed = freeAddress(t)
 		env = append(env, "CHERRYRAMP_OPERATOR="+write(t, strings.ReplaceAll(operator, "LISTEN", s.signed)))
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -9,6 +9,8 @@
 	"log/slog"
 	"net"
 	"os"
+	"reflect"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -131,6 +133,30 @@
 	return c, c.settings(f.Settings)
 }
 
+// Fixed names the keys that another configuration sets otherwise, and that take
+// effect at a start only.
+func (c *Config) Fixed(o *Config) (keys []string) {
+	settings := c.Settings
+	settings.MaxHeld = o.Settings.MaxHeld // follows from the limits
+	for _, x := range []struct {
+		key     string
+		changed bool
+	}{
+		{"name", c.Name != o.Name},
+		{"listen", c.Listen != o.Listen},
+		{"limits", c.MemoryMB != o.MemoryMB || c.Sockets != o.Sockets},
+		{"settings", !reflect.DeepEqual(settings, o.Settings) || !slices.Equal(c.Zones, o.Zones) ||
+			!slices.Equal(c.Kinds, o.Kinds) || c.Streams != o.Streams ||
+			c.ConnectTime != o.ConnectTime || c.ConnIdle != o.ConnIdle},
+		{"board", (c.Board == "") != (o.Board == "")},
+	} {
+		if x.changed {
+			keys = append(keys, x.key)
+		}
+	}
+	return keys
+}
+
 func checkAddress(address string) error {
 	host, port, err := net.SplitHostPort(address)
 	if err != nil {
--- a/internal/gateway/copies.go
+++ b/internal/gateway/copies.go
@@ -52,11 +52,23 @@
 	return &copies{limit: limit, byKey: map[copyKey]*list.Element{}, order: list.New()}
 }
 
+// bound sets the limits anew and drops what they no longer hold.
+func (s *copies) bound(limit Copies) {
+	s.limit = limit
+	s.shrink()
+}
+
+func (s *copies) shrink() {
+	for s.bytes > s.limit.Bytes {
+		s.drop(s.order.Back())
+	}
+}
+
 // find gives a copy that a call may be answered with now, or nil: one that is
 // fresh, in a moment when the link is all but free and no purge can have been missed.
 func (s *copies) find(c *Call, class *rules.Class, now Micros) *ownCopy {
 	e := s.byKey[copyKey{c.Object, c.Part}]
-	if e == nil || class.Write || now-s.heard > heardWithin || s.freeAt > now+linkWait {
+	if e == nil || s.limit.Bytes == 0 || class.Write || now-s.heard > heardWithin || s.freeAt > now+linkWait {
 		return nil
 	}
 	x := e.Value.(*ownCopy)
@@ -85,9 +97,8 @@
 	}
 	s.byKey[k] = s.order.PushFront(&ownCopy{key: k, class: c.Class, group: c.Group, body: a.Body,
 		tag: a.Tag, born: a.Born})
-	for s.bytes += len(a.Body); s.bytes > s.limit.Bytes; {
-		s.drop(s.order.Back())
-	}
+	s.bytes += len(a.Body)
+	s.shrink()
 }
 
 func (s *copies) drop(e *list.Element) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -174,6 +174,17 @@
 // Open counts the calls that are not answered yet.
 func (g *Gateway) Open() int { return len(g.calls) }
 
+// Limit bounds the own copies anew.
+func (g *Gateway) Limit(c Copies) { g.copies.bound(c) }
+
+// Abandon fails every open call, for a program that has to end.
+func (g *Gateway) Abandon() {
+	for id := range g.calls {
+		g.events = append(g.events, rules.Expired{ID: id})
+		g.finish(id, Answer{Kind: Failed})
+	}
+}
+
 // key maps a name to 64 bits, alike at every front and every start.
 func key(name string) uint64 {
 	h := fnv.New64a()
