Spoilt answers end their connection and count for no health; payouts go alone

An answer with half its bytes, or said to hold more than came, left its connection open and all others on it waiting (upstream.go, Readable; maxBody 1 MB in lines.go); one spoilt answer was booked as a reset on each attempt of the connection, up to 32, and ejected the node (rules.go, learn). Now: a body is at most 240,000, an answer must be whole 500 ms after its first byte, what can't be read ends the connection and all on it as Spoilt, which may have run and says nothing of health; a reset counts once for its node. A second connection is opened once two attempts share one, and writes that must not run twice go alone.

--- a/cmd/cherryramp/main.go
+++ b/cmd/cherryramp/main.go
@@ -21,6 +21,7 @@
 	"cherryramp/internal/loop"
 	"cherryramp/internal/transport"
 	"cherryramp/internal/upstream"
+	"cherryramp/rules"
 )
 
 const (
@@ -107,7 +108,11 @@
 			}
 		}
 	}
-	p.gate.Use(upstream.New(upstream.Config{Lanes: cfg.Lanes, Streams: cfg.Streams,
+	var alone []bool // what must not run twice does not suffer from others' answers
+	for _, c := range cfg.Settings.Classes {
+		alone = append(alone, c.Effect == rules.Unsafe)
+	}
+	p.gate.Use(upstream.New(upstream.Config{Lanes: cfg.Lanes, Alone: alone, Streams: cfg.Streams,
 		Connections: max(1, min(poolMost, int(poolShare*float64(cfg.Sockets))/nodes)),
 		ConnectTime: cfg.ConnectTime, IdleTime: int64(idleShare * float64(cfg.ConnIdle))},
 		p.loop, p.gate, log))
@@ -166,19 +171,19 @@
 
 // signedFront makes the front for signed URLs and tokens.
 func signedFront(cfg *config.Config, s *config.Signed, log *slog.Logger) (*signed.Front, error) {
-	rules := signed.Rules{URLBase: s.URLBase, TokenName: s.TokenName, TokenHeader: s.TokenHeader,
+	check := signed.Rules{URLBase: s.URLBase, TokenName: s.TokenName, TokenHeader: s.TokenHeader,
 		Branch: s.Branch, AllowUnbound: s.AllowUnbound, Skew: int64(*s.SkewMS) * 1000}
 	for _, k := range s.URLKeys {
-		rules.URLKeys = append(rules.URLKeys, signed.Key{Name: k.Name, Secret: k.Secret})
+		check.URLKeys = append(check.URLKeys, signed.Key{Name: k.Name, Secret: k.Secret})
 	}
 	for _, k := range s.TokenKeys {
-		rules.TokenKeys = append(rules.TokenKeys, signed.Key{Name: k.Name, Secret: k.Secret})
+		check.TokenKeys = append(check.TokenKeys, signed.Key{Name: k.Name, Secret: k.Secret})
 	}
 	var classes []signed.Class
 	for i, c := range cfg.Settings.Classes {
 		classes = append(classes, signed.Class{Name: cfg.Lanes[i], Write: c.Write, GiveUp: c.GiveUp})
 	}
-	return signed.New(rules, classes, log)
+	return signed.New(check, classes, log)
 }
 
 // heed carries out signals for as long as the program runs. Files are read here,
--- a/internal/upstream/lines.go
+++ b/internal/upstream/lines.go
@@ -13,10 +13,14 @@
 // What an answer may hold at most. Objects hold 240,000 bytes.
 const (
 	maxLine = 4 << 10
-	maxBody = 1 << 20
+	maxBody = 240_000
 )
 
-var errLine = errors.New("upstream: answer is malformed")
+var (
+	errLine    = errors.New("upstream: answer is malformed")
+	errFlood   = errors.New("upstream: more came than an answer may hold")
+	errStalled = errors.New("upstream: answer stopped short")
+)
 
 // answer is one answer of a cache node.
 type answer struct {
@@ -99,6 +103,9 @@
 			}
 			a.end.Answer.Born = ms * 1000
 		case "sum":
+			if !gateway.IsName(value) {
+				return errLine
+			}
 			a.end.Answer.Tag = value
 		}
 	}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -15,14 +15,18 @@
 )
 
 const (
-	inputLimit = maxBody + 2*maxLine
-	pastLimit  = 512 // ids given up on a connection before it is retired
-	muteLimit  = 3   // attempts that run out on a silent connection before it is retired
+	inputLimit = 4 * maxBody // several answers may come before the loop looks
+	pastLimit  = 512         // ids given up on a connection before it is retired
+	muteLimit  = 3           // attempts that run out on a silent connection before it is retired
+	wholeMost  = 500_000     // us from an answer's first byte to its last
+	shareMost  = 2           // attempts on a connection from which another one is opened beside it
+	busyCost   = 1000        // in pick: above any number of open attempts
 )
 
 // Config bounds the connections.
 type Config struct {
 	Lanes       []string       // names of the classes
+	Alone       []bool         // of the classes: those that share no connection while there is room
 	Streams     int            // attempts that a connection carries together
 	Connections int            // connections to one server
 	ConnectTime gateway.Micros // a connection not up by then has failed
@@ -62,6 +66,7 @@
 	born    gateway.Micros
 	conns   []*conn
 	dialing int
+	denied  bool // the last connection did not come up
 	waiting []*gateway.Attempt
 }
 
@@ -72,9 +77,11 @@
 	open    map[string]*gateway.Attempt
 	past    map[string]struct{} // ids given up, whose answers may still cross
 	partial *gateway.Attempt    // what a full socket has not taken whole
+	alone   int                 // open attempts of classes that share no connection
 	retired bool                // takes nothing new; closed when nothing is open
 	mute    int                 // attempts that ran out since it last said anything
 	idle    *loop.Deadline
+	whole   *loop.Deadline // of an answer that has begun to come
 }
 
 // Follow tells of a server's state. What was connected before its last start
@@ -139,19 +146,25 @@
 }
 
 // flush hands what waits to connections, and opens one more where they don't
-// suffice.
+// suffice, or where one that breaks would take too much with it.
 func (x *pool) flush() {
+	more := 0
 	for len(x.waiting) > 0 {
 		a := x.waiting[0]
-		c := x.pick(a)
+		c, cost := x.pick(a)
 		if c == nil {
 			break
 		}
+		if cost >= shareMost && x.room() && !x.denied {
+			if more++; cost >= busyCost {
+				break // it waits for a connection of its own
+			}
+		}
 		x.waiting = slices.Delete(x.waiting, 0, 1)
 		x.send(c, a)
 	}
 	streams := max(1, x.all.cfg.Streams)
-	if len(x.waiting) > x.dialing*streams && x.room() {
+	if (len(x.waiting) > x.dialing*streams || more > x.dialing) && x.room() {
 		x.dial()
 	}
 }
@@ -170,20 +183,30 @@
 	return live < most && len(x.conns)+x.dialing < 2*most
 }
 
-// pick finds the least busy connection that may carry an attempt. Two attempts
-// of one call never share one, since their answers would be alike.
-func (x *pool) pick(a *gateway.Attempt) (best *conn) {
+// pick finds the connection that suits an attempt best, and at what cost: the
+// attempts open there, and more where one of them, or this one, should be alone.
+// Two attempts of one call never share one, since their answers would be alike.
+func (x *pool) pick(a *gateway.Attempt) (best *conn, least int) {
 	for _, c := range x.conns {
 		_, open := c.open[a.Call.ID]
 		_, past := c.past[a.Call.ID]
 		if c.retired || open || past || len(c.open) >= max(1, x.all.cfg.Streams) || c.tc.Blocked() {
 			continue
 		}
-		if best == nil || len(c.open) < len(best.open) {
-			best = c
+		cost := len(c.open)
+		if c.alone > 0 || cost > 0 && x.all.alone(a) {
+			cost += busyCost
+		}
+		if best == nil || cost < least {
+			best, least = c, cost
 		}
 	}
-	return best
+	return best, least
+}
+
+// alone tells whether an attempt is of a class that shares no connection.
+func (p *Pools) alone(a *gateway.Attempt) bool {
+	return a.Call.Class < len(p.cfg.Alone) && p.cfg.Alone[a.Call.Class]
 }
 
 func (x *pool) send(c *conn, a *gateway.Attempt) {
@@ -205,6 +228,9 @@
 	c.idle = nil
 	c.open[a.Call.ID] = a
 	p.where[a] = c
+	if p.alone(a) {
+		c.alone++
+	}
 	if !whole {
 		c.partial = a
 	}
@@ -218,7 +244,7 @@
 	transport.Dial(p.loop, addr, inputLimit, c, loop.Now()+p.cfg.ConnectTime,
 		func(tc *transport.Conn, err error) {
 			x.dialing--
-			if err == nil {
+			if x.denied = err != nil; err == nil {
 				c.tc = tc
 				x.conns = append(x.conns, c)
 				c.retired = addr != x.addr || born != x.born
@@ -247,6 +273,9 @@
 
 func (c *conn) forget(a *gateway.Attempt) {
 	delete(c.open, a.Call.ID)
+	if c.pool.all.alone(a) {
+		c.alone--
+	}
 	delete(c.pool.all.where, a)
 	if c.partial == a {
 		c.partial = nil
@@ -276,27 +305,31 @@
 	})
 }
 
-// Readable takes the answers that have come.
+// Readable takes the answers that have come. Those under ids that are not open
+// (a second copy, one that was given up) are passed over.
 func (c *conn) Readable(tc *transport.Conn) {
 	c.mute = 0
 	for {
 		var ans answer
-		var used int
+		var used, have int
 		var err error
 		tc.Consume(func(b []byte) int {
+			have = len(b)
 			ans, used, err = parseAnswer(b)
 			return used
 		})
+		if err == nil && used == 0 && tc.Flooded() {
+			err = errFlood
+		}
 		if err != nil {
-			c.pool.all.log.Warn("answer can't be read", "server", c.pool.name, "error", err)
-			c.retired = true
-			c.drop()
-			tc.Close()
+			c.spoilt(err)
 			return
 		}
 		if used == 0 {
+			c.await(have > 0)
 			break
 		}
+		c.await(false)
 		if a := c.open[ans.id]; a != nil {
 			c.forget(a)
 			c.pool.all.gate.End(a, ans.end)
@@ -306,23 +339,53 @@
 	c.pool.flush()
 }
 
+// await bounds the time that an answer takes to come whole.
+func (c *conn) await(begun bool) {
+	l := c.pool.all.loop
+	switch {
+	case !begun:
+		l.Stop(c.whole)
+		c.whole = nil
+	case c.whole == nil:
+		c.whole = l.At(loop.Now()+wholeMost, func() { c.spoilt(errStalled) })
+	}
+}
+
+// spoilt ends a connection that has brought what can't be read, or too much, or
+// only a part. All that is open on it may have run; of the server's health it
+// tells little.
+func (c *conn) spoilt(err error) {
+	c.pool.all.log.Warn("answer can't be read", "server", c.pool.name, "error", err, "open", len(c.open))
+	c.retired = true
+	c.drop(rules.Spoilt, rules.Spoilt)
+	c.tc.Close()
+}
+
 // Drained goes on with what waited for a full socket.
 func (c *conn) Drained(*transport.Conn) {
 	c.partial = nil
 	c.pool.flush()
 }
 
-// Closed ends what was open: what had not left whole never ran.
+// Closed ends what was open: what had not left whole never ran. It is one event
+// and counts once against its server's health, and not at all where an answer
+// broke off.
 func (c *conn) Closed(*transport.Conn) {
 	x := c.pool
 	c.retired = true
 	x.all.loop.Stop(c.idle)
 	x.conns = slices.DeleteFunc(x.conns, func(o *conn) bool { return o == c })
-	c.drop()
+	first := rules.Reset
+	if c.whole != nil {
+		first = rules.Spoilt
+	}
+	c.await(false)
+	c.drop(first, rules.Spoilt)
 	x.flush()
 }
 
-func (c *conn) drop() {
+// drop ends all that is open: the first with one code, the rest with another.
+func (c *conn) drop(first, rest rules.Code) {
 	// In the order of their numbers, so that like events have like effects.
 	open := make([]*gateway.Attempt, 0, len(c.open))
 	for _, a := range c.open {
@@ -332,9 +395,11 @@
 	partial := c.partial
 	for _, a := range open {
 		c.forget(a)
-		code := rules.Reset
+		code := first
 		if a == partial {
 			code = rules.ConnectFailed
+		} else {
+			first = rest
 		}
 		c.pool.all.gate.End(a, gateway.End{Code: code})
 	}
--- a/rules/api.go
+++ b/rules/api.go
@@ -196,6 +196,7 @@
 	Full          Code = 503 // not taken, never ran
 	Timeout       Code = 504 // may have run, may still
 	Reset         Code = 598 // may have run
+	Spoilt        Code = 599 // may have run; its connection went for no fault of its server's
 )
 
 // Note is the remark on an outcome.
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -679,7 +679,7 @@
 	// still has the copy, and elsewhere it would be a miss and a fill.
 	if e.Code == Miss && (t.source == nil || e.Note == NoteSourceLacks) {
 		t.again, q.bucket = true, len(r.hitBy)-1
-	} else if e.Code == ServerError || e.Code == Reset || e.Code == Timeout && t.early {
+	} else if e.Code == ServerError || e.Code == Reset || e.Code == Spoilt || e.Code == Timeout && t.early {
 		t.again = t.server.ejected == 0 && len(q.tries) <= 3
 	}
 	if !slices.Contains([]Code{Full, ConnectFailed, Moot, Miss}, e.Code) && !q.ran { // else it never ran
@@ -753,7 +753,7 @@
 	switch full := src; {
 	case e.Code == OK:
 		r.judge(t.server, t.trial, 0)
-	case e.Code == Moot || e.Code == Cancelled:
+	case e.Code == Moot || e.Code == Cancelled || e.Code == Spoilt:
 	case e.Note < NoteSourceRefused && e.Code == Full: // not sick, but with all that it can hold
 		r.gauge(t.server, t.server.wait, fullSlow, 1)
 		r.cut(t.server)
