--- a/cmd/cherryramp/main.go
+++ b/cmd/cherryramp/main.go
@@ -18,6 +18,7 @@
 	"cherryramp/internal/front/session"
 	"cherryramp/internal/front/signed"
 	"cherryramp/internal/gateway"
+	"cherryramp/internal/logging"
 	"cherryramp/internal/loop"
 	"cherryramp/internal/transport"
 	"cherryramp/internal/upstream"
@@ -54,7 +55,7 @@
 	}
 	signals := make(chan os.Signal, 8)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
+	log := logging.New(os.Stderr, level)
 	slog.SetDefault(log)
 	cfg, err := config.Load(os.Getenv)
 	if err != nil {
@@ -65,7 +66,7 @@
 		return err
 	}
 	debug.SetMemoryLimit(int64(memoryShare * float64(cfg.MemoryMB) * (1 << 20)))
-	if err := transport.Setup(); err != nil {
+	if err := transport.Setup(log); err != nil {
 		return err
 	}
 	p, err := build(cfg, operator, log)
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -4,9 +4,11 @@
 package transport
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
+	"log/slog"
 	"net"
 	"sync"
 	"syscall"
@@ -22,7 +24,9 @@
 
 const (
 	keepBuffer = 64 << 10  // an empty buffer larger than this is let go
-	sendBuffer = 416 << 10 // asked of the kernel, so that one answer fits whole
+	sendBuffer = 416 << 10 // asked of the kernel for clients, so that one answer fits whole
+	takeBuffer = 64 << 10  // and for what they send; the poller reads as much at once
+	peerBuffer = 256 << 10 // and for what those that we dial send
 	lingerSpan = 500_000   // us that a half-closed connection may take to end
 )
 
@@ -53,10 +57,12 @@
 	ending   bool // to be half-closed when all is out
 }
 
-// Setup prepares the poller; call it once, before any connection.
-func Setup() error {
+// Setup prepares the poller; call it once, before any connection. What the
+// poller has to say goes to the log's lowest level.
+func Setup(log *slog.Logger) error {
 	err := netpoll.Configure(netpoll.Config{
-		PollerNum: 1,
+		PollerNum:    1,
+		LoggerOutput: printer{log},
 		// Callbacks only hand bytes over, so they run on the poller itself and
 		// nothing is started for them.
 		Runner:      func(_ context.Context, task func()) { task() },
@@ -68,6 +74,15 @@
 	return nil
 }
 
+// printer passes the poller's lines to the log.
+type printer struct{ log *slog.Logger }
+
+// Write is part of io.Writer.
+func (p printer) Write(line []byte) (int, error) {
+	p.log.Debug("poller", "text", string(bytes.TrimSpace(line)))
+	return len(line), nil
+}
+
 type connKey struct{}
 
 // Listen accepts connections at an address. For each, admit is called on the
@@ -92,6 +107,7 @@
 				return ctx
 			}
 			_ = syscall.SetsockoptInt(c.fd, syscall.SOL_SOCKET, syscall.SO_SNDBUF, sendBuffer)
+			_ = syscall.SetsockoptInt(c.fd, syscall.SOL_SOCKET, syscall.SO_RCVBUF, takeBuffer)
 			_ = np.AddCloseCallback(c.ended)
 			return ctx
 		}))
@@ -113,6 +129,7 @@
 		}
 		c := wrap(l, np, limit)
 		c.handler = h
+		_ = syscall.SetsockoptInt(c.fd, syscall.SOL_SOCKET, syscall.SO_RCVBUF, peerBuffer)
 		l.Post(func() {
 			ready(c, nil)
 			_ = np.AddCloseCallback(c.ended)
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -19,7 +19,7 @@
 )
 
 func TestMain(m *testing.M) {
-	if err := transport.Setup(); err != nil {
+	if err := transport.Setup(slog.New(slog.NewTextHandler(io.Discard, nil))); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
