A second copy beside an overdue answer; silent connections take nothing new

Once one answer there does not come, nothing else does, and new attempts went on being put there (upstream.go, pick); the module waits to the client's deadline unless 6% of answers get lost (rules.go, send), and here it is 2 to 4%. Ruled out: slow fills (the fills under the trace ended in 0.6 s), sick nodes (heard all the while), the front's own queue (0.1 ms). Now: a connection with something open that was silent for 300 ms takes nothing new while there is another, and is retired with the second attempt that runs out there. While answers were seen spoilt in the last 20 s, a request whose answer is overdue gets a second copy at the same cache while a hit can still be in time.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -362,6 +362,8 @@
 			g.nodes.Stop(x)
 			g.end(x, End{Code: rules.Cancelled})
 		}
+	case rules.Wake:
+		g.loop.At(loop.Now()+a.In, func() { g.events = append(g.events, rules.Timer{Tag: a.Tag}) })
 	case rules.Log:
 		g.log.Info("module", "text", a.Text)
 	}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -17,10 +17,12 @@
 const (
 	inputLimit = 4 * maxBody // several answers may come before the loop looks
 	pastLimit  = 512         // ids given up on a connection before it is retired
-	muteLimit  = 3           // attempts that run out on a silent connection before it is retired
+	muteLimit  = 2           // attempts that run out on a silent connection before it is retired
+	muteSpan   = 300_000     // us without a word, with something open, from which it is taken for silent
 	wholeMost  = 500_000     // us from an answer's first byte to its last
 	shareMost  = 2           // attempts on a connection from which another one is opened beside it
-	busyCost   = 1000        // in pick: above any number of open attempts
+	muteCost   = 1000        // in pick, of a silent connection: above any number of open attempts
+	busyCost   = 2000        // in pick, where an attempt should be alone
 )
 
 // Config bounds the connections.
@@ -80,6 +82,7 @@
 	alone   int                 // open attempts of classes that share no connection
 	retired bool                // takes nothing new; closed when nothing is open
 	mute    int                 // attempts that ran out since it last said anything
+	since   gateway.Micros      // when it last said anything or, if later, took something on with nothing open
 	idle    *loop.Deadline
 	whole   *loop.Deadline // of an answer that has begun to come
 }
@@ -134,7 +137,10 @@
 	}
 	c.forget(a)
 	c.past[a.Call.ID] = struct{}{}
-	if c.mute++; c.mute >= muteLimit || len(c.past) >= pastLimit {
+	if loop.Now()-c.since > muteSpan {
+		c.mute++
+	}
+	if c.mute >= muteLimit || c.mute > 0 && len(c.open) == 0 || len(c.past) >= pastLimit {
 		p.log.Info("connection retired", "server", c.pool.name, "silent", c.mute, "given_up", len(c.past))
 		c.retired = true
 	}
@@ -156,7 +162,7 @@
 			break
 		}
 		if cost >= shareMost && x.room() && !x.denied {
-			if more++; cost >= busyCost {
+			if more++; cost >= muteCost {
 				break // it waits for a connection of its own
 			}
 		}
@@ -184,7 +190,8 @@
 }
 
 // pick finds the connection that suits an attempt best, and at what cost: the
-// attempts open there, and more where one of them, or this one, should be alone.
+// attempts open there, and more where one of them, or this one, should be alone,
+// or where it has fallen silent: its answers may never come.
 // Two attempts of one call never share one, since their answers would be alike.
 func (x *pool) pick(a *gateway.Attempt) (best *conn, least int) {
 	for _, c := range x.conns {
@@ -197,6 +204,9 @@
 		if c.alone > 0 || cost > 0 && x.all.alone(a) {
 			cost += busyCost
 		}
+		if len(c.open) > 0 && loop.Now()-c.since > muteSpan {
+			cost += muteCost
+		}
 		if best == nil || cost < least {
 			best, least = c, cost
 		}
@@ -226,6 +236,9 @@
 	}
 	p.loop.Stop(c.idle)
 	c.idle = nil
+	if len(c.open) == 0 {
+		c.since = loop.Now()
+	}
 	c.open[a.Call.ID] = a
 	p.where[a] = c
 	if p.alone(a) {
@@ -308,7 +321,7 @@
 // Readable takes the answers that have come. Those under ids that are not open
 // (a second copy, one that was given up) are passed over.
 func (c *conn) Readable(tc *transport.Conn) {
-	c.mute = 0
+	c.mute, c.since = 0, loop.Now()
 	for {
 		var ans answer
 		var used, have int
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -290,3 +290,22 @@
 		t.Errorf("ended as %d", e.Code)
 	}
 }
+
+// Guards against new attempts on a connection that has fallen silent with
+// something open: they get another one.
+func TestSilentConnectionTakesNothingNew(t *testing.T) {
+	r := newRig(t, 2)
+	r.start(10)
+	if _, err := bufio.NewReader(r.accept()).ReadString('\n'); err != nil {
+		t.Fatal(err)
+	}
+	r.on(func() {
+		for _, c := range r.pools.pools[1].conns {
+			c.since -= muteSpan + 1
+		}
+	})
+	b := r.start(10)
+	if line, err := bufio.NewReader(r.accept()).ReadString('\n'); err != nil || !strings.Contains(line, b.Call.ID) {
+		t.Errorf("the new connection got %q, %v", line, err)
+	}
+}
--- a/rules/guards_test.go
+++ b/rules/guards_test.go
@@ -1,6 +1,7 @@
 package rules
 
 import (
+	"slices"
 	"strings"
 	"testing"
 )
@@ -491,3 +492,44 @@
 		}
 	}
 }
+
+// Guards against an answer that never comes: while a hit can still be in time, a
+// second copy goes to the same cache, if that answers others, and only one; what
+// must not run twice gets none.
+func TestSecondCopyOfWhatIsOverdue(t *testing.T) {
+	for _, class := range []int{0, 2} {
+		g := newRig(t, func(s *Settings) { s.Hedges = true })
+		get, out := g.ask(Request{Class: class, Object: 5})
+		if slices.ContainsFunc(out, func(a Action) bool { _, ok := a.(Wake); return ok }) {
+			t.Fatal("a second copy is planned though no answer was ever spoilt")
+		}
+		g.r.spoilt = g.now
+		get, out = g.ask(Request{Class: class, Object: 5})
+		var wake *Wake
+		for _, a := range out {
+			if w, ok := a.(Wake); ok {
+				wake = &w
+			}
+		}
+		if (wake != nil) != (class == 0) {
+			t.Fatalf("class %d: wake %+v", class, wake)
+		}
+		if wake == nil {
+			continue
+		}
+		g.now += wake.In
+		g.r.members[get.Server].heard = g.now - 1
+		second := gets(g.step(Timer{wake.Tag}))
+		if len(second) != 1 || second[0].ID != get.ID || second[0].Server != get.Server {
+			t.Fatalf("second copy: %+v, first %+v", second, get)
+		}
+		if more := gets(g.step(Timer{wake.Tag})); len(more) > 0 {
+			t.Errorf("a third copy: %+v", more)
+		}
+		g.answer(get, 1, OK, NoteHit)
+		g.answer(get, 0, Cancelled, NoteNone)
+		if m := g.r.members[get.Server]; m.out != 0 {
+			t.Errorf("%d attempts are still booked", m.out)
+		}
+	}
+}
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -46,6 +46,8 @@
 	lostGain       = 0.03        // weight of one outcome in the share of answers lost
 	lostLeast      = 0.06        // share from which they get a time-out of their own
 	lostSlack      = 1.5         // times what an answer should take that it is waited for at least
+	secondRoom     = 1.5         // times what a hit should take that is left for a second copy beside
+	spoiltSpan     = 20 * second // after an answer was spoilt in which others may be overdue for that
 	slowMost       = 10          // a pace beyond this tells no more
 	warmTrust      = 1.5         // keys taken while warming, over the warm share; the budget guards the rest
 	crowdFrom      = 0.3         // part of the places for open requests left, from which worth selects
@@ -69,6 +71,7 @@
 	tier    tier
 	listed  bool
 	out     int     // attempts out
+	heard   Micros  // when an answer of its last came
 	errs    float64 // recent share of failures
 	samples int
 	ejected Micros // no ordinary work until then; 0 when healthy
@@ -162,6 +165,7 @@
 	load    float64 // recent mean of them, per unit of the caches' size
 	room    float64 // size of the caches together
 	loadAt  Micros
+	spoilt  Micros  // when an answer was last spoilt on its way
 	cost    float64 // usual work of a request over its worth, us
 	tiers   [3]pace
 	hitBy   [10]float64 // share of hits by how long ago the part was last asked for
@@ -199,6 +203,8 @@
 			r.onRequest(e)
 		case Outcome:
 			r.onOutcome(e)
+		case Timer:
+			r.onTimer(e)
 		case Expired:
 			if q := r.reqs[e.ID]; q != nil {
 				r.end(q)
@@ -371,7 +377,9 @@
 		server, source = r.edge(q), r.origin
 	}
 	if server == nil || q.hopeless {
-		r.giveUp(q)
+		if q.hopeless = q.hopeless && q.out == 0; q.out == 0 {
+			r.giveUp(q)
+		}
 		return
 	}
 	t := attempt{server: server, source: source, sent: r.now, bucket: q.bucket}
@@ -385,24 +393,46 @@
 	if t.trial || t.srcTry { // a trial must not cost the request its life
 		g.Within = max(left/2, r.cfg.Tick)
 	} else if server.tier == tierCache && r.lost > lostLeast && r.retries >= 1 {
-		g.Within, t.early = r.patience(q, &t), true
+		g.Within, t.early = r.patience(q, &t, lostSlack, 1), true
+	} else if in := r.patience(q, &t, 1, secondRoom); !again && server.tier == tierCache && r.cfg.Hedges &&
+		q.class.Effect == Safe && r.spoilt > 0 && r.now-r.spoilt < spoiltSpan &&
+		in+Micros(r.hitTime(&t)) <= q.came+q.aim()-r.now {
+		r.do(Wake{Tag: uint32(q.ID), In: in})
 	}
 	q.tries = append(q.tries, t)
 	q.out++
 	r.do(g)
 }
 
+// onTimer sends a second copy of a request whose answer is overdue, to the same cache if it answers
+// others, while a hit can still be in time. Guards against answers that never come and connections
+// that fall silent, where some were seen spoilt; elsewhere it would feed a jam. The first copy stays
+// out, so a slow fill is joined and loses nothing.
+func (r *Router) onTimer(e Timer) {
+	q := r.reqs[RequestID(e.Tag)]
+	if q == nil || q.over || q.out != 1 || !r.cfg.Hedges || q.class.Effect != Safe || r.retries < 1 ||
+		len(q.tries) >= r.cfg.MaxAttempts || r.now >= q.deadline {
+		return
+	}
+	t := &q.tries[len(q.tries)-1]
+	t.again = t.server.heard > t.sent && t.server.ejected == 0
+	r.send(q)
+}
+
+func (r *Router) hitTime(t *attempt) float64 { return t.expect * (1 + r.paceOf(t.server).slow) }
+
 // patience is how long to wait where some answers never come though the work is done: until a
-// second try at the same cache can just be in time, but not less than the first may need. Guards
-// against answers lost in silence; where they are slow instead it wastes work, within the budget.
-func (r *Router) patience(q *request, t *attempt) Micros {
-	hit := t.expect * (1 + r.paceOf(t.server).slow)
+// second try at the same cache, given room times what a hit takes, can just be in time, but not less
+// than slack times what the first may need. Guards against answers lost in silence; where they are
+// slow instead it wastes work, within the budget.
+func (r *Router) patience(q *request, t *attempt, slack, room float64) Micros {
+	hit := r.hitTime(t)
 	need := hit
 	if t.source != nil && t.source != t.server {
 		p := r.paceOf(t.source)
 		need = max(hit, p.wait+t.expect*(1+p.slow))
 	}
-	return max(Micros(lostSlack*need), q.came+q.aim()-r.now-Micros(hit), r.cfg.Tick)
+	return max(Micros(slack*need), q.came+q.aim()-r.now-Micros(room*hit), r.cfg.Tick)
 }
 
 // readWay is the ordinary path: an edge cache by hash of object and part, its
@@ -470,6 +500,9 @@
 		return first
 	}
 	o := r.object(q.Object)
+	if n := len(q.tries); q.out > 0 && q.tries[n-1].again && r.usable(q.tries[n-1].server, q, 0) {
+		return q.tries[n-1].server // it has the copy, or will soon
+	}
 	if len(r.caches) > 1 && o.bytes > hotPart*r.bytes/float64(len(r.caches)) && r.bytes > 0 {
 		second := r.best(r.caches, q.part, q, first)
 		if second != nil && float64(second.out)/second.size() < float64(first.out)/first.size() {
@@ -673,6 +706,11 @@
 	}
 	t := &q.tries[e.Attempt]
 	t.done, q.out = true, q.out-1
+	if e.Code == Spoilt {
+		r.spoilt = r.now
+	} else if !slices.Contains([]Code{Timeout, Cancelled, ConnectFailed, Moot}, e.Code) {
+		t.server.heard = r.now
+	}
 	r.hold(t.server, -1)
 	r.learn(q, t, e)
 	// A cache that was only looked at may still fill; one that fails now and then, many at once,
