Payouts go on a fresh connection, never on one that stood idle

A temporary trace of every connection that closed with something open: all had been used before and idle for 95 ms or more, all were reset within 1 ms of the send, none on its first use. upstream.go, pick, gave writes that must not run twice any idle connection; once written whole into a reset connection nobody can tell whether they ran, so they are failed. Ruled out: connections that are new or in use (no case), the origin's health. Now a connection that stood idle for 50 ms after use is passed over for such writes, one more is opened, and an idle one makes room where there is none.

--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -23,12 +23,13 @@
 	shareMost  = 2           // attempts on a connection from which another one is opened beside it
 	muteCost   = 1000        // in pick, of a silent connection: above any number of open attempts
 	busyCost   = 2000        // in pick, where an attempt should be alone
+	freshSpan  = 50_000      // us idle from which a used connection may be reset under what comes next
 )
 
 // Config bounds the connections.
 type Config struct {
 	Lanes       []string       // names of the classes
-	Alone       []bool         // of the classes: those that share no connection while there is room
+	Alone       []bool         // of the classes: those that share no connection, and get a fresh one, where there is room
 	Streams     int            // attempts that a connection carries together
 	Connections int            // connections to one server
 	ConnectTime gateway.Micros // a connection not up by then has failed
@@ -80,9 +81,10 @@
 	past    map[string]struct{} // ids given up, whose answers may still cross
 	partial *gateway.Attempt    // what a full socket has not taken whole
 	alone   int                 // open attempts of classes that share no connection
-	retired bool                // takes nothing new; closed when nothing is open
-	mute    int                 // attempts that ran out since it last said anything
-	since   gateway.Micros      // when it last said anything or, if later, took something on with nothing open
+	used    bool
+	retired bool           // takes nothing new; closed when nothing is open
+	mute    int            // attempts that ran out since it last said anything
+	since   gateway.Micros // when it last said anything or, if later, took something on with nothing open
 	idle    *loop.Deadline
 	whole   *loop.Deadline // of an answer that has begun to come
 }
@@ -161,6 +163,9 @@
 		if c == nil {
 			break
 		}
+		if cost >= busyCost {
+			x.makeRoom()
+		}
 		if cost >= shareMost && x.room() && !x.denied {
 			if more++; cost >= muteCost {
 				break // it waits for a connection of its own
@@ -189,6 +194,19 @@
 	return live < most && len(x.conns)+x.dialing < 2*most
 }
 
+// makeRoom closes a connection with nothing open, if no other may be opened.
+func (x *pool) makeRoom() {
+	if x.room() {
+		return
+	}
+	for _, c := range x.conns {
+		if !c.retired && len(c.open) == 0 {
+			c.retire()
+			return
+		}
+	}
+}
+
 // pick finds the connection that suits an attempt best, and at what cost: the
 // attempts open there, and more where one of them, or this one, should be alone,
 // or where it has fallen silent: its answers may never come.
@@ -201,7 +219,7 @@
 			continue
 		}
 		cost := len(c.open)
-		if c.alone > 0 || cost > 0 && x.all.alone(a) {
+		if c.alone > 0 || x.all.alone(a) && (cost > 0 || c.stale()) {
 			cost += busyCost
 		}
 		if len(c.open) > 0 && loop.Now()-c.since > muteSpan {
@@ -214,6 +232,10 @@
 	return best, least
 }
 
+// stale tells whether a connection has stood idle after use: nodes may have reset
+// it, and what is written before that is noticed may or may not have run.
+func (c *conn) stale() bool { return c.used && len(c.open) == 0 && loop.Now()-c.since > freshSpan }
+
 // alone tells whether an attempt is of a class that shares no connection.
 func (p *Pools) alone(a *gateway.Attempt) bool {
 	return a.Call.Class < len(p.cfg.Alone) && p.cfg.Alone[a.Call.Class]
@@ -235,7 +257,7 @@
 		return
 	}
 	p.loop.Stop(c.idle)
-	c.idle = nil
+	c.idle, c.used = nil, true
 	if len(c.open) == 0 {
 		c.since = loop.Now()
 	}
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -309,3 +309,25 @@
 		t.Errorf("the new connection got %q, %v", line, err)
 	}
 }
+
+// Guards against a payout on a connection that has stood idle: a node may have
+// reset it, and then nobody can tell whether it ran. There is one place, so the
+// idle connection makes room.
+func TestPayoutsGetAFreshConnection(t *testing.T) {
+	r := newRig(t, 1)
+	r.on(func() { r.pools.cfg.Alone = []bool{true} })
+	a := r.start(10)
+	old := r.accept()
+	_, _ = fmt.Fprintf(old, "%s ok - 0\r\n\r\n", a.Call.ID)
+	r.await(a.Call.ID)
+	r.on(func() { r.pools.pools[1].conns[0].since -= freshSpan + 1 })
+	b := r.start(10)
+	fresh := r.accept()
+	_, _ = fmt.Fprintf(fresh, "%s ok - 0\r\n\r\n", b.Call.ID)
+	if e := r.await(b.Call.ID); e.Code != rules.OK {
+		t.Errorf("ended as %d", e.Code)
+	}
+	if _, err := io.Copy(io.Discard, old); os.IsTimeout(err) {
+		t.Error("the idle connection stays open")
+	}
+}
