The second look at an overdue answer's cache is without a fill

At fault: onTimer sent the second copy with its source, so a fill that was only slow was made twice (fills can't be joined here), at times at another cache. Now the second is a look without a fill, at the same cache or not at all: a copy whose answer was lost is there, and a miss costs nothing while the first goes on.

--- a/rules/guards_test.go
+++ b/rules/guards_test.go
@@ -494,8 +494,8 @@
 }
 
 // Guards against an answer that never comes: while a hit can still be in time, a
-// second copy goes to the same cache, if that answers others, and only one; what
-// must not run twice gets none.
+// second look goes to the same cache, if that answers others, only one and without a
+// fill, which would double the origin's bytes; what must not run twice gets none.
 func TestSecondCopyOfWhatIsOverdue(t *testing.T) {
 	for _, class := range []int{0, 2} {
 		g := newRig(t, func(s *Settings) { s.Hedges = true })
@@ -520,7 +520,8 @@
 		g.now += wake.In
 		g.r.members[get.Server].heard = g.now - 1
 		second := gets(g.step(Timer{wake.Tag}))
-		if len(second) != 1 || second[0].ID != get.ID || second[0].Server != get.Server {
+		if len(second) != 1 || second[0].ID != get.ID || second[0].Server != get.Server ||
+			second[0].Source != get.Server {
 			t.Fatalf("second copy: %+v, first %+v", second, get)
 		}
 		if more := gets(g.step(Timer{wake.Tag})); len(more) > 0 {
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -377,9 +377,7 @@
 		server, source = r.edge(q), r.origin
 	}
 	if server == nil || q.hopeless {
-		if q.hopeless = q.hopeless && q.out == 0; q.out == 0 {
-			r.giveUp(q)
-		}
+		r.giveUp(q)
 		return
 	}
 	t := attempt{server: server, source: source, sent: r.now, bucket: q.bucket}
@@ -404,19 +402,27 @@
 	r.do(g)
 }
 
-// onTimer sends a second copy of a request whose answer is overdue, to the same cache if it answers
+// onTimer looks a second time at the cache of a request whose answer is overdue, if that answers
 // others, while a hit can still be in time. Guards against answers that never come and connections
-// that fall silent, where some were seen spoilt; elsewhere it would feed a jam. The first copy stays
-// out, so a slow fill is joined and loses nothing.
+// that fall silent, where some were seen spoilt. The first attempt stays out, and the second is
+// without a fill: a slow fill that it doubled would cost the origin its bytes once more.
 func (r *Router) onTimer(e Timer) {
 	q := r.reqs[RequestID(e.Tag)]
 	if q == nil || q.over || q.out != 1 || !r.cfg.Hedges || q.class.Effect != Safe || r.retries < 1 ||
 		len(q.tries) >= r.cfg.MaxAttempts || r.now >= q.deadline {
 		return
 	}
-	t := &q.tries[len(q.tries)-1]
-	t.again = t.server.heard > t.sent && t.server.ejected == 0
-	r.send(q)
+	t := q.tries[len(q.tries)-1]
+	m := t.server
+	if m.heard <= t.sent || m.tier != tierCache || m.ejected > 0 || !r.usable(m, q, 0) {
+		return
+	}
+	r.retries--
+	r.take(m, q)
+	r.hold(m, 1)
+	q.tries = append(q.tries, attempt{server: m, sent: r.now, expect: t.expect, bucket: len(r.hitBy) - 1})
+	q.out++
+	r.do(Get{ID: q.ID, Server: m.ID, Source: m.ID, MaxAge: r.ageBound(q, q.class.Fresh+q.class.Grace)})
 }
 
 func (r *Router) hitTime(t *attempt) float64 { return t.expect * (1 + r.paceOf(t.server).slow) }
@@ -500,9 +506,6 @@
 		return first
 	}
 	o := r.object(q.Object)
-	if n := len(q.tries); q.out > 0 && q.tries[n-1].again && r.usable(q.tries[n-1].server, q, 0) {
-		return q.tries[n-1].server // it has the copy, or will soon
-	}
 	if len(r.caches) > 1 && o.bytes > hotPart*r.bytes/float64(len(r.caches)) && r.bytes > 0 {
 		second := r.best(r.caches, q.part, q, first)
 		if second != nil && float64(second.out)/second.size() < float64(first.out)/first.size() {
