Grants, key rings, quotas, revocation and fair turns as pure decisions

Need: the signed front knows two formats with keys fixed at start, and nothing can be limited, revoked or rotated. Content networks' clients use far more.

Change: packages under internal/decide, without I/O, clock or goroutine, which a test over their imports and statements keeps so: - grants: EdgeAuth 2.0, Cloud CDN, Media CDN, CloudFront, CDNI URI Signing with renewal, and digests described in configuration; verdicts remembered in three bounded segments; costly signatures handed out as a Proof; - keyring: states next, active, retiring, revoked; PEM, JWK sets, secrets; - quota: GCRA and open requests, N-use tokens; a full table refuses; - revoked: tokens, subjects, keys, and prefixes in a radix trie; - turns, suspects: whose signature is checked next, and who brought forged ones; - compact: the bounded table under quota; content: ranges, tags, encodings.

Not linked into the front yet.

--- /dev/null
+++ b/internal/decide/compact/compact_test.go
@@ -0,0 +1,142 @@
+package compact
+
+import (
+	"crypto/sha256"
+	"fmt"
+	"runtime"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"cherryramp/internal/seeded"
+)
+
+func TestMain(m *testing.M) { seeded.Main(m) }
+
+func name(i int) (n Name) {
+	sum := sha256.Sum256([]byte(fmt.Sprint(i)))
+	copy(n[:], sum[:])
+	return n
+}
+
+// A table does what a map does, within its bound, through sweeps and a snapshot.
+func TestAgainstAMap(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		x, want := New[int64](100), map[Name]int64{}
+		for range rapid.IntRange(1, 400).Draw(t, "steps") {
+			i := rapid.IntRange(0, 150).Draw(t, "name")
+			n := name(i)
+			switch rapid.IntRange(0, 4).Draw(t, "step") {
+			case 0, 1:
+				if x.Find(n) == nil && (x.Add(n, int64(i)) != nil) != (len(want) < 100) {
+					t.Fatal("the bound does not hold")
+				} else if len(want) < 100 {
+					want[n] = int64(i)
+				}
+			case 2:
+				if _, there := want[n]; x.Remove(n) != there {
+					t.Fatal("removal")
+				}
+				delete(want, n)
+			case 3:
+				x.Sweep(20, func(n Name, v *int64) bool {
+					if *v%7 == 0 {
+						delete(want, n)
+						return true
+					}
+					return false
+				})
+			case 4:
+				b, err := x.Append(nil)
+				y := New[int64](100)
+				if rest, err2 := y.Read(b); err != nil || err2 != nil || len(rest) > 0 {
+					t.Fatal(err, err2)
+				}
+				if _, err := New[int64](100).Read(b[:len(b)-1]); err == nil && len(b) > 4 {
+					t.Fatal("a cut snapshot was read")
+				}
+				x = y
+			}
+			if x.Len() != len(want) {
+				t.Fatalf("%d entries, want %d", x.Len(), len(want))
+			}
+			for n, v := range want {
+				if got := x.Find(n); got == nil || *got != v {
+					t.Fatalf("%v is lost", v)
+				}
+			}
+		}
+	})
+}
+
+type use struct {
+	Until, First int64
+	Object       uint64
+	Count, Open  uint32
+}
+
+// Run with -bench Million: a table against a plain map, at a million entries.
+func BenchmarkMillion(b *testing.B) {
+	const n = 1_000_000
+	names := make([]Name, 2*n)
+	for i := range names {
+		names[i] = name(i)
+	}
+	heap := func() uint64 {
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return m.HeapAlloc
+	}
+	b.Run("compact", func(b *testing.B) {
+		before := heap()
+		t := New[use](2 * n)
+		for _, n := range names[:n] {
+			t.Add(n, use{})
+		}
+		b.ReportMetric(float64(heap()-before)/n, "B/entry")
+		i := 0
+		b.ResetTimer()
+		for range b.N { // one found, one added, one removed
+			t.Find(names[i])
+			t.Add(names[n+i], use{})
+			t.Remove(names[n+i])
+			i = (i + 1) % n
+		}
+		runtime.KeepAlive(t)
+	})
+	b.Run("map", func(b *testing.B) {
+		before := heap()
+		t := map[Name]*use{}
+		for _, n := range names[:n] {
+			t[n] = &use{}
+		}
+		b.ReportMetric(float64(heap()-before)/n, "B/entry")
+		i := 0
+		b.ResetTimer()
+		for range b.N {
+			_ = t[names[i]]
+			t[names[n+i]] = &use{}
+			delete(t, names[n+i])
+			i = (i + 1) % n
+		}
+		runtime.KeepAlive(t)
+	})
+	b.Run("map-of-values", func(b *testing.B) {
+		before := heap()
+		t := map[Name]use{}
+		for _, n := range names[:n] {
+			t[n] = use{}
+		}
+		b.ReportMetric(float64(heap()-before)/n, "B/entry")
+		i := 0
+		b.ResetTimer()
+		for range b.N {
+			_ = t[names[i]]
+			t[names[n+i]] = use{}
+			delete(t, names[n+i])
+			i = (i + 1) % n
+		}
+		runtime.KeepAlive(t)
+	})
+}
--- /dev/null
+++ b/internal/decide/grants/cdni.go
@@ -0,0 +1,381 @@
+package grants
+
+import (
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/json"
+	"errors"
+	"net/netip"
+	"regexp"
+	"slices"
+	"strings"
+
+	"github.com/go-jose/go-jose/v4"
+
+	"cherryramp/internal/decide/keyring"
+)
+
+// cdni is CDNI URI Signing (RFC 9246): a signed JWT in the query, as a path
+// parameter, or in a cookie, which may have its holder handed the next one.
+//
+// The key is chosen by kid among the profile's ring, and its own algorithm must
+// be the one that the token names; the token's alg chooses nothing. A container
+// of URIs, cdniuc, must be there. An expression must fit the whole URI, and is
+// matched by an engine whose time is linear in the URI. cdniip and sub are
+// encrypted to a key of the ring (RFC 7516, direct).
+type cdni struct{}
+
+// PackageName is the usual name of the field that carries the token.
+const PackageName = "URISigningPackage"
+
+var cdniAlgorithms = []jose.SignatureAlgorithm{jose.HS256, jose.RS256, jose.ES256, jose.EdDSA}
+
+func (cdni) names(p *Profile) names {
+	n := names{telling: 1}
+	n.fields[inQuery], n.fields[inCookie] = []string{p.Query}, []string{p.Cookie}
+	if p.Query != "" {
+		n.fields[inPath] = []string{";" + p.Query}
+	}
+	return n
+}
+
+func (cdni) kin(f format) bool { _, ok := f.(cdni); return ok }
+
+// The token names its URIs itself.
+func (cdni) bound(*credential) bool { return false }
+
+// claims are those that RFC 9246 registers, beside RFC 7519's.
+type claims struct {
+	Issuer    string   `json:"iss,omitempty"`
+	Subject   string   `json:"sub,omitempty"`
+	Audience  audience `json:"aud,omitempty"`
+	Expires   *number  `json:"exp,omitempty"`
+	NotBefore *number  `json:"nbf,omitempty"`
+	Issued    *number  `json:"iat,omitempty"`
+	ID        string   `json:"jti,omitempty"`
+	Version   *int     `json:"cdniv,omitempty"`
+	Critical  string   `json:"cdnicrit,omitempty"`
+	ClientIP  string   `json:"cdniip,omitempty"`
+	Container string   `json:"cdniuc,omitempty"`
+	Renew     *int64   `json:"cdniets,omitempty"`
+	Transport *int     `json:"cdnistt,omitempty"`
+	Depth     *int     `json:"cdnistd,omitempty"`
+}
+
+var cdniKnown = []string{"iss", "sub", "aud", "exp", "nbf", "iat", "jti", "cdniv", "cdnicrit", "cdniip",
+	"cdniuc", "cdniets", "cdnistt", "cdnistd"}
+
+// number is a NumericDate (RFC 7519, section 2), read to whole seconds.
+type number int64
+
+// UnmarshalJSON is part of json.Unmarshaler.
+func (n *number) UnmarshalJSON(text []byte) error {
+	var f float64
+	if err := json.Unmarshal(text, &f); err != nil {
+		return err
+	}
+	if f <= 0 || f >= mostSeconds {
+		return errors.New("time is out of range")
+	}
+	*n = number(f)
+	return nil
+}
+
+func (n *number) micros() Micros {
+	if n == nil {
+		return 0
+	}
+	return Micros(*n) * 1_000_000
+}
+
+// audience is one name or a list of them (RFC 7519, section 4.1.3).
+type audience []string
+
+// UnmarshalJSON is part of json.Unmarshaler.
+func (a *audience) UnmarshalJSON(text []byte) error {
+	var one string
+	if json.Unmarshal(text, &one) == nil {
+		*a = audience{one}
+		return nil
+	}
+	return json.Unmarshal(text, (*[]string)(a))
+}
+
+// MarshalJSON is part of json.Marshaler.
+func (a audience) MarshalJSON() ([]byte, error) {
+	if len(a) == 1 {
+		return json.Marshal(a[0])
+	}
+	return json.Marshal([]string(a))
+}
+
+// The transports of a renewed token (RFC 9246, section 6.5).
+const (
+	noTransport = iota
+	byCookie
+	byQuery
+)
+
+func (cdni) read(c *credential) (*token, Refusal) {
+	text := c.values[0]
+	if text == "" || len(text) > mostToken {
+		return nil, Malformed
+	}
+	jws, err := jose.ParseSignedCompact(text, cdniAlgorithms)
+	var wrong *jose.ErrUnexpectedSignatureAlgorithm
+	if errors.As(err, &wrong) {
+		return nil, Algorithm
+	}
+	if err != nil || len(jws.Signatures) != 1 {
+		return nil, Malformed
+	}
+	head := jws.Signatures[0].Protected
+	t := &token{}
+	for _, p := range c.profiles {
+		if t.key = p.Ring.Find(head.KeyID); t.key == nil && head.KeyID == "" && len(p.Ring.Keys) == 1 {
+			t.key = p.Ring.Keys[0]
+		}
+		if t.key != nil {
+			t.profile = p
+			break
+		}
+	}
+	switch {
+	case t.key == nil:
+		return nil, UnknownK
+	case t.key.Alg != head.Algorithm:
+		return nil, Algorithm
+	}
+	var m claims
+	payload := jws.UnsafePayloadWithoutVerification()
+	if json.Unmarshal(payload, &m) != nil {
+		return nil, Malformed
+	}
+	if refusal := t.claim(&m, payload); refusal != "" {
+		return nil, refusal
+	}
+	dot := strings.LastIndexByte(text, '.')
+	if _, err := base64.RawURLEncoding.Strict().DecodeString(text[dot+1:]); err != nil {
+		return nil, Malformed // the library takes signatures with loose last bits
+	}
+	t.signed = text[:dot]
+	if t.key.Kind.Costly() {
+		t.proof = Proof{token: t, public: t.key.Public, jws: jws}
+		return t, ""
+	}
+	t.verify = func() *keyring.Key {
+		if _, err := jws.Verify(t.key.Bytes); err != nil {
+			return nil
+		}
+		return t.key
+	}
+	return t, ""
+}
+
+// claim takes over what a token says.
+func (t *token) claim(m *claims, payload []byte) Refusal {
+	p := t.profile
+	if m.Version != nil && *m.Version != 1 {
+		return Critical
+	}
+	var all map[string]json.RawMessage
+	if json.Unmarshal(payload, &all) != nil {
+		return Malformed
+	}
+	for name := range all { // names are compared as they stand; the decoder is laxer
+		if lower := strings.ToLower(name); lower != name && slices.Contains(cdniKnown, lower) {
+			return Malformed
+		}
+	}
+	if m.Critical != "" {
+		for name := range strings.SplitSeq(m.Critical, ",") {
+			if !slices.Contains(cdniKnown, name) || all[name] == nil {
+				return Critical
+			}
+		}
+	}
+	if len(p.Issuers) > 0 && !slices.Contains(p.Issuers, m.Issuer) {
+		return Issuer
+	}
+	if len(m.Audience) > 0 && !slices.Contains(m.Audience, p.Audience) {
+		return Audience
+	}
+	if m.Expires == nil && !p.AllowEndless {
+		return Malformed
+	}
+	t.expires, t.begins, t.id = m.Expires.micros(), m.NotBefore.micros(), m.ID
+	var refusal Refusal
+	if t.scope, refusal = container(m.Container); refusal != "" {
+		return refusal
+	}
+	if m.ClientIP != "" {
+		text, ok := t.decrypt(m.ClientIP)
+		if t.nets, ok = readNets([]string{text}); !ok {
+			return Address
+		}
+	}
+	if m.Subject != "" {
+		var ok bool
+		if t.subject, ok = t.decrypt(m.Subject); !ok {
+			return Malformed
+		}
+	}
+	transport := noTransport
+	if m.Transport != nil {
+		transport = *m.Transport
+	}
+	switch {
+	case transport < noTransport || transport > byQuery || m.Depth != nil && *m.Depth < 0:
+		return Malformed
+	case transport != noTransport && (m.Renew == nil || *m.Renew <= 0 || *m.Renew > mostRenewal):
+		return Malformed
+	case transport == byCookie:
+		t.renew = &renewal{claims: *m}
+	}
+	return ""
+}
+
+// mostRenewal is the longest life of a renewed token that is taken, in seconds.
+const mostRenewal = 7 * 24 * 3600
+
+// decrypt opens a JWE under the ring's secrets (RFC 9246, sections 2.1.2 and 2.1.10).
+func (t *token) decrypt(text string) (string, bool) {
+	jwe, err := jose.ParseEncryptedCompact(text, []jose.KeyAlgorithm{jose.DIRECT},
+		[]jose.ContentEncryption{jose.A256GCM})
+	if err != nil {
+		return "", false
+	}
+	for _, k := range t.profile.Ring.Keys {
+		if k.Kind == keyring.Secret && (jwe.Header.KeyID == "" || jwe.Header.KeyID == k.Name) {
+			if plain, err := jwe.Decrypt(k.Bytes); err == nil {
+				return string(plain), true
+			}
+		}
+	}
+	return "", false
+}
+
+// container reads cdniuc.
+func container(text string) (scope, Refusal) {
+	kind, value, ok := strings.Cut(text, ":")
+	if !ok || value == "" || len(value) > mostPattern {
+		return scope{}, Malformed
+	}
+	switch kind {
+	case "hash": // RFC 6920, section 5: the algorithm and the digest
+		name, sum, _ := strings.Cut(value, ";")
+		hash, err := base64.RawURLEncoding.Strict().DecodeString(sum)
+		if name != "sha-256" || err != nil || len(hash) != sha256.Size {
+			return scope{}, Malformed
+		}
+		return scope{kind: urlHash, hash: hash}, ""
+	case "regex":
+		// The size of a compiled expression grows with its counts; the package
+		// bounds them at 1000 and their product as well.
+		x, err := regexp.CompilePOSIX("^(" + value + ")$")
+		if err != nil {
+			return scope{}, Malformed
+		}
+		return scope{kind: urlRegex, regex: x}, ""
+	}
+	return scope{}, Malformed
+}
+
+func hashes(want, url []byte) bool {
+	sum := sha256.Sum256(url)
+	return equal(sum[:], want)
+}
+
+// renewal is what the next token is made from.
+type renewal struct{ claims claims }
+
+// Cookie is a token to be handed out: the answer sets it for what lies under a path.
+type Cookie struct {
+	Name, Value, Path string
+	Expires           Micros
+}
+
+// Renew makes the next token of a chain (RFC 9246, section 3), for answers to a
+// granted request; nil where the grant has none. It is signed by the ring's
+// signing key, whichever signed the one before, so a chain outlives a rotation.
+// A grant whose ring can't sign gives nil too, and its chain ends.
+func (g *Grant) Renew(now Micros) (*Cookie, error) {
+	if g.token == nil || g.token.renew == nil {
+		return nil, nil
+	}
+	k := g.Profile.Ring.Signing()
+	if k == nil {
+		return nil, nil
+	}
+	m := g.token.renew.claims
+	expires := now/1_000_000 + *m.Renew
+	n := number(expires)
+	m.Expires, m.NotBefore, m.Issued = &n, nil, nil
+	if m.ID != "" { // a new token is used anew
+		sum := sha256.Sum256([]byte(g.token.signed))
+		m.ID = base64.RawURLEncoding.EncodeToString(sum[:12])
+	}
+	text, err := signJWT(k, &m)
+	if err != nil {
+		return nil, err
+	}
+	depth := 0
+	if m.Depth != nil {
+		depth = *m.Depth
+	}
+	return &Cookie{Name: g.Profile.Cookie, Value: text, Path: firstSegments(g.Path, depth),
+		Expires: expires * 1_000_000}, nil
+}
+
+// firstSegments is the path of the first so many segments, all but the last at most.
+func firstSegments(path string, n int) string {
+	at := 0
+	for range n {
+		i := strings.IndexByte(path[at+1:], '/')
+		if i < 0 {
+			break
+		}
+		at += 1 + i
+	}
+	return path[:at+1]
+}
+
+func signJWT(k *keyring.Key, m *claims) (string, error) {
+	var key any = k.Bytes
+	if k.Kind.Costly() {
+		key = k.Signer
+	}
+	signer, err := jose.NewSigner(jose.SigningKey{Algorithm: jose.SignatureAlgorithm(k.Alg), Key: key},
+		(&jose.SignerOptions{}).WithHeader("kid", k.Name))
+	if err != nil {
+		return "", err
+	}
+	payload, err := json.Marshal(m)
+	if err != nil {
+		return "", err
+	}
+	jws, err := signer.Sign(payload)
+	if err != nil {
+		return "", err
+	}
+	return jws.CompactSerialize()
+}
+
+func encryptTo(k *keyring.Key, text string) (string, error) {
+	e, err := jose.NewEncrypter(jose.A256GCM, jose.Recipient{Algorithm: jose.DIRECT, Key: k.Bytes, KeyID: k.Name}, nil)
+	if err != nil {
+		return "", err
+	}
+	jwe, err := e.Encrypt([]byte(text))
+	if err != nil {
+		return "", err
+	}
+	return jwe.CompactSerialize()
+}
+
+// sameNet tells whether a text is an address or a prefix.
+func sameNet(text string) bool {
+	_, err := netip.ParsePrefix(text)
+	_, err2 := netip.ParseAddr(text)
+	return err == nil || err2 == nil
+}
--- /dev/null
+++ b/internal/decide/grants/grants.go
@@ -0,0 +1,407 @@
+// Package grants decides whether a signed link or token lets a request in. A
+// request's target, header and peer address come in, with the moment at which
+// its last byte came; a verdict goes out: granted, with scope, subject, expiry
+// and key, or one named refusal.
+//
+// It knows the formats of several content networks, a file each, and tells them
+// apart by the names under which their fields are carried. A request holds one
+// grant; two are refused, even where both are good.
+//
+// Nothing here does I/O or asks a clock. What costs tens of microseconds, an
+// RSA, ECDSA or Ed25519 signature, is not checked here but handed out as a
+// Proof, which may be checked on any goroutine; all the rest belongs to one
+// owner, as the event loop.
+//
+// The order of judgement is by cost. Of a keyed digest the signature comes
+// first, and what it claims is judged once it is known to be genuine. Of a
+// costly signature what it claims comes first, so that the flood of links that
+// could let nothing in costs no signature.
+package grants
+
+import (
+	"crypto/sha256"
+	"fmt"
+	"net/netip"
+	"strings"
+
+	"cherryramp/internal/decide/keyring"
+	"cherryramp/internal/httpwire"
+)
+
+// Micros is a moment or a span in microseconds of the Unix clock.
+type Micros = int64
+
+// Bounds of what a request may bring.
+const (
+	mostTarget  = 8 << 10 // bytes of a target
+	mostField   = 6 << 10 // bytes of a field of a signature
+	mostToken   = 4 << 10 // bytes of a token
+	mostPattern = 1 << 10 // bytes of a pattern of paths
+	mostDigits  = 12      // of a Unix time in seconds
+)
+
+// Refusal is a reason for which a request is not let in. It holds no secret and
+// nothing that the client sent. The empty one is none.
+type Refusal string
+
+func (r Refusal) Error() string { return string(r) }
+
+// The refusals.
+const (
+	Missing   Refusal = "no signature"
+	Twice     Refusal = "more than one signature"
+	Malformed Refusal = "signature is malformed"
+	UnknownK  Refusal = "key is unknown"
+	EarlyK    Refusal = "key is not in use yet"
+	RetiredK  Refusal = "key has retired"
+	RevokedK  Refusal = "key is revoked"
+	Forged    Refusal = "signature does not match"
+	Expired   Refusal = "expired"
+	Early     Refusal = "not valid yet"
+	Path      Refusal = "path is not covered"
+	Branch    Refusal = "not for this branch"
+	Address   Refusal = "not for this address"
+	Algorithm Refusal = "algorithm does not fit the key"
+	Critical  Refusal = "a critical claim is not understood"
+	Issuer    Refusal = "issuer is not trusted"
+	Audience  Refusal = "not for this audience"
+	Target    Refusal = "target can't be used"
+)
+
+// Request is what a client sent.
+type Request struct {
+	Target string // as it stands in the request line
+	Header httpwire.Header
+	Peer   netip.Addr
+	Now    Micros // when its last byte was here
+}
+
+// Grant is what a good signature lets in.
+type Grant struct {
+	Path, Query string // the target without signing fields
+	Profile     *Profile
+	Key         *keyring.Key
+	Subject     string // whom the issuer named; empty: nobody
+	ID          string // of the one token, for those that are used once
+	Expires     Micros // without skew
+	token       *token
+	carrier     carrier
+}
+
+// Verdict is the answer to a request. Exactly one of Refusal and Proof is set
+// where nothing is granted.
+type Verdict struct {
+	Grant
+	Refusal Refusal
+	Proof   *Proof // to be checked first; then Settle gives the verdict
+}
+
+// carrier is where in a request a grant stands.
+type carrier uint8
+
+const (
+	inQuery carrier = iota
+	inCookie
+	inHeader
+	inPath
+	carriers
+)
+
+// Set judges requests by a set of profiles. It belongs to one goroutine.
+type Set struct {
+	families []*family
+	names    [carriers]map[string][]ref // of fields; of headers in lower case
+	branch   string
+	memory   memory
+	found    [carriers][]found // by family; used anew by each request
+	touched  []*found          // those that hold something
+	key, url []byte            // used anew by each request
+	one      credential        // used anew by each request
+}
+
+// ref says which field of which family a name is.
+type ref struct{ family, field int }
+
+// found is the fields of one family in one carrier of a request.
+type found struct {
+	values [maxFields]string
+	order  [maxFields]uint8 // fields in the order in which they came
+	have   uint16           // bits of fields
+	count  int
+	first  int // offset of the first field in the query
+	last   int // and of what follows the last
+	twice  bool
+	family *family
+	at     carrier
+}
+
+const maxFields = 8
+
+// family is the profiles of one format that are carried under the same names.
+type family struct {
+	format   format
+	index    int
+	profiles []*Profile
+	names    names
+}
+
+// names are where a format's fields stand.
+type names struct {
+	fields  [carriers][]string
+	telling uint16         // bits of the fields that tell the format from others
+	alone   [carriers]bool // any one field tells it, and there may be only one
+}
+
+// credential is the one grant that a request holds, as text.
+type credential struct {
+	*family
+	*found
+	carrier carrier
+	path    string // without signing fields
+	query   string // without signing fields
+	target  string
+	peer    netip.Addr
+	scratch *[]byte // for the whole URL
+}
+
+// url is the whole URL without signing fields, as the issuer names it. It holds
+// until the next one is asked for.
+func (c *credential) url(base string) []byte {
+	b := append(append((*c.scratch)[:0], base...), c.path...)
+	if c.query != "" {
+		b = append(append(b, '?'), c.query...)
+	}
+	*c.scratch = b
+	return b
+}
+
+// format reads one format of grants.
+type format interface {
+	// names tells under which names a profile's fields are carried.
+	names(p *Profile) names
+	// kin tells whether grants of another format are read by this one too.
+	kin(format) bool
+	// bound tells whether the signature covers the URL itself, so that what was
+	// learnt of it holds for that URL only.
+	bound(c *credential) bool
+	// read turns a credential into a token whose signature is not checked yet.
+	read(c *credential) (*token, Refusal)
+}
+
+// Config is what a set is made of.
+type Config struct {
+	Profiles []*Profile
+	Branch   string // own name, which a grant's data must give
+	Remember int    // verdicts held at most, half of them for forged ones
+}
+
+// New makes a set; it names the profile that can't be used.
+func New(cfg Config) (*Set, error) {
+	s := &Set{branch: cfg.Branch}
+	s.memory.init(cfg.Remember)
+	for c := range s.names {
+		s.names[c] = map[string][]ref{}
+	}
+	for _, p := range cfg.Profiles {
+		if err := p.Check(); err != nil {
+			return nil, fmt.Errorf("grants: %s: %w", p.Name, err)
+		}
+		s.add(p)
+	}
+	for c := range s.found {
+		s.found[c] = make([]found, len(s.families))
+		for i, f := range s.families {
+			s.found[c][i].family, s.found[c][i].at = f, carrier(c)
+		}
+	}
+	return s, nil
+}
+
+// add puts a profile to those that are carried alike, or into a family of its own.
+func (s *Set) add(p *Profile) {
+	n := p.format.names(p)
+	for _, f := range s.families {
+		if f.format.kin(p.format) && sameNames(f.names, n) {
+			f.profiles = append(f.profiles, p)
+			return
+		}
+	}
+	f := &family{format: p.format, index: len(s.families), profiles: []*Profile{p}, names: n}
+	s.families = append(s.families, f)
+	for c, list := range n.fields {
+		for i, name := range list {
+			if name == "" {
+				continue
+			}
+			if carrier(c) == inHeader {
+				name = strings.ToLower(name)
+			}
+			s.names[c][name] = append(s.names[c][name], ref{f.index, i})
+		}
+	}
+}
+
+func sameNames(a, b names) bool {
+	for c := range a.fields {
+		if strings.Join(a.fields[c], "\x00") != strings.Join(b.fields[c], "\x00") {
+			return false
+		}
+	}
+	return true
+}
+
+// Judge gives the verdict on a request, or a Proof that must be checked first.
+func (s *Set) Judge(r *Request) Verdict {
+	c := &s.one
+	*c = credential{scratch: &s.url, peer: r.Peer}
+	if refusal := s.locate(r, c); refusal != "" {
+		return Verdict{Refusal: refusal}
+	}
+	s.key = c.appendKey(s.key[:0])
+	if t := s.memory.find(s.key, r.Now); t != nil {
+		return s.judge(t, c, r)
+	}
+	t, refusal := c.format.read(c)
+	if refusal != "" {
+		return Verdict{Refusal: refusal}
+	}
+	if !t.costly() {
+		if t.settle(t.check()) {
+			s.memory.grant(s.key, t)
+		}
+		return s.judge(t, c, r)
+	}
+	// What it claims is cheaper to judge than its signature.
+	if v := s.judge(t, c, r); v.Refusal != "" {
+		return v
+	}
+	t.state = pending
+	s.memory.wait(s.key, t)
+	return s.judge(t, c, r)
+}
+
+// Settle takes what a Proof's check gave.
+func (s *Set) Settle(p *Proof, genuine bool, now Micros) {
+	p.token.settle(genuine)
+	s.memory.settle(p.token, now)
+}
+
+// Forget drops a Proof that nobody will check; whoever comes with the same
+// credential later gets a new one.
+func (s *Set) Forget(p *Proof) {
+	if p.token.state == pending {
+		s.memory.drop(p.token)
+	}
+}
+
+// judge holds a token's claims against a request. The token's signature is
+// good, or not yet known, or known to be forged.
+func (s *Set) judge(t *token, c *credential, r *Request) Verdict {
+	v := Verdict{Grant: Grant{Path: c.path, Query: c.query, Profile: t.profile, Key: t.key,
+		Subject: t.subject, ID: t.id, Expires: t.expires, token: t, carrier: c.carrier}}
+	v.Refusal = s.refusal(t, c, r)
+	if v.Refusal == "" && t.state == pending {
+		v.Proof = &t.proof
+	}
+	return v
+}
+
+func (s *Set) refusal(t *token, c *credential, r *Request) Refusal {
+	if t.state == forged {
+		return Forged
+	}
+	skew := t.profile.Skew
+	if t.key != nil {
+		switch t.key.At(r.Now) {
+		case keyring.Early:
+			return EarlyK
+		case keyring.Retired:
+			return RetiredK
+		case keyring.Withdrawn:
+			return RevokedK
+		}
+		if t.key.Skew >= 0 {
+			skew = t.key.Skew
+		}
+	}
+	switch {
+	case t.expires > 0 && r.Now > t.expires+skew:
+		return Expired
+	case t.begins > 0 && r.Now < t.begins-skew:
+		return Early
+	case !t.covers(c):
+		return Path
+	case !t.takes(r.Peer):
+		return Address
+	case t.profile.Bound && t.data != s.branch && !(t.data == "" && t.profile.AllowUnbound):
+		return Branch
+	}
+	return ""
+}
+
+// appendKey writes what a verdict on a signature depends on.
+func (c *credential) appendKey(b []byte) []byte {
+	b = append(b, byte(c.index), byte(c.carrier), byte(c.count))
+	if c.count > 1 { // a format may care for the order in which they stand
+		for _, i := range c.order[:c.count] {
+			b = append(b, i)
+		}
+	}
+	for i := range c.values {
+		if c.have&(1<<i) != 0 {
+			b = append(b, byte(i))
+			b = append(b, c.values[i]...)
+			b = append(b, 0)
+		}
+	}
+	if t, ok := c.format.(*timed); ok && t.peer {
+		b = c.peer.AppendTo(b)
+	}
+	if c.carrier != inCookie && c.carrier != inHeader && (c.count > 1 || c.carrier == inPath) {
+		return append(b, c.target...) // and for where they stand
+	}
+	if c.format.bound(c) {
+		b = append(b, c.path...)
+		b = append(b, '?')
+		b = append(b, c.query...)
+	}
+	return b
+}
+
+// Digest names the token in tables that count its uses: by what was signed, and
+// not by the signature, which others could word anew.
+func (g *Grant) Digest() (d [16]byte) {
+	h := sha256.New()
+	h.Write([]byte(g.Profile.Name))
+	h.Write([]byte{0})
+	if g.ID != "" {
+		h.Write([]byte(g.ID))
+	} else {
+		h.Write([]byte(g.token.signed))
+	}
+	copy(d[:], h.Sum(nil))
+	return d
+}
+
+// Ends is the moment from which the grant can let nothing in, skew and all; the
+// end of time where it never runs out.
+func (g *Grant) Ends() Micros {
+	if g.Expires == 0 {
+		return 1<<63 - 1
+	}
+	skew := g.Profile.Skew
+	if g.Key.Skew >= 0 {
+		skew = g.Key.Skew
+	}
+	return g.Expires + skew + 1
+}
+
+// Renews tells whether the grant is one of a chain of tokens, and whether the
+// next one costs a signature that takes long.
+func (g *Grant) Renews() (costly, renews bool) {
+	if g.token == nil || g.token.renew == nil {
+		return false, false
+	}
+	k := g.Profile.Ring.Signing()
+	return k != nil && k.Kind.Costly(), k != nil
+}
--- /dev/null
+++ b/internal/decide/quota/quota_test.go
@@ -0,0 +1,172 @@
+package quota
+
+import (
+	"crypto/sha256"
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"cherryramp/internal/seeded"
+)
+
+func TestMain(m *testing.M) { seeded.Main(m) }
+
+// Whatever comes, no span holds more than its rate and burst allow, and a
+// client that stays away as told is let in.
+func TestRateHolds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := Limit{Rate: float64(rapid.IntRange(1, 50).Draw(t, "rate")), Burst: rapid.IntRange(1, 5).Draw(t, "burst")}
+		r := NewRates(4)
+		claims := []Claim{{Key, "k", l}}
+		now := int64(1_000_000)
+		var in []int64
+		for range 200 {
+			now += int64(rapid.IntRange(0, 100_000).Draw(t, "gap"))
+			wait, refusal := r.Take(claims, now)
+			if refusal != "" {
+				if w, again := r.Take(claims, now+wait); again != "" || w != 0 {
+					t.Fatalf("came back after %d as told and was refused: %s", wait, again)
+				}
+				now += wait
+			}
+			in = append(in, now)
+			r.Done(claims)
+		}
+		for i := range in {
+			for j := i + 1; j < len(in); j++ {
+				if allowed := float64(in[j]-in[i])*l.Rate/1e6 + float64(max(1, l.Burst)) + 0.01; float64(j-i+1) > allowed {
+					t.Fatalf("%d in %d us, allowed %.2f", j-i+1, in[j]-in[i], allowed)
+				}
+			}
+		}
+	})
+}
+
+// All claims or none: what one limit refuses takes nothing from the others.
+func TestAllOrNone(t *testing.T) {
+	r := NewRates(10)
+	both := []Claim{{Tenant, "a", Limit{Rate: 1, Burst: 2}}, {Subject, "x", Limit{Open: 1}}}
+	if _, refusal := r.Take(both, 1); refusal != "" {
+		t.Fatal(refusal)
+	}
+	for range 5 {
+		if wait, refusal := r.Take(both, 2); refusal != TooMany || wait == 0 {
+			t.Fatal(refusal)
+		}
+	}
+	r.Done(both)
+	if _, refusal := r.Take(both, 3); refusal != "" {
+		t.Error("the refused ones were counted:", refusal)
+	}
+	r.Done(both)
+	if wait, refusal := r.Take(both, 4); refusal != TooFast || wait < 900_000 {
+		t.Error(wait, refusal)
+	}
+}
+
+// At its bound the table lets go what binds nobody, and refuses rather than
+// forget what does.
+func TestFullTables(t *testing.T) {
+	r := NewRates(100)
+	claim := func(i int) []Claim { return []Claim{{Subject, fmt.Sprint(i), Limit{Rate: 1}}} }
+	for i := range 100 {
+		if _, refusal := r.Take(claim(i), 1_000_000); refusal != "" {
+			t.Fatal(refusal)
+		}
+		r.Done(claim(i))
+	}
+	if wait, refusal := r.Take(claim(100), 1_000_001); refusal != NoRoom || wait == 0 {
+		t.Fatal(refusal)
+	}
+	if _, refusal := r.Take(claim(5), 1_000_001); refusal != TooFast {
+		t.Error("forgot one that binds:", refusal)
+	}
+	if _, refusal := r.Take(claim(100), 2_000_000); refusal != "" {
+		t.Error("kept what binds nobody:", refusal)
+	}
+	u := NewUses(10)
+	token := func(i int, until Micros) Token {
+		x := Token{Until: until, Most: 1, Object: "o", Retry: 5}
+		sum := sha256.Sum256([]byte{byte(i)})
+		copy(x.Name[:], sum[:])
+		return x
+	}
+	for i := range 10 {
+		u.Take(token(i, 100), 1)
+		u.Done(token(i, 0).Name, false)
+	}
+	if wait, refusal := u.Take(token(11, 200), 50); refusal != UsesFull || wait == 0 {
+		t.Error(refusal)
+	}
+	if _, refusal := u.Take(token(3, 100), 50); refusal != UsedUp {
+		t.Error("forgot a use:", refusal)
+	}
+	if _, refusal := u.Take(token(11, 200), 101); refusal != "" {
+		t.Error("kept tokens that have run out:", refusal)
+	}
+}
+
+// Single uses: together, retried, for another object, lost, refused, restarted.
+func TestUses(t *testing.T) {
+	u := NewUses(10)
+	x := Token{Name: [16]byte{1}, Until: 1000, Most: 1, Object: "a", Retry: 100}
+	other := x
+	other.Object = "b"
+	for _, s := range []struct {
+		what string
+		t    Token
+		at   Micros
+		done bool
+		want Refusal
+	}{
+		{"first", x, 10, false, ""},
+		{"together with it", x, 11, false, InUse},
+		{"another object", other, 12, true, UsedUp},
+		{"its answer was lost: the same again", x, 60, true, ""},
+		{"and again, in the span of the first", x, 110, true, ""},
+		{"past the span", x, 111, false, UsedUp},
+	} {
+		if s.what == "its answer was lost: the same again" {
+			u.Done(x.Name, false)
+		}
+		_, refusal := u.Take(s.t, s.at)
+		if refusal != s.want {
+			t.Errorf("%s: %q, want %q", s.what, refusal, s.want)
+		}
+		if s.done && refusal == "" {
+			u.Done(x.Name, false)
+		}
+	}
+	b, err := u.Append(nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	v := NewUses(10)
+	if _, err := v.Read(b); err != nil {
+		t.Fatal(err)
+	}
+	if _, refusal := v.Take(other, 200); refusal != UsedUp {
+		t.Error("a restart forgot a use:", refusal)
+	}
+	y := Token{Name: [16]byte{2}, Until: 1000, Most: 2, Object: "a"}
+	u.Take(y, 1)
+	u.Done(y.Name, true) // refused harmlessly: no use
+	for i := range 3 {
+		_, refusal := u.Take(y, Micros(10+i))
+		u.Done(y.Name, false)
+		if want := map[bool]Refusal{true: UsedUp}[i == 2]; refusal != want {
+			t.Errorf("use %d of two: %q", i, refusal)
+		}
+	}
+}
+
+func BenchmarkTake(b *testing.B) {
+	r := NewRates(1 << 20)
+	claims := []Claim{{Tenant, "padma", Limit{Rate: 1e6, Burst: 1e6}}, {Key, "k", Limit{Rate: 1e6, Burst: 1e6}}, {Subject, "member 7", Limit{Rate: 1e6, Burst: 1e6, Open: 9}}}
+	b.ReportAllocs()
+	for i := range b.N {
+		r.Take(claims, int64(i))
+		r.Done(claims)
+	}
+}
--- /dev/null
+++ b/internal/decide/suspects/suspects_test.go
@@ -0,0 +1,87 @@
+package suspects
+
+import (
+	"encoding/binary"
+	"math/rand/v2"
+	"net/netip"
+	"runtime"
+	"testing"
+)
+
+func random(r *rand.Rand) netip.Prefix {
+	var b [4]byte
+	binary.LittleEndian.PutUint32(b[:], r.Uint32())
+	return Prefix(netip.AddrFrom4(b))
+}
+
+// Never less than what was counted; more than that by little for most, even
+// with far more prefixes than counters; and gone after a while.
+func TestSketchAgainstExactCounts(t *testing.T) {
+	r := rand.New(rand.NewPCG(7, 7))
+	s, exact := New(99), map[netip.Prefix]uint32{}
+	heavy := Prefix(netip.MustParseAddr("2001:db8::1"))
+	now := int64(1_800_000_000_000_000)
+	for i := range 20_000 {
+		p := random(r)
+		if i%4 == 0 {
+			p = heavy
+		}
+		s.Add(p, now)
+		exact[p]++
+	}
+	over := 0
+	for p, n := range exact {
+		got := s.Count(p, now)
+		if got < n {
+			t.Fatalf("%v: %d of %d", p, got, n)
+		}
+		if got > n+20 {
+			over++
+		}
+	}
+	if over > len(exact)/100 {
+		t.Errorf("%d of %d are held for much more suspect than they are", over, len(exact))
+	}
+	if got := s.Count(heavy, now); got < 5000 || got > 5100 {
+		t.Errorf("the heavy one: %d", got)
+	}
+	if got := s.Count(heavy, now+3*period); got > 640 {
+		t.Errorf("after three periods: %d", got)
+	}
+	if got := s.Count(heavy, now+40*period); got != 0 {
+		t.Errorf("after forty: %d", got)
+	}
+}
+
+// Run with -bench Million: the sketch against an exact map, a million prefixes.
+func BenchmarkMillion(b *testing.B) {
+	list := make([]netip.Prefix, 1_000_000)
+	r := rand.New(rand.NewPCG(7, 7))
+	for i := range list {
+		list[i] = random(r)
+	}
+	b.Run("sketch", func(b *testing.B) {
+		s := New(1)
+		for i := range b.N {
+			s.Add(list[i%len(list)], 1)
+		}
+		b.ReportMetric(Bytes, "bytes")
+	})
+	b.Run("map", func(b *testing.B) {
+		var m1, m2 runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&m1)
+		m := map[netip.Prefix]uint32{}
+		for _, p := range list {
+			m[p]++
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&m2)
+		b.ResetTimer()
+		for i := range b.N {
+			m[list[i%len(list)]]++
+		}
+		b.ReportMetric(float64(m2.HeapAlloc-m1.HeapAlloc), "bytes")
+		runtime.KeepAlive(m)
+	})
+}
