--- a/cmd/cherryramp/main.go
+++ b/cmd/cherryramp/main.go
@@ -1,260 +1,69 @@
-// Command cherryramp is one real front: it reads its configuration, wires the
-// parts together round the event loop, and ends on SIGTERM when all is answered.
+// Command cherryramp is the front and what an operator needs beside it:
+//
+//	cherryramp [serve]   one real front, until SIGTERM
+//	cherryramp check     all faults of configuration files
+//	cherryramp sign      a link of any format, by a key of the operator's file
+//	cherryramp verify    whether a link is let in, and why not
+//	cherryramp keys      the states of the keys
+//
+// It exits with 0 where all is well, 1 where something failed or is at fault, 2
+// where it was called in a way that it does not know, and 3 where a link is not
+// let in.
 package main
 
 import (
+	"errors"
 	"fmt"
-	"log/slog"
 	"os"
-	"os/signal"
-	"runtime/debug"
-	"syscall"
-	"time"
 
-	"cherryramp/internal/board"
-	"cherryramp/internal/config"
-	"cherryramp/internal/ephemeral"
-	"cherryramp/internal/front/platform"
-	"cherryramp/internal/front/session"
-	"cherryramp/internal/front/signed"
-	"cherryramp/internal/gateway"
-	"cherryramp/internal/logging"
-	"cherryramp/internal/loop"
-	"cherryramp/internal/transport"
-	"cherryramp/internal/upstream"
-	"cherryramp/rules"
+	"github.com/spf13/cobra"
 )
 
-const (
-	memoryShare  = 0.6       // part of the memory limit that the heap may fill before it is swept harder
-	copyShare    = 0.25      // part of the memory limit for copies of our own
-	clientShare  = 0.55      // part of the descriptors for clients; the usual ones hold a third at most
-	signedShare  = 0.1       // part of them for the clients of the signed front, where it is on
-	poolShare    = 0.25      // part of them for cache nodes
-	poolMost     = 8         // connections to one node at most
-	idleShare    = 0.8       // part of the nodes' idle time after which we close first
-	drainAfter   = 750_000   // us after SIGTERM until which clients may still come
-	drainPoll    = 20_000    // us between looks at whether all is answered
-	drainMost    = 3_000_000 // us that open calls may take after SIGTERM, if their classes allow as much
-	drainSlack   = 500_000   // us past it after which what is still open is failed
-	drainFlush   = 150_000   // us past that for the last answers to leave
-	fewestPooled = 16        // nodes that the connections must suffice for
-)
-
-func main() {
-	if err := run(); err != nil {
-		slog.Error("cherryramp ends", "error", err)
-		os.Exit(1)
-	}
-}
-
-func run() error {
-	level, err := config.LogLevel(os.Getenv)
-	if err != nil {
-		return err
-	}
-	signals := make(chan os.Signal, 8)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	log := logging.New(os.Stderr, level)
-	slog.SetDefault(log)
-	cfg, err := config.Load(os.Getenv)
-	if err != nil {
-		return err
-	}
-	operator, err := config.LoadOperator(os.Getenv)
-	if err != nil {
-		return err
-	}
-	debug.SetMemoryLimit(int64(memoryShare * float64(cfg.MemoryMB) * (1 << 20)))
-	if err := transport.Setup(log); err != nil {
-		return err
-	}
-	p, err := build(cfg, operator, log)
-	if err != nil {
-		return err
-	}
-	go p.heed(signals)
-	log.Info("serving", "name", cfg.Name, "listen", cfg.Listen, "board", cfg.Board)
-	p.loop.Run()
-	log.Info("ended", "open", p.gate.Open())
-	return nil
-}
-
-// program is the wired parts.
-type program struct {
-	log      *slog.Logger
-	cfg      *config.Config // in force
-	loop     *loop.Loop
-	gate     *gateway.Gateway
-	news     *board.Board
-	fronts   []*session.Server
-	stopping bool
-}
-
-// build wires the parts and starts to serve.
-func build(cfg *config.Config, operator *config.Operator, log *slog.Logger) (*program, error) {
-	p := &program{log: log, cfg: cfg}
-	p.loop = loop.New(func() { p.gate.Settle() })
-	var err error
-	p.gate, err = gateway.New(gateway.Config{Settings: cfg.Settings, Zones: cfg.Zones, Kinds: cfg.Kinds,
-		Seed: cfg.Seed, Copies: copies(cfg)}, p.loop, log)
-	if err != nil {
-		return nil, err
-	}
-	nodes := fewestPooled
-	if cfg.Known != nil {
-		for _, e := range cfg.Known.Events {
-			if e.List != nil {
-				nodes = max(nodes, 2*len(e.List.Members))
-			}
-		}
-	}
-	var alone []bool // what must not run twice does not suffer from others' answers
-	for _, c := range cfg.Settings.Classes {
-		alone = append(alone, c.Effect == rules.Unsafe)
-	}
-	p.gate.Use(upstream.New(upstream.Config{Lanes: cfg.Lanes, Alone: alone, Streams: cfg.Streams,
-		Connections: max(1, min(poolMost, int(poolShare*float64(cfg.Sockets))/nodes)),
-		ConnectTime: cfg.ConnectTime, IdleTime: int64(idleShare * float64(cfg.ConnIdle))},
-		p.loop, p.gate, log))
-	var sink board.Sink = p.gate
-	if e := operator.Ephemeral; e != nil {
-		sink = purgesOnly{p.gate}
-		err := ephemeral.Start(ephemeral.Config{Servers: e.Servers, Path: e.Path,
-			Session: time.Duration(e.SessionMS) * time.Millisecond}, p.loop, p.gate, log)
-		if err != nil {
-			return nil, err
-		}
-	}
-	p.news = board.New(p.loop, log, cfg.Board, cfg.Known, sink)
-	var classes []platform.Class
-	for i, c := range cfg.Settings.Classes {
-		classes = append(classes, platform.Class{Name: cfg.Lanes[i], Write: c.Write})
-	}
-	p.fronts = append(p.fronts, session.New(session.Config{Name: "platform", Listen: cfg.Listen,
-		Limits: platform.Limits, Connections: int(clientShare * float64(cfg.Sockets))}, p.loop,
-		platform.New(classes, log), p.gate, log))
-	if operator.Signed != nil {
-		app, err := signedFront(cfg, operator.Signed, log)
-		if err != nil {
-			return nil, err
-		}
-		p.fronts = append(p.fronts, session.New(session.Config{Name: "signed", Listen: operator.Signed.Listen,
-			Limits: signed.Limits, Connections: int(signedShare * float64(cfg.Sockets))}, p.loop, app,
-			p.gate, log))
-	}
-	for _, f := range p.fronts {
-		if err := f.Start(); err != nil {
-			return nil, fmt.Errorf("listen: %w", err)
-		}
-	}
-	if cfg.Board != "" {
-		p.news.Start()
-	}
-	return p, nil
-}
+// failed is an exit code whose cause has been told.
+type failed int
 
-// purgesOnly is a gateway whose members come from elsewhere than the board.
-type purgesOnly struct{ *gateway.Gateway }
+func (f failed) Error() string { return fmt.Sprintf("exit code %d", int(f)) }
 
-// Members passes over the board's list.
-func (purgesOnly) Members(bool, []gateway.Member) {}
-
-// copies bounds the gateway's own copies; without the figures of the link, or a
-// notice board to tell of purges, there are none.
-func copies(cfg *config.Config) gateway.Copies {
-	if cfg.Flow == 0 || cfg.Link == 0 || cfg.Board == "" {
-		return gateway.Copies{}
-	}
-	return gateway.Copies{Bytes: int(copyShare * float64(cfg.MemoryMB) * (1 << 20)), Flow: cfg.Flow,
-		Link: cfg.Link}
-}
+const (
+	atFault  failed = 1
+	notLetIn failed = 3
+)
 
-// signedFront makes the front for signed URLs and tokens.
-func signedFront(cfg *config.Config, s *config.Signed, log *slog.Logger) (*signed.Front, error) {
-	check := signed.Rules{URLBase: s.URLBase, TokenName: s.TokenName, TokenHeader: s.TokenHeader,
-		Branch: s.Branch, AllowUnbound: s.AllowUnbound, Skew: int64(*s.SkewMS) * 1000}
-	for _, k := range s.URLKeys {
-		check.URLKeys = append(check.URLKeys, signed.Key{Name: k.Name, Secret: k.Secret})
-	}
-	for _, k := range s.TokenKeys {
-		check.TokenKeys = append(check.TokenKeys, signed.Key{Name: k.Name, Secret: k.Secret})
-	}
-	var classes []signed.Class
-	for i, c := range cfg.Settings.Classes {
-		classes = append(classes, signed.Class{Name: cfg.Lanes[i], Write: c.Write, GiveUp: c.GiveUp})
-	}
-	return signed.New(check, classes, log)
-}
+// exitUsage is the exit code of a call that is not known.
+const exitUsage = 2
 
-// heed carries out signals for as long as the program runs. Files are read here,
-// beside the loop.
-func (p *program) heed(signals <-chan os.Signal) {
-	for got := range signals {
-		if got != syscall.SIGHUP {
-			p.loop.Post(func() { p.stop(got) })
-			continue
-		}
-		cfg, err := config.Load(os.Getenv)
-		if err != nil {
-			p.log.Error("configuration can't be used, the old one stays", "error", err)
-			continue
+func main() {
+	if len(os.Args) == 1 { // as the platform starts it: nothing is made for a command line
+		if serve() != nil {
+			os.Exit(int(atFault))
 		}
-		p.loop.Post(func() { p.reload(cfg) })
-	}
-}
-
-// reload takes over what a new configuration may change while the program runs.
-func (p *program) reload(cfg *config.Config) {
-	if fixed := p.cfg.Fixed(cfg); len(fixed) > 0 {
-		p.log.Warn("configuration: these keys need a restart, their old values stay", "keys", fixed)
-	}
-	p.cfg.Flow, p.cfg.Link = cfg.Flow, cfg.Link
-	if p.cfg.Board != "" && cfg.Board != "" {
-		p.cfg.Board = cfg.Board
-		p.news.Move(cfg.Board)
-	}
-	p.gate.Limit(copies(p.cfg))
-	p.log.Info("configuration read again", "board", p.cfg.Board)
-}
-
-// stop goes on serving while clients may still come, then ends once all is
-// answered, and before whoever sent the signal runs out of patience.
-func (p *program) stop(got os.Signal) {
-	if p.stopping {
 		return
 	}
-	p.stopping = true
-	p.log.Info("told to end", "signal", got.String(), "open", p.gate.Open())
-	now := loop.Now()
-	p.loop.At(now+drainAfter, func() {
-		for _, f := range p.fronts {
-			f.Drain()
-		}
-		p.watch()
-	})
-	var longest loop.Micros
-	for _, c := range p.cfg.Settings.Classes {
-		longest = max(longest, c.GiveUp)
-	}
-	last := max(drainAfter, min(longest, drainMost)+drainSlack)
-	p.loop.At(now+last, func() {
-		if open := p.gate.Open(); open > 0 {
-			p.log.Warn("out of time: what is open is failed", "open", open)
-			p.gate.Abandon()
-		}
-	})
-	p.loop.At(now+last+drainFlush, p.loop.Quit)
-}
-
-func (p *program) watch() {
-	busy := p.gate.Open()
-	for _, f := range p.fronts {
-		busy += f.Busy()
-	}
-	if busy == 0 {
-		p.loop.Quit()
-		return
+	running := false
+	root := &cobra.Command{Use: "cherryramp", Short: "A gateway in front of caches of large objects",
+		Long: "A gateway in front of caches of large objects. Without a command it serves.\n\nThe environment gives ROUTER_CONFIG, " +
+			"ROUTER_NAME, ROUTER_LISTEN, CHERRYRAMP_OPERATOR and CHERRYRAMP_LOG.\n\nExit codes: 0 well, 1 failed or at fault, " +
+			"2 called in a way that is not known, 3 a link is not let in.",
+		SilenceErrors: true, SilenceUsage: true,
+		PersistentPreRun: func(*cobra.Command, []string) { running = true }}
+	root.CompletionOptions.DisableDefaultCmd = true
+	root.AddCommand(&cobra.Command{Use: "serve", Short: "Serve as one front, until SIGTERM", Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			if serve() != nil {
+				return atFault
+			}
+			return nil
+		}}, checkCommand(), signCommand(), verifyCommand(), keysCommand())
+	cmd, err := root.ExecuteC()
+	var code failed
+	switch {
+	case errors.As(err, &code):
+		os.Exit(int(code))
+	case err != nil && !running:
+		fmt.Fprintf(os.Stderr, "cherryramp: %v\n\n%s", err, cmd.UsageString())
+		os.Exit(exitUsage)
+	case err != nil:
+		fmt.Fprintln(os.Stderr, "cherryramp:", err)
+		os.Exit(int(atFault))
 	}
-	p.loop.At(loop.Now()+drainPoll, p.watch)
 }
--- /dev/null
+++ b/cmd/cherryramp/serve.go
@@ -0,0 +1,275 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"cherryramp/internal/board"
+	"cherryramp/internal/config"
+	"cherryramp/internal/ephemeral"
+	"cherryramp/internal/front/platform"
+	"cherryramp/internal/front/session"
+	"cherryramp/internal/front/signed"
+	"cherryramp/internal/gateway"
+	"cherryramp/internal/logging"
+	"cherryramp/internal/loop"
+	"cherryramp/internal/transport"
+	"cherryramp/internal/upstream"
+	"cherryramp/internal/workers"
+	"cherryramp/rules"
+)
+
+const (
+	memoryShare  = 0.6       // part of the memory limit that the heap may fill before it is swept harder
+	copyShare    = 0.25      // part of the memory limit for copies of our own
+	clientShare  = 0.55      // part of the descriptors for clients; the usual ones hold a third at most
+	signedShare  = 0.1       // part of them for the clients of the signed front, where it is on
+	poolShare    = 0.25      // part of them for cache nodes
+	poolMost     = 8         // connections to one node at most
+	idleShare    = 0.8       // part of the nodes' idle time after which we close first
+	drainAfter   = 750_000   // us after SIGTERM until which clients may still come
+	drainPoll    = 20_000    // us between looks at whether all is answered
+	drainMost    = 3_000_000 // us that open calls may take after SIGTERM, if their classes allow as much
+	drainSlack   = 500_000   // us past it after which what is still open is failed
+	drainFlush   = 150_000   // us past that for the last answers to leave
+	fewestPooled = 16        // nodes that the connections must suffice for
+)
+
+// serve is one real front: it reads its configuration, wires the parts together
+// round the event loop, and ends on SIGTERM when all is answered. What ends it
+// otherwise is in the log.
+func serve() error {
+	if err := run(); err != nil {
+		slog.Error("cherryramp ends", "error", err)
+		return err
+	}
+	return nil
+}
+
+func run() error {
+	level, err := config.LogLevel(os.Getenv)
+	if err != nil {
+		return err
+	}
+	signals := make(chan os.Signal, 8)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	log := logging.New(os.Stderr, level)
+	slog.SetDefault(log)
+	cfg, err := config.Load(os.Getenv)
+	if err != nil {
+		return err
+	}
+	operator, err := config.LoadOperator(os.Getenv)
+	if err != nil {
+		return err
+	}
+	debug.SetMemoryLimit(int64(memoryShare * float64(cfg.MemoryMB) * (1 << 20)))
+	if err := transport.Setup(log); err != nil {
+		return err
+	}
+	p, err := build(cfg, operator, log)
+	if err != nil {
+		return err
+	}
+	go p.heed(signals)
+	log.Info("serving", "name", cfg.Name, "listen", cfg.Listen, "board", cfg.Board)
+	p.loop.Run()
+	log.Info("ended", "open", p.gate.Open())
+	return nil
+}
+
+// program is the wired parts.
+type program struct {
+	log      *slog.Logger
+	cfg      *config.Config // in force
+	loop     *loop.Loop
+	gate     *gateway.Gateway
+	news     *board.Board
+	fronts   []*session.Server
+	operator *config.Operator
+	signed   *signed.Front // nil: off
+	stopping bool
+}
+
+// build wires the parts and starts to serve.
+func build(cfg *config.Config, operator *config.Operator, log *slog.Logger) (*program, error) {
+	p := &program{log: log, cfg: cfg, operator: operator}
+	p.loop = loop.New(func() { p.gate.Settle() })
+	var err error
+	p.gate, err = gateway.New(gateway.Config{Settings: cfg.Settings, Zones: cfg.Zones, Kinds: cfg.Kinds,
+		Seed: cfg.Seed, Copies: copies(cfg)}, p.loop, log)
+	if err != nil {
+		return nil, err
+	}
+	nodes := fewestPooled
+	if cfg.Known != nil {
+		for _, e := range cfg.Known.Events {
+			if e.List != nil {
+				nodes = max(nodes, 2*len(e.List.Members))
+			}
+		}
+	}
+	var alone []bool // what must not run twice does not suffer from others' answers
+	for _, c := range cfg.Settings.Classes {
+		alone = append(alone, c.Effect == rules.Unsafe)
+	}
+	p.gate.Use(upstream.New(upstream.Config{Lanes: cfg.Lanes, Alone: alone, Streams: cfg.Streams,
+		Connections: max(1, min(poolMost, int(poolShare*float64(cfg.Sockets))/nodes)),
+		ConnectTime: cfg.ConnectTime, IdleTime: int64(idleShare * float64(cfg.ConnIdle))},
+		p.loop, p.gate, log))
+	var sink board.Sink = p.gate
+	if e := operator.Ephemeral; e != nil {
+		sink = purgesOnly{p.gate}
+		err := ephemeral.Start(ephemeral.Config{Servers: e.Servers, Path: e.Path,
+			Session: time.Duration(e.SessionMS) * time.Millisecond}, p.loop, p.gate, log)
+		if err != nil {
+			return nil, err
+		}
+	}
+	p.news = board.New(p.loop, log, cfg.Board, cfg.Known, sink)
+	var classes []platform.Class
+	for i, c := range cfg.Settings.Classes {
+		classes = append(classes, platform.Class{Name: cfg.Lanes[i], Write: c.Write})
+	}
+	p.fronts = append(p.fronts, session.New(session.Config{Name: "platform", Listen: cfg.Listen,
+		Limits: platform.Limits, Connections: int(clientShare * float64(cfg.Sockets))}, p.loop,
+		platform.New(classes, log), p.gate, log))
+	if operator.Signed != nil {
+		o := operator.Signed
+		p.signed, err = signed.New(signed.Config{Queue: o.Pool.Queue, Rates: o.Tables.Rates, Uses: o.Tables.Uses,
+			Encoded: *o.EncodedMB << 20}, signedPolicy(cfg, o), workers.New(p.loop, o.Pool.Workers), log)
+		if err != nil {
+			return nil, err
+		}
+		p.fronts = append(p.fronts, session.New(session.Config{Name: "signed", Listen: operator.Signed.Listen,
+			Limits: signed.Limits, Buffer: signed.Buffer, Connections: int(signedShare * float64(cfg.Sockets))},
+			p.loop, p.signed, p.gate, log))
+	}
+	for _, f := range p.fronts {
+		if err := f.Start(); err != nil {
+			return nil, fmt.Errorf("listen: %w", err)
+		}
+	}
+	if cfg.Board != "" {
+		p.news.Start()
+	}
+	return p, nil
+}
+
+// purgesOnly is a gateway whose members come from elsewhere than the board.
+type purgesOnly struct{ *gateway.Gateway }
+
+// Members passes over the board's list.
+func (purgesOnly) Members(bool, []gateway.Member) {}
+
+// copies bounds the gateway's own copies; without the figures of the link, or a
+// notice board to tell of purges, there are none.
+func copies(cfg *config.Config) gateway.Copies {
+	if cfg.Flow == 0 || cfg.Link == 0 || cfg.Board == "" {
+		return gateway.Copies{}
+	}
+	return gateway.Copies{Bytes: int(copyShare * float64(cfg.MemoryMB) * (1 << 20)), Flow: cfg.Flow,
+		Link: cfg.Link}
+}
+
+// signedPolicy is what the operator's file says of signed links.
+func signedPolicy(cfg *config.Config, s *config.Signed) signed.Policy {
+	p := signed.Policy{Set: s.Set, Uses: map[string]signed.Uses{}, Tenants: map[string]signed.Tenant{}, Revoked: s.Taken}
+	for name, x := range s.ByName {
+		p.Uses[name] = signed.Uses{Most: x.Uses, Retry: int64(*x.RetryMS) * 1000}
+	}
+	for name, t := range s.Whose {
+		p.Tenants[name] = signed.Tenant{Paths: t.Paths, All: t.Limit.Quota(), Key: t.Key.Quota(), Subject: t.Subject.Quota()}
+	}
+	if c := s.CORS; c != nil {
+		p.CORS = &signed.CORS{Origins: c.Origins, Headers: c.Headers, Credentials: c.Credentials, MaxAge: *c.MaxAgeS}
+	}
+	for i, c := range cfg.Settings.Classes {
+		a := s.Classes[cfg.Lanes[i]]
+		p.Classes = append(p.Classes, signed.Class{Name: cfg.Lanes[i], Write: c.Write, GiveUp: c.GiveUp, Fresh: c.Fresh,
+			Type: a.Type, Compress: a.Compress, MaxAge: int64(a.MaxAgeS) * 1_000_000})
+	}
+	return p
+}
+
+// heed carries out signals for as long as the program runs. Files are read here,
+// beside the loop.
+func (p *program) heed(signals <-chan os.Signal) {
+	for got := range signals {
+		if got != syscall.SIGHUP {
+			p.loop.Post(func() { p.stop(got) })
+			continue
+		}
+		cfg, err := config.Load(os.Getenv)
+		operator, err2 := config.LoadOperator(os.Getenv)
+		if err := errors.Join(err, err2); err != nil {
+			p.log.Error("configuration can't be used, the old one stays", "error", err)
+			continue
+		}
+		p.loop.Post(func() { p.reload(cfg, operator) })
+	}
+}
+
+// reload takes over what a new configuration may change while the program runs.
+func (p *program) reload(cfg *config.Config, operator *config.Operator) {
+	if fixed := append(p.cfg.Fixed(cfg), p.operator.Fixed(operator)...); len(fixed) > 0 {
+		p.log.Warn("configuration: these keys need a restart, their old values stay", "keys", fixed)
+	}
+	p.cfg.Flow, p.cfg.Link = cfg.Flow, cfg.Link
+	if p.cfg.Board != "" && cfg.Board != "" {
+		p.cfg.Board = cfg.Board
+		p.news.Move(cfg.Board)
+	}
+	p.gate.Limit(copies(p.cfg))
+	if p.signed != nil && operator.Signed != nil {
+		p.signed.Reload(signedPolicy(p.cfg, operator.Signed))
+	}
+	p.log.Info("configuration read again", "board", p.cfg.Board)
+}
+
+// stop goes on serving while clients may still come, then ends once all is
+// answered, and before whoever sent the signal runs out of patience.
+func (p *program) stop(got os.Signal) {
+	if p.stopping {
+		return
+	}
+	p.stopping = true
+	p.log.Info("told to end", "signal", got.String(), "open", p.gate.Open())
+	now := loop.Now()
+	p.loop.At(now+drainAfter, func() {
+		for _, f := range p.fronts {
+			f.Drain()
+		}
+		p.watch()
+	})
+	var longest loop.Micros
+	for _, c := range p.cfg.Settings.Classes {
+		longest = max(longest, c.GiveUp)
+	}
+	last := max(drainAfter, min(longest, drainMost)+drainSlack)
+	p.loop.At(now+last, func() {
+		if open := p.gate.Open(); open > 0 {
+			p.log.Warn("out of time: what is open is failed", "open", open)
+			p.gate.Abandon()
+		}
+	})
+	p.loop.At(now+last+drainFlush, p.loop.Quit)
+}
+
+func (p *program) watch() {
+	busy := p.gate.Open()
+	for _, f := range p.fronts {
+		busy += f.Busy()
+	}
+	if busy == 0 {
+		p.loop.Quit()
+		return
+	}
+	p.loop.At(loop.Now()+drainPoll, p.watch)
+}
--- a/cmd/cherryramp/signed_test.go
+++ b/cmd/cherryramp/signed_test.go
@@ -38,7 +38,10 @@
 }
 
 func (s signer) signToken(from, until time.Time, acl, branch string) string {
-	text := fmt.Sprintf("st=%d~exp=%d~acl=%s~data=%s", from.Unix(), until.Unix(), acl, branch)
+	return s.signFields(fmt.Sprintf("st=%d~exp=%d~acl=%s~data=%s", from.Unix(), until.Unix(), acl, branch))
+}
+
+func (s signer) signFields(text string) string {
 	mac := hmac.New(sha256.New, []byte(s.token))
 	mac.Write([]byte(text))
 	return text + "~hmac=" + hex.EncodeToString(mac.Sum(nil))
--- a/cmd/cherryramp/standin_test.go
+++ b/cmd/cherryramp/standin_test.go
@@ -14,6 +14,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -58,8 +59,9 @@
 // node is a stand-in for a cache node: it reads the line protocol and hands
 // every command over.
 type node struct {
-	ln   net.Listener
-	came chan command
+	ln    net.Listener
+	came  chan command
+	taken atomic.Int64 // commands that came to serveAll
 }
 
 func newNode(t *testing.T) *node {
@@ -130,6 +132,7 @@
 	go func() {
 		for c := range n.came {
 			if c.word == "serve" {
+				n.taken.Add(1)
 				c.reply("ok", "sum=t1,t0=1,why=warm", object(c))
 			}
 		}
@@ -226,6 +229,7 @@
 	addr   string
 	signed string
 	config string // path of the configuration
+	rules  string // path of the operator's file
 	cmd    *exec.Cmd
 	log    *lines
 	ended  chan error
@@ -255,7 +259,8 @@
 	env := []string{"ROUTER_CONFIG=" + s.config}
 	if operator != "" {
 		s.signed = freeAddress(t)
-		env = append(env, "CHERRYRAMP_OPERATOR="+write(t, strings.ReplaceAll(operator, "LISTEN", s.signed)))
+		s.rules = write(t, strings.ReplaceAll(operator, "LISTEN", s.signed))
+		env = append(env, "CHERRYRAMP_OPERATOR="+s.rules)
 	}
 	s.start(env)
 	return s
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -85,7 +85,7 @@
 }
 
 // Parse reads the platform's file. A name and an address from the environment
-// go before those in it.
+// go before those in it. The error names every fault that was found, a line each.
 func Parse(data []byte, name, listen string) (*Config, error) {
 	var f file
 	if err := json.Unmarshal(data, &f); err != nil {
@@ -99,38 +99,45 @@
 		Flow: f.Flow, Link: f.Link,
 		MemoryMB: cmp.Or(int(f.Limits.MemoryMB), defaultMemoryMB),
 		Sockets:  cmp.Or(f.Limits.Sockets, defaultSockets)}
+	var faults []error
+	fault := func(format string, args ...any) { faults = append(faults, fmt.Errorf(format, args...)) }
 	for _, x := range []struct{ key, address string }{{"listen", c.Listen}, {"board", c.Board}} {
 		if x.key == "board" && x.address == "" {
 			continue
 		}
 		if err := checkAddress(x.address); err != nil {
-			return nil, fmt.Errorf("%s: %w", x.key, err)
+			fault("%s: %w", x.key, err)
 		}
 	}
 	if c.Flow < 0 || c.Link < 0 {
-		return nil, fmt.Errorf("flow_bytes_per_s, link_bytes_per_s: %v, %v: negative", c.Flow, c.Link)
+		fault("flow_bytes_per_s, link_bytes_per_s: %v, %v: negative", c.Flow, c.Link)
 	}
 	if c.MemoryMB < 16 {
-		return nil, fmt.Errorf("limits.memory_mb: %d is too little", c.MemoryMB)
+		fault("limits.memory_mb: %d is too little", c.MemoryMB)
 	}
 	if c.Sockets < 32 {
-		return nil, fmt.Errorf("limits.sockets: %d is too few", c.Sockets)
+		fault("limits.sockets: %d is too few", c.Sockets)
 	}
 	var err error
 	if f.Seed != "" {
 		if c.Seed, err = strconv.ParseUint(f.Seed, 16, 64); err != nil {
-			return nil, fmt.Errorf("seed: %q is not 16 hex digits", f.Seed)
+			fault("seed: %q is not 16 hex digits", f.Seed)
 		}
 	}
 	if len(f.Known) > 0 {
 		if c.Known, err = board.ParseNews(f.Known); err != nil {
-			return nil, fmt.Errorf("known: %w", err)
+			fault("known: %w", err)
 		}
 	}
 	if len(f.Settings) == 0 {
-		return nil, errors.New("settings: missing")
+		fault("settings: missing")
+	} else if err := c.settings(f.Settings); err != nil {
+		faults = append(faults, err)
 	}
-	return c, c.settings(f.Settings)
+	if len(faults) > 0 {
+		return nil, errors.Join(faults...)
+	}
+	return c, nil
 }
 
 // Fixed names the keys that another configuration sets otherwise, and that take
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -3,26 +3,19 @@
 import (
 	"bytes"
 	"cmp"
-	"encoding/base64"
-	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"fmt"
-	"net/url"
 	"os"
+	"path/filepath"
+	"reflect"
 	"strings"
 )
 
 // Bounds and defaults of the operator's file.
 const (
-	defaultSkewMS      = 2000
-	mostSkewMS         = 10_000
-	defaultTokenName   = "hdnts"
-	defaultTokenHeader = "X-Edge-Token"
-	leastTokenSecret   = 16
-	urlSecret          = 16
-	defaultSessionMS   = 4000
-	leastSessionMS     = 1000
+	defaultSessionMS = 4000
+	leastSessionMS   = 1000
 )
 
 // Operator is what an operator sets up beside the platform's configuration.
@@ -39,26 +32,6 @@
 	SessionMS int      `json:"session_ms"`
 }
 
-// Signed sets up the front for signed URLs and tokens.
-type Signed struct {
-	Listen       string `json:"listen"`
-	Branch       string `json:"branch"`
-	SkewMS       *int   `json:"skew_ms"`
-	URLBase      string `json:"url_base"`
-	TokenName    string `json:"token_name"`
-	TokenHeader  string `json:"token_header"`
-	AllowUnbound bool   `json:"allow_unbound"`
-	URLKeys      []Key  `json:"url_keys"`
-	TokenKeys    []Key  `json:"token_keys"`
-}
-
-// Key is a named secret: base64url in url_keys, hex in token_keys.
-type Key struct {
-	Name   string `json:"name"`
-	Text   string `json:"secret"`
-	Secret []byte `json:"-"`
-}
-
 // LoadOperator reads the operator's file that the environment names; without
 // one everything in it is off.
 func LoadOperator(getenv func(string) string) (*Operator, error) {
@@ -71,15 +44,16 @@
 	if err != nil {
 		return nil, fmt.Errorf("config: %s: %w", key, err)
 	}
-	o, err := ParseOperator(data)
+	o, err := ParseOperator(data, filepath.Dir(path))
 	if err != nil {
 		return nil, fmt.Errorf("config: %s: %w", path, err)
 	}
 	return o, nil
 }
 
-// ParseOperator reads and checks an operator's file.
-func ParseOperator(data []byte) (*Operator, error) {
+// ParseOperator reads and checks an operator's file; the files that it names
+// lie in dir. The error names every fault that was found, a line each.
+func ParseOperator(data []byte, dir string) (*Operator, error) {
 	var o Operator
 	d := json.NewDecoder(bytes.NewReader(data))
 	d.DisallowUnknownFields()
@@ -90,16 +64,21 @@
 		}
 		return nil, err
 	}
+	if rest := bytes.TrimSpace(data[d.InputOffset():]); len(rest) > 0 {
+		return nil, errors.New("something stands behind the file's object")
+	}
+	f := &faults{}
 	if o.Signed != nil {
-		if err := o.Signed.check(); err != nil {
-			return nil, fmt.Errorf("signed.%w", err)
-		}
+		o.Signed.check(f.at("signed"), dir)
 	}
 	if o.Ephemeral != nil {
 		if err := o.Ephemeral.check(); err != nil {
-			return nil, fmt.Errorf("ephemeral.%w", err)
+			f.at("ephemeral").add("", err)
 		}
 	}
+	if err := f.err(); err != nil {
+		return nil, err
+	}
 	return &o, nil
 }
 
@@ -122,67 +101,83 @@
 	return nil
 }
 
-func (s *Signed) check() error {
-	if err := checkAddress(s.Listen); err != nil {
-		return fmt.Errorf("listen: %w", err)
-	}
-	if s.Branch == "" {
-		return errors.New("branch: missing")
-	}
-	if s.SkewMS == nil {
-		skew := defaultSkewMS
-		s.SkewMS = &skew
-	}
-	if *s.SkewMS < 0 || *s.SkewMS > mostSkewMS {
-		return fmt.Errorf("skew_ms: %d is not 0 to %d", *s.SkewMS, mostSkewMS)
+// faults collects what is wrong with a file, each under the path of its key.
+type faults struct {
+	path string
+	list *[]error
+}
+
+// at gives the faults of what stands under a key.
+func (f *faults) at(key string) *faults {
+	if f.list == nil {
+		f.list = &[]error{}
 	}
-	s.TokenName = cmp.Or(s.TokenName, defaultTokenName)
-	s.TokenHeader = cmp.Or(s.TokenHeader, defaultTokenHeader)
-	for _, x := range []struct{ key, word string }{{"token_name", s.TokenName}, {"token_header", s.TokenHeader}} {
-		if strings.Trim(x.word, "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789_-") != "" {
-			return fmt.Errorf("%s: %q is not letters, digits, '-' and '_'", x.key, x.word)
-		}
+	if f.path != "" {
+		key = f.path + "." + key
 	}
-	if len(s.URLKeys)+len(s.TokenKeys) == 0 {
-		return errors.New("url_keys: no key here or in token_keys")
+	return &faults{path: key, list: f.list}
+}
+
+// add takes a fault of a key; empty: the error names it.
+func (f *faults) add(key string, err error) {
+	if err == nil {
+		return
 	}
-	if base, err := url.Parse(s.URLBase); len(s.URLKeys) > 0 &&
-		(err != nil || base.Host == "" || base.Scheme+"://"+base.Host != s.URLBase) {
-		return fmt.Errorf("url_base: %q is not scheme://host", s.URLBase)
+	if key != "" {
+		key += ": "
 	}
-	err := checkKeys("url_keys", s.URLKeys, func(text string) ([]byte, error) {
-		secret, err := base64.URLEncoding.DecodeString(text)
-		if err != nil || len(secret) != urlSecret {
-			return nil, fmt.Errorf("not base64url of %d bytes", urlSecret)
-		}
-		return secret, nil
-	})
-	if err != nil {
-		return err
+	*f.list = append(*f.list, fmt.Errorf("%s.%s%w", f.path, key, err))
+}
+
+func (f *faults) addf(key, format string, args ...any) { f.add(key, fmt.Errorf(format, args...)) }
+
+func (f *faults) err() error {
+	if f.list == nil {
+		return nil
 	}
-	return checkKeys("token_keys", s.TokenKeys, func(text string) ([]byte, error) {
-		secret, err := hex.DecodeString(text)
-		if err != nil || len(secret) < leastTokenSecret {
-			return nil, fmt.Errorf("not hex of %d bytes at least", leastTokenSecret)
-		}
-		return secret, nil
-	})
+	return errors.Join(*f.list...)
 }
 
-// checkKeys decodes the secrets. Its errors name a key by its place and never
-// show a secret.
-func checkKeys(list string, keys []Key, decode func(string) ([]byte, error)) error {
-	seen := map[string]bool{}
-	for i := range keys {
-		k := &keys[i]
-		if k.Name == "" || len(k.Name) > 63 || strings.ContainsAny(k.Name, "&=?#%+ ~") || seen[k.Name] {
-			return fmt.Errorf("%s[%d].name: %q is empty, taken twice or holds odd signs", list, i, k.Name)
+// Fixed names the keys that another file sets otherwise, and that take effect
+// at a start only.
+func (o *Operator) Fixed(n *Operator) (keys []string) {
+	if !reflect.DeepEqual(o.Ephemeral, n.Ephemeral) {
+		keys = append(keys, "ephemeral")
+	}
+	a, b := o.Signed, n.Signed
+	if a == nil || b == nil {
+		if a != b {
+			keys = append(keys, "signed")
 		}
-		seen[k.Name] = true
-		var err error
-		if k.Secret, err = decode(k.Text); err != nil {
-			return fmt.Errorf("%s[%d].secret: %w", list, i, err)
+		return keys
+	}
+	for _, x := range []struct {
+		key     string
+		changed bool
+	}{{"signed.listen", a.Listen != b.Listen}, {"signed.pool", a.Pool != b.Pool}, {"signed.tables", a.Tables != b.Tables},
+		{"signed.encoded_mb", *a.EncodedMB != *b.EncodedMB}} {
+		if x.changed {
+			keys = append(keys, x.key)
 		}
 	}
-	return nil
+	return keys
+}
+
+// CheckFile tells all faults of a file, the platform's or an operator's; which
+// it is, its keys tell.
+func CheckFile(path string) error {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	var keys map[string]json.RawMessage
+	if err := json.Unmarshal(data, &keys); err != nil {
+		return fmt.Errorf("not JSON: %w", err)
+	}
+	if keys["settings"] != nil || keys["board"] != nil || keys["limits"] != nil {
+		_, err = Parse(data, "", "")
+	} else {
+		_, err = ParseOperator(data, filepath.Dir(path))
+	}
+	return err
 }
--- a/internal/config/operator_test.go
+++ b/internal/config/operator_test.go
@@ -41,7 +41,7 @@
 		{"ephemeral.servers[0]", `"signed"`, `"ephemeral":{"servers":["x"],"path":"/x"},"signed"`},
 	} {
 		text := strings.Replace(string(good), x.from, x.to, 1)
-		if _, err := ParseOperator([]byte(text)); err == nil || !strings.Contains(err.Error(), x.key) ||
+		if _, err := ParseOperator([]byte(text), "../../deploy"); err == nil || !strings.Contains(err.Error(), x.key) ||
 			strings.Contains(err.Error(), "c2VjcmV0") {
 			t.Errorf("%s: got %v", x.key, err)
 		}
--- /dev/null
+++ b/internal/config/signed.go
@@ -0,0 +1,558 @@
+package config
+
+import (
+	"cmp"
+	"encoding/base64"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"cherryramp/internal/decide/grants"
+	"cherryramp/internal/decide/keyring"
+	"cherryramp/internal/decide/quota"
+	"cherryramp/internal/decide/revoked"
+)
+
+// Bounds and defaults of the signed section.
+const (
+	defaultSkewMS      = 2000
+	mostSkewMS         = 10_000
+	defaultTokenName   = "hdnts"
+	defaultTokenHeader = "X-Edge-Token"
+	leastTokenSecret   = 16
+	urlSecret          = 16
+	defaultVerdicts    = 8192
+	defaultWorkers     = 2
+	mostWorkers        = 8
+	defaultQueue       = 512
+	defaultRates       = 65_536
+	defaultUses        = 65_536
+	mostTable          = 4 << 20
+	defaultRetryMS     = 5000
+	defaultEncodedMB   = 8
+	defaultPreflightS  = 600
+	ownTenant          = "own" // of url_keys and token_keys, and of profiles that name none
+	mostKeyFile        = 1 << 20
+	mostProfiles       = 64
+)
+
+// Signed sets up the front for signed URLs and tokens.
+type Signed struct {
+	Listen string `json:"listen"`
+	Branch string `json:"branch"`
+	SkewMS *int   `json:"skew_ms"`
+
+	// The short way: keys of two formats.
+	URLBase      string     `json:"url_base"`
+	TokenName    string     `json:"token_name"`
+	TokenHeader  string     `json:"token_header"`
+	AllowUnbound bool       `json:"allow_unbound"`
+	URLKeys      []ShortKey `json:"url_keys"`
+	TokenKeys    []ShortKey `json:"token_keys"`
+
+	// The whole way.
+	Rings    []Ring                  `json:"rings"`
+	Profiles []Profile               `json:"profiles"`
+	Tenants  []Tenant                `json:"tenants"`
+	Revoked  Revoked                 `json:"revoked"`
+	Verdicts int                     `json:"verdicts"`
+	Pool     Pool                    `json:"pool"`
+	Tables   Tables                  `json:"tables"`
+	CORS     *CORS                   `json:"cors"`
+	Classes  map[string]ClassAnswers `json:"classes"`
+
+	EncodedMB *int `json:"encoded_mb"`
+
+	Set    *grants.Set              `json:"-"` // of all profiles
+	Taken  *revoked.List            `json:"-"`
+	ByName map[string]*Profile      `json:"-"`
+	Whose  map[string]*Tenant       `json:"-"`
+	InRing map[string]*keyring.Ring `json:"-"`
+}
+
+// ShortKey is a named secret: base64url in url_keys, hex in token_keys.
+type ShortKey struct {
+	Name string `json:"name"`
+	Text string `json:"secret"`
+}
+
+// Ring is a ring of keys.
+type Ring struct {
+	Name    string `json:"name"`
+	Keys    []Key  `json:"keys"`
+	JWKFile string `json:"jwk_file"` // a set whose keys are active, beside keys
+}
+
+// Key is one key of a ring; one of the forms of its secret or public half is given.
+type Key struct {
+	Name   string `json:"name"`
+	State  string `json:"state"`
+	From   string `json:"from"`  // RFC 3339, of next
+	Until  string `json:"until"` // RFC 3339, of retiring
+	SkewMS *int   `json:"skew_ms"`
+	Alg    string `json:"alg"`
+
+	Secret    string `json:"secret"`     // as it stands
+	SecretHex string `json:"secret_hex"` // in hex
+	SecretB64 string `json:"secret_b64"` // in base64url, with or without padding
+	PEM       string `json:"pem"`
+	PEMFile   string `json:"pem_file"`
+}
+
+// Profile is one way in which links are signed.
+type Profile struct {
+	Name         string      `json:"name"`
+	Tenant       string      `json:"tenant"`
+	Format       string      `json:"format"`
+	Ring         string      `json:"ring"`
+	Base         string      `json:"base"`
+	SkewMS       *int        `json:"skew_ms"`
+	Query        string      `json:"query"`
+	Cookie       string      `json:"cookie"`
+	Header       string      `json:"header"`
+	Bound        bool        `json:"bound"`
+	AllowUnbound bool        `json:"allow_unbound"`
+	Digest       string      `json:"digest"`
+	Salt         string      `json:"salt"`
+	AllowEndless bool        `json:"allow_endless"`
+	Issuers      []string    `json:"issuers"`
+	Audience     string      `json:"audience"`
+	Describe     Description `json:"describe"`
+	Uses         int         `json:"uses"`     // of one token; 0: any number
+	RetryMS      *int        `json:"retry_ms"` // within which the same again is the same use
+
+	Grants *grants.Profile `json:"-"`
+}
+
+// Description is how a timed digest is made.
+type Description struct {
+	Message  string `json:"message"`
+	Token    string `json:"token"`
+	Separate string `json:"separate"`
+	Digest   string `json:"digest"`
+	Encoding string `json:"encoding"`
+	Base     int    `json:"base"`
+	LifeS    int    `json:"life_s"`
+}
+
+// Limit is a rate and a number of open requests; zero fields do not bind.
+type Limit struct {
+	Rate  float64 `json:"rate"`
+	Burst int     `json:"burst"`
+	Open  int     `json:"open"`
+}
+
+// Quota is the limit as it is decided by.
+func (l Limit) Quota() quota.Limit { return quota.Limit{Rate: l.Rate, Burst: l.Burst, Open: l.Open} }
+
+// Tenant is whose links a profile takes.
+type Tenant struct {
+	Name  string   `json:"name"`
+	Paths []string `json:"paths"` // prefixes of what its links may let in; none: everything
+	Limit
+	Key     Limit `json:"each_key"`
+	Subject Limit `json:"each_subject"`
+}
+
+// Revoked is what has been taken back.
+type Revoked struct {
+	Tokens   []string `json:"tokens"`
+	Subjects []string `json:"subjects"`
+	Keys     []string `json:"keys"`
+	Paths    []string `json:"paths"`
+}
+
+// Pool is the workers that check costly signatures and encode answers.
+type Pool struct {
+	Workers int `json:"workers"`
+	Queue   int `json:"queue"`
+}
+
+// Tables bounds what is counted.
+type Tables struct {
+	Rates int `json:"rates"`
+	Uses  int `json:"uses"`
+}
+
+// CORS says which pages' scripts may read answers (the Fetch standard).
+type CORS struct {
+	Origins     []string `json:"origins"` // scheme://host, or "*" alone
+	Headers     []string `json:"headers"` // that requests may have
+	Credentials bool     `json:"credentials"`
+	MaxAgeS     *int     `json:"max_age_s"` // of a preflight's answer
+}
+
+// ClassAnswers is how answers of a class are worded.
+type ClassAnswers struct {
+	Type     string `json:"type"` // Content-Type
+	Compress bool   `json:"compress"`
+	MaxAgeS  int    `json:"max_age_s"` // that clients may keep an answer; 0: they ask each time
+}
+
+// check checks the section whole and makes what it describes.
+func (s *Signed) check(f *faults, dir string) {
+	if err := checkAddress(s.Listen); err != nil {
+		f.add("listen", err)
+	}
+	if s.Branch == "" {
+		f.addf("branch", "missing")
+	}
+	skew := checkSkew(f, "skew_ms", s.SkewMS, defaultSkewMS)
+	s.SkewMS = &skew
+	s.TokenName = cmp.Or(s.TokenName, defaultTokenName)
+	s.TokenHeader = cmp.Or(s.TokenHeader, defaultTokenHeader)
+	checkWord(f, "token_name", s.TokenName)
+	checkWord(f, "token_header", s.TokenHeader)
+	s.InRing = map[string]*keyring.Ring{}
+	s.short(f)
+	for i := range s.Rings {
+		s.Rings[i].check(f.at(fmt.Sprintf("rings[%d]", i)), dir, s.InRing)
+	}
+	s.Whose = map[string]*Tenant{ownTenant: {Name: ownTenant}}
+	for i := range s.Tenants {
+		s.Tenants[i].check(f.at(fmt.Sprintf("tenants[%d]", i)), s.Whose)
+	}
+	if len(s.Profiles) == 0 || len(s.Profiles) > mostProfiles {
+		f.addf("url_keys", "no key here, in token_keys or in profiles (%d of them, %d at most)", len(s.Profiles), mostProfiles)
+	}
+	s.ByName = map[string]*Profile{}
+	var list []*grants.Profile
+	for i := range s.Profiles {
+		p := &s.Profiles[i]
+		p.check(f.at(fmt.Sprintf("profiles[%d]", i)), s)
+		if p.Grants != nil {
+			list = append(list, p.Grants)
+		}
+	}
+	var err error
+	if s.Taken, err = revoked.New(revoked.Words{Tokens: s.Revoked.Tokens, Subjects: s.Revoked.Subjects,
+		Keys: s.Revoked.Keys, Paths: s.Revoked.Paths}); err != nil {
+		f.at("revoked").add("", err)
+	}
+	checkBound(f, "verdicts", &s.Verdicts, defaultVerdicts, mostTable)
+	checkBound(f, "pool.workers", &s.Pool.Workers, defaultWorkers, mostWorkers)
+	checkBound(f, "pool.queue", &s.Pool.Queue, defaultQueue, 1<<16)
+	checkBound(f, "tables.rates", &s.Tables.Rates, defaultRates, mostTable)
+	checkBound(f, "tables.uses", &s.Tables.Uses, defaultUses, mostTable)
+	if s.EncodedMB == nil {
+		mb := defaultEncodedMB
+		s.EncodedMB = &mb
+	}
+	if *s.EncodedMB < 0 || *s.EncodedMB > 1024 {
+		f.addf("encoded_mb", "%d is not 0 to 1024", *s.EncodedMB)
+	}
+	if s.CORS != nil {
+		s.CORS.check(f.at("cors"))
+	}
+	for name, c := range s.Classes {
+		f := f.at("classes." + name)
+		if strings.ContainsAny(c.Type, "\r\n\x00") || c.Type != "" && !strings.Contains(c.Type, "/") {
+			f.addf("type", "%q is no media type", c.Type)
+		}
+		if c.MaxAgeS < 0 {
+			f.addf("max_age_s", "%d is negative", c.MaxAgeS)
+		}
+	}
+	if f.err() != nil {
+		return
+	}
+	if s.Set, err = grants.New(grants.Config{Profiles: list, Branch: s.Branch, Remember: s.Verdicts}); err != nil {
+		f.add("profiles", err)
+	}
+}
+
+// short turns the short way's keys into rings and profiles.
+func (s *Signed) short(f *faults) {
+	for _, x := range []struct {
+		key    string
+		list   []ShortKey
+		decode func(string) ([]byte, error)
+		p      Profile
+	}{
+		{"url_keys", s.URLKeys, func(text string) ([]byte, error) {
+			secret, err := base64.URLEncoding.DecodeString(text)
+			if err != nil || len(secret) != urlSecret {
+				return nil, fmt.Errorf("not base64url of %d bytes", urlSecret)
+			}
+			return secret, nil
+		}, Profile{Format: grants.CloudCDN, Base: s.URLBase}},
+		{"token_keys", s.TokenKeys, func(text string) ([]byte, error) {
+			secret, err := hex.DecodeString(text)
+			if err != nil || len(secret) < leastTokenSecret {
+				return nil, fmt.Errorf("not hex of %d bytes at least", leastTokenSecret)
+			}
+			return secret, nil
+		}, Profile{Format: grants.EdgeAuth, Query: s.TokenName, Cookie: s.TokenName, Header: s.TokenHeader,
+			Bound: true, AllowUnbound: s.AllowUnbound}},
+	} {
+		if len(x.list) == 0 {
+			continue
+		}
+		var keys []*keyring.Key
+		for i, k := range x.list {
+			secret, err := x.decode(k.Text)
+			if err != nil {
+				f.add(fmt.Sprintf("%s[%d].secret", x.key, i), err)
+				return
+			}
+			keys = append(keys, &keyring.Key{Name: k.Name, State: keyring.Active, Bytes: secret, Skew: -1})
+		}
+		ring, err := keyring.New(x.key, keys)
+		if err != nil {
+			f.add("", errors.New(strings.Replace(err.Error(), "keys", x.key, 1)))
+			return
+		}
+		s.InRing[x.key] = ring
+		x.p.Name, x.p.Ring, x.p.Tenant = x.key, x.key, ownTenant
+		s.Profiles = append(s.Profiles, x.p)
+	}
+}
+
+func (r *Ring) check(f *faults, dir string, rings map[string]*keyring.Ring) {
+	if r.Name == "" || rings[r.Name] != nil {
+		f.addf("name", "%q is empty or taken twice", r.Name)
+	}
+	var keys []*keyring.Key
+	if r.JWKFile != "" {
+		text, err := readKeyFile(dir, r.JWKFile)
+		if err == nil {
+			keys, err = keyring.FromJWK(text)
+		}
+		f.add("jwk_file", err)
+	}
+	for i := range r.Keys {
+		if k := r.Keys[i].make(f.at(fmt.Sprintf("keys[%d]", i)), dir); k != nil {
+			keys = append(keys, k)
+		}
+	}
+	if len(keys) < len(r.Keys) {
+		return // the fault is told
+	}
+	ring, err := keyring.New(r.Name, keys)
+	if err != nil {
+		f.add("", err)
+		return
+	}
+	rings[r.Name] = ring
+}
+
+// make reads a key; its faults never show a secret.
+func (k *Key) make(f *faults, dir string) (key *keyring.Key) {
+	given := 0
+	take := func(field, text string, read func() (*keyring.Key, error)) {
+		if text == "" {
+			return
+		}
+		var err error
+		if key, err = read(); err != nil {
+			f.add(field, err)
+		}
+		given++
+	}
+	secret := func(b []byte, err error, what string) (*keyring.Key, error) {
+		if err != nil {
+			return nil, errors.New("not " + what)
+		}
+		return &keyring.Key{Name: k.Name, Kind: keyring.Secret, Bytes: b}, nil
+	}
+	take("secret", k.Secret, func() (*keyring.Key, error) { return secret([]byte(k.Secret), nil, "") })
+	take("secret_hex", k.SecretHex, func() (*keyring.Key, error) {
+		b, err := hex.DecodeString(k.SecretHex)
+		return secret(b, err, "hex")
+	})
+	take("secret_b64", k.SecretB64, func() (*keyring.Key, error) {
+		b, err := base64.RawURLEncoding.DecodeString(strings.TrimRight(k.SecretB64, "="))
+		return secret(b, err, "base64url")
+	})
+	take("pem", k.PEM, func() (*keyring.Key, error) { return keyring.FromPEM(k.Name, []byte(k.PEM)) })
+	take("pem_file", k.PEMFile, func() (*keyring.Key, error) {
+		text, err := readKeyFile(dir, k.PEMFile)
+		if err != nil {
+			return nil, err
+		}
+		return keyring.FromPEM(k.Name, text)
+	})
+	if given != 1 {
+		f.addf("secret", "%d of secret, secret_hex, secret_b64, pem and pem_file are given, one is needed", given)
+		return nil
+	}
+	if key == nil {
+		return nil
+	}
+	state, err := keyring.ParseState(k.State)
+	f.add("state", err)
+	key.State, key.Alg, key.Skew = state, cmp.Or(k.Alg, key.Alg), -1
+	if k.SkewMS != nil {
+		key.Skew = int64(checkSkew(f, "skew_ms", k.SkewMS, 0)) * 1000
+	}
+	for _, x := range []struct {
+		key, text string
+		state     keyring.State
+	}{{"from", k.From, keyring.Next}, {"until", k.Until, keyring.Retiring}} {
+		if x.text == "" {
+			continue
+		}
+		at, err := time.Parse(time.RFC3339, x.text)
+		switch {
+		case err != nil:
+			f.addf(x.key, "%q is not like 2026-12-01T00:00:00Z", x.text)
+		case state != x.state:
+			f.addf(x.key, "belongs to a key that is %s", x.state)
+		default:
+			key.Moment = at.UnixMicro()
+		}
+	}
+	return key
+}
+
+// readKeyFile reads a file that the operator's names, beside it or at its path.
+func readKeyFile(dir, name string) ([]byte, error) {
+	if !filepath.IsAbs(name) {
+		name = filepath.Join(dir, name)
+	}
+	info, err := os.Stat(name)
+	if err != nil {
+		return nil, err
+	}
+	if !info.Mode().IsRegular() || info.Size() > mostKeyFile {
+		return nil, fmt.Errorf("%s is no file of %d bytes at most", name, mostKeyFile)
+	}
+	return os.ReadFile(name)
+}
+
+func (t *Tenant) check(f *faults, all map[string]*Tenant) {
+	if t.Name == "" || all[t.Name] != nil && t.Name != ownTenant {
+		f.addf("name", "%q is empty or taken twice", t.Name)
+	}
+	all[t.Name] = t
+	for i, p := range t.Paths {
+		if !strings.HasPrefix(p, "/") {
+			f.addf(fmt.Sprintf("paths[%d]", i), "%q does not begin with /", p)
+		}
+	}
+	for _, x := range []struct {
+		key string
+		l   Limit
+	}{{"", t.Limit}, {"each_key.", t.Key}, {"each_subject.", t.Subject}} {
+		if x.l.Rate < 0 || x.l.Rate > 1e6 {
+			f.addf(x.key+"rate", "%v is not 0 to 1000000 a second", x.l.Rate)
+		}
+		if x.l.Burst < 0 || x.l.Burst > 1e6 {
+			f.addf(x.key+"burst", "%d is not 0 to 1000000", x.l.Burst)
+		}
+		if x.l.Open < 0 {
+			f.addf(x.key+"open", "%d is negative", x.l.Open)
+		}
+	}
+}
+
+func (p *Profile) check(f *faults, s *Signed) {
+	if p.Name == "" || s.ByName[p.Name] != nil {
+		f.addf("name", "%q is empty or taken twice", p.Name)
+	}
+	s.ByName[p.Name] = p
+	p.Tenant = cmp.Or(p.Tenant, ownTenant)
+	if s.Whose[p.Tenant] == nil {
+		f.addf("tenant", "%q is not among the tenants", p.Tenant)
+	}
+	if !slices.Contains(grants.Formats, p.Format) {
+		f.addf("format", "%q is none of %s", p.Format, strings.Join(grants.Formats, ", "))
+		return
+	}
+	if p.Format == grants.CDNI {
+		p.Query, p.Cookie = cmp.Or(p.Query, grants.PackageName), cmp.Or(p.Cookie, grants.PackageName)
+	}
+	if p.Format == grants.EdgeAuth && p.Query+p.Cookie+p.Header == "" {
+		p.Query, p.Cookie = defaultTokenName, defaultTokenName
+	}
+	if p.Format == grants.Timed && p.Query+p.Cookie+p.Header == "" {
+		f.addf("query", "missing, as are cookie and header: nothing carries the token")
+	}
+	for _, x := range []struct{ key, word string }{{"query", p.Query}, {"cookie", p.Cookie}, {"header", p.Header},
+		{"describe.separate", p.Describe.Separate}} {
+		checkWord(f, x.key, x.word)
+	}
+	skew := checkSkew(f, "skew_ms", p.SkewMS, *s.SkewMS)
+	if p.Uses < 0 {
+		f.addf("uses", "%d is negative", p.Uses)
+	}
+	if p.RetryMS == nil {
+		ms := defaultRetryMS
+		p.RetryMS = &ms
+	}
+	if *p.RetryMS < 0 {
+		f.addf("retry_ms", "%d is negative", *p.RetryMS)
+	}
+	ring := s.InRing[p.Ring]
+	if ring == nil {
+		f.addf("ring", "%q is no ring that can be used", p.Ring)
+		return
+	}
+	g := &grants.Profile{Name: p.Name, Tenant: p.Tenant, Format: p.Format, Ring: ring, Base: p.Base,
+		Skew: int64(skew) * 1000, Query: p.Query, Cookie: p.Cookie, Header: p.Header, Bound: p.Bound,
+		AllowUnbound: p.AllowUnbound, Digest: p.Digest, Salt: p.Salt, AllowEndless: p.AllowEndless,
+		Issuers: p.Issuers, Audience: p.Audience, Describe: grants.Description{Message: p.Describe.Message,
+			Token: p.Describe.Token, Separate: p.Describe.Separate, Digest: p.Describe.Digest,
+			Encoding: p.Describe.Encoding, Base: p.Describe.Base, Life: int64(p.Describe.LifeS) * 1_000_000}}
+	if err := g.Check(); err != nil {
+		if p.Name == p.Ring { // of the short way
+			err = errors.New(strings.Replace(err.Error(), "base:", "url_base:", 1))
+			f.path = strings.SplitN(f.path, ".", 2)[0]
+		}
+		f.add("", err)
+		return
+	}
+	p.Grants = g
+}
+
+func (c *CORS) check(f *faults) {
+	if len(c.Origins) == 0 {
+		f.addf("origins", "none")
+	}
+	for i, o := range c.Origins {
+		scheme, host, ok := strings.Cut(o, "://")
+		if o != "*" && (!ok || scheme == "" || host == "" || strings.ContainsAny(host, "/ \r\n*")) {
+			f.addf(fmt.Sprintf("origins[%d]", i), "%q is not scheme://host or *", o)
+		}
+	}
+	if c.Credentials && slices.Contains(c.Origins, "*") {
+		f.addf("credentials", "can't stand beside the origin *")
+	}
+	for i, h := range c.Headers {
+		checkWord(f, fmt.Sprintf("headers[%d]", i), cmp.Or(h, " "))
+	}
+	if c.MaxAgeS == nil {
+		s := defaultPreflightS
+		c.MaxAgeS = &s
+	}
+	if *c.MaxAgeS < 0 || *c.MaxAgeS > 86_400 {
+		f.addf("max_age_s", "%d is not 0 to 86400", *c.MaxAgeS)
+	}
+}
+
+func checkSkew(f *faults, key string, ms *int, otherwise int) int {
+	if ms == nil {
+		return otherwise
+	}
+	if *ms < 0 || *ms > mostSkewMS {
+		f.addf(key, "%d is not 0 to %d", *ms, mostSkewMS)
+	}
+	return *ms
+}
+
+func checkWord(f *faults, key, word string) {
+	if strings.Trim(word, "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789_-") != "" {
+		f.addf(key, "%q is not letters, digits, '-' and '_'", word)
+	}
+}
+
+func checkBound(f *faults, key string, n *int, otherwise, most int) {
+	if *n = cmp.Or(*n, otherwise); *n < 1 || *n > most {
+		f.addf(key, "%d is not 1 to %d", *n, most)
+	}
+}
--- a/internal/decide/grants/cdni.go
+++ b/internal/decide/grants/cdni.go
@@ -39,6 +39,8 @@
 	return n
 }
 
+func (cdni) named() bool { return true }
+
 func (cdni) kin(f format) bool { _, ok := f.(cdni); return ok }
 
 // The token names its URIs itself.
@@ -123,7 +125,7 @@
 	}
 	jws, err := jose.ParseSignedCompact(text, cdniAlgorithms)
 	var wrong *jose.ErrUnexpectedSignatureAlgorithm
-	if errors.As(err, &wrong) {
+	if errors.As(err, &wrong) && wrong.Got != "" {
 		return nil, Algorithm
 	}
 	if err != nil || len(jws.Signatures) != 1 {
--- a/internal/decide/grants/cloudfront.go
+++ b/internal/decide/grants/cloudfront.go
@@ -45,6 +45,8 @@
 	return n
 }
 
+func (cloudFront) named() bool { return true }
+
 func (cloudFront) kin(f format) bool { _, ok := f.(cloudFront); return ok }
 
 func (cloudFront) bound(c *credential) bool { return c.have&(1<<cfPolicy) == 0 }
--- a/internal/decide/grants/edgeauth.go
+++ b/internal/decide/grants/edgeauth.go
@@ -24,6 +24,8 @@
 	return n
 }
 
+func (edgeAuth) named() bool { return false }
+
 func (edgeAuth) kin(f format) bool { _, ok := f.(edgeAuth); return ok }
 
 func (edgeAuth) bound(c *credential) bool {
--- a/internal/decide/grants/google.go
+++ b/internal/decide/grants/google.go
@@ -45,6 +45,8 @@
 	return n
 }
 
+func (google) named() bool { return true }
+
 func (google) kin(f format) bool { _, ok := f.(google); return ok }
 
 func (google) bound(c *credential) bool {
--- a/internal/decide/grants/grants.go
+++ b/internal/decide/grants/grants.go
@@ -179,6 +179,8 @@
 type format interface {
 	// names tells under which names a profile's fields are carried.
 	names(p *Profile) names
+	// named tells whether a grant names its key.
+	named() bool
 	// kin tells whether grants of another format are read by this one too.
 	kin(format) bool
 	// bound tells whether the signature covers the URL itself, so that what was
@@ -206,7 +208,9 @@
 		if err := p.Check(); err != nil {
 			return nil, fmt.Errorf("grants: %s: %w", p.Name, err)
 		}
-		s.add(p)
+		if err := s.add(p); err != nil {
+			return nil, fmt.Errorf("grants: %s: %w", p.Name, err)
+		}
 	}
 	for c := range s.found {
 		s.found[c] = make([]found, len(s.families))
@@ -218,12 +222,20 @@
 }
 
 // add puts a profile to those that are carried alike, or into a family of its own.
-func (s *Set) add(p *Profile) {
+func (s *Set) add(p *Profile) error {
 	n := p.format.names(p)
 	for _, f := range s.families {
 		if f.format.kin(p.format) && sameNames(f.names, n) {
+			for _, k := range p.Ring.Keys {
+				for _, o := range f.profiles {
+					if p.format.named() && o.Ring.Find(k.Name) != nil {
+						return fmt.Errorf("ring: key %q is in profile %q too, whose links are carried alike: which is meant?",
+							k.Name, o.Name)
+					}
+				}
+			}
 			f.profiles = append(f.profiles, p)
-			return
+			return nil
 		}
 	}
 	f := &family{format: p.format, index: len(s.families), profiles: []*Profile{p}, names: n}
@@ -239,6 +251,7 @@
 			s.names[c][name] = append(s.names[c][name], ref{f.index, i})
 		}
 	}
+	return nil
 }
 
 func sameNames(a, b names) bool {
--- a/internal/decide/grants/locate.go
+++ b/internal/decide/grants/locate.go
@@ -52,7 +52,7 @@
 		return Malformed
 	case many == 0:
 		return Missing
-	case many > 1 || c.twice && c.carrier != inQuery:
+	case many > 1 || c.twice && (c.names.alone[c.carrier] || len(c.names.fields[c.carrier]) == 1):
 		return Twice
 	case c.twice:
 		return Malformed
--- a/internal/decide/grants/timed.go
+++ b/internal/decide/grants/timed.go
@@ -142,11 +142,16 @@
 
 func (t *timed) names(p *Profile) names {
 	n := names{telling: 1}
-	n.fields[inQuery] = []string{p.Query, t.Separate}
+	n.fields[inQuery] = []string{p.Query}
+	if t.Separate != "" {
+		n.fields[inQuery] = append(n.fields[inQuery], t.Separate)
+	}
 	n.fields[inCookie], n.fields[inHeader] = []string{p.Cookie}, []string{p.Header}
 	return n
 }
 
+func (*timed) named() bool { return false }
+
 func (*timed) kin(f format) bool { _, ok := f.(*timed); return ok }
 
 func (t *timed) bound(*credential) bool { return true }
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -40,7 +40,7 @@
 }
 
 // Take answers a health check, and turns any other request into a call.
-func (f *Front) Take(r *httpwire.Request) (*gateway.Call, *httpwire.Response) {
+func (f *Front) Take(r *httpwire.Request, _ *session.Exchange) (*gateway.Call, *httpwire.Response) {
 	if r.Target == health && r.Method == "GET" {
 		return nil, &httpwire.Response{Status: 200}
 	}
@@ -84,9 +84,12 @@
 		return nil, bad("Req-Wait-Ms is not 1 to 60000")
 	}
 	c.Deadline = loop.Now() + int64(wait)*1000
-	if fault := session.ReadCopy(c, query, r.Header.Get("X-Bucket"), r.Header); fault != "" {
+	if fault := session.ReadCopy(c, query, r.Header.Get("X-Bucket")); fault != "" {
 		return nil, bad(fault)
 	}
+	if tag := strings.Trim(r.Header.Get("If-None-Match"), `"`); gateway.IsName(tag) {
+		c.Tag = tag
+	}
 	return c, nil
 }
 
@@ -100,7 +103,7 @@
 }
 
 // Reply words the final answer to a call.
-func (f *Front) Reply(a gateway.Answer) *httpwire.Response {
+func (f *Front) Reply(_ *session.Exchange, a gateway.Answer) *httpwire.Response {
 	r := &httpwire.Response{Status: 502}
 	if a.Tag != "" {
 		r.Header = append(r.Header, httpwire.Field{Name: "ETag", Value: `"` + a.Tag + `"`})
@@ -119,3 +122,6 @@
 	}
 	return r
 }
+
+// Left has nothing to do: the front keeps nothing of a request.
+func (f *Front) Left(*session.Exchange) {}
--- a/internal/front/session/session.go
+++ b/internal/front/session/session.go
@@ -6,6 +6,7 @@
 import (
 	"errors"
 	"log/slog"
+	"net/netip"
 	"sync/atomic"
 
 	"cherryramp/internal/gateway"
@@ -29,15 +30,53 @@
 	Name        string // of the front, for the log
 	Listen      string
 	Limits      httpwire.Limits
+	Buffer      int // bytes that may wait, of requests sent behind each other; 0: as one request
 	Connections int // held at most
 }
 
 // App gives requests and outcomes their meaning.
 type App interface {
-	// Take turns a request into a call, or answers it at once.
-	Take(r *httpwire.Request) (*gateway.Call, *httpwire.Response)
-	// Reply words the final answer to a call.
-	Reply(a gateway.Answer) *httpwire.Response
+	// Take turns a request into a call, or answers it at once. Where both are
+	// nil it keeps the request, and later calls the exchange's Submit or Reply.
+	Take(r *httpwire.Request, x *Exchange) (*gateway.Call, *httpwire.Response)
+	// Reply words the final answer to a call. Where it is nil, the exchange's
+	// Reply follows.
+	Reply(x *Exchange, a gateway.Answer) *httpwire.Response
+	// Left tells that the client of an exchange has gone; nobody waits for its
+	// answer.
+	Left(x *Exchange)
+}
+
+// Exchange is one request, from its last byte until its answer is written. It
+// is used on the loop only.
+type Exchange struct {
+	State any // the App's own
+	conn  *conn
+	open  bool
+}
+
+// Peer is the client's address.
+func (x *Exchange) Peer() netip.Addr {
+	if !x.conn.peer.IsValid() {
+		if at, err := netip.ParseAddrPort(x.conn.tc.Peer().String()); err == nil {
+			x.conn.peer = at.Addr()
+		}
+	}
+	return x.conn.peer
+}
+
+// Submit hands over the call that a kept request has become.
+func (x *Exchange) Submit(call *gateway.Call) {
+	if x.open {
+		x.conn.submit(call)
+	}
+}
+
+// Reply answers a kept request.
+func (x *Exchange) Reply(r *httpwire.Response) {
+	if x.open {
+		x.conn.reply(r)
+	}
 }
 
 // Desk serves calls.
@@ -64,7 +103,9 @@
 type conn struct {
 	server *Server
 	tc     *transport.Conn
-	call   *gateway.Call // open
+	x      *Exchange     // open
+	call   *gateway.Call // of the open one; nil while the App keeps it
+	peer   netip.Addr    // once asked for
 	head   bool          // the open request wants no body
 	last   bool          // the connection ends with the answer
 	served bool          // it has brought a whole request
@@ -82,7 +123,7 @@
 // Start begins to accept clients.
 func (s *Server) Start() error {
 	s.loop.Post(s.sweep)
-	return transport.Listen(s.loop, s.cfg.Listen, s.cfg.Limits.Head+s.cfg.Limits.Body, s.admit)
+	return transport.Listen(s.loop, s.cfg.Listen, max(s.cfg.Buffer, s.cfg.Limits.Head+s.cfg.Limits.Body), s.admit)
 }
 
 // admit runs on the poller. Where few places are left, one of the connections
@@ -120,7 +161,7 @@
 		if !c.served {
 			limit = yieldSilent
 		}
-		if c.call != nil || c.last || now-c.since < limit || c.tc.Blocked() {
+		if c.x != nil || c.last || now-c.since < limit || c.tc.Blocked() {
 			continue
 		}
 		if least == nil || c.served != least.served && !c.served ||
@@ -139,7 +180,7 @@
 	now := loop.Now()
 	for c := range s.conns {
 		switch {
-		case c.call != nil || c.last:
+		case c.x != nil || c.last:
 		case c.begun > 0 && now-c.begun > requestMost, !c.served && now-c.since > requestMost:
 			c.quit()
 		case now-c.since > idleMost:
@@ -153,7 +194,7 @@
 func (s *Server) Drain() {
 	s.closing = true
 	for c := range s.conns {
-		if c.call == nil && !c.tc.Blocked() {
+		if c.x == nil && !c.tc.Blocked() {
 			c.quit()
 		}
 	}
@@ -162,7 +203,7 @@
 // Busy counts connections whose answer is open or not all out.
 func (s *Server) Busy() (n int) {
 	for c := range s.conns {
-		if c.call != nil || c.tc.Blocked() {
+		if c.x != nil || c.tc.Blocked() {
 			n++
 		}
 	}
@@ -171,7 +212,7 @@
 
 // Readable takes the next request, unless one is open.
 func (c *conn) Readable(tc *transport.Conn) {
-	for c.call == nil && !c.over && !c.last {
+	for c.x == nil && !c.over && !c.last {
 		var r *httpwire.Request
 		var err error
 		tc.Consume(func(b []byte) (used int) {
@@ -212,22 +253,38 @@
 
 func (c *conn) take(r *httpwire.Request) {
 	c.served, c.head, c.last = true, r.Method == "HEAD", r.Close || c.tc.Flooded()
-	call, answer := c.server.app.Take(r)
-	if call == nil {
+	x := &Exchange{conn: c, open: true}
+	c.x = x
+	switch call, answer := c.server.app.Take(r, x); {
+	case answer != nil:
+		c.x, x.open = nil, false
 		c.write(answer)
-		return
+	case call != nil && x.open:
+		c.submit(call)
 	}
+}
+
+func (c *conn) submit(call *gateway.Call) {
 	call.Caller = c
 	c.call = call
 	c.server.desk.Submit(call)
 }
 
-// Answer writes the final answer of the open call.
+// Answer words and writes the final answer of the open call.
 func (c *conn) Answer(a gateway.Answer) {
 	c.call = nil
-	c.write(c.server.app.Reply(a))
+	if r := c.server.app.Reply(c.x, a); r != nil {
+		c.reply(r)
+	}
+}
+
+// reply writes the answer of the open exchange, and looks at what came meanwhile.
+func (c *conn) reply(r *httpwire.Response) {
+	c.x.open = false
+	c.x = nil
+	c.write(r)
 	if !c.last {
-		c.server.loop.Post(func() { c.Readable(c.tc) }) // what came meanwhile
+		c.server.loop.Post(func() { c.Readable(c.tc) })
 	}
 }
 
@@ -258,4 +315,9 @@
 		c.server.desk.Leave(c.call)
 		c.call = nil
 	}
+	if c.x != nil {
+		c.x.open = false
+		c.server.app.Left(c.x)
+		c.x = nil
+	}
 }
--- a/internal/front/session/target.go
+++ b/internal/front/session/target.go
@@ -5,14 +5,12 @@
 	"strings"
 
 	"cherryramp/internal/gateway"
-	"cherryramp/internal/httpwire"
 )
 
 // ReadCopy reads what both fronts say alike of the copy that is wanted: the
-// part, as the query seg=N, the group, a number below 256, and the tag of the
-// client's own copy. It names what can't be used; a tag that can't be is
-// passed over.
-func ReadCopy(c *gateway.Call, query, group string, header httpwire.Header) (fault string) {
+// part, as the query seg=N, and the group, a number below 256. It names what
+// can't be used.
+func ReadCopy(c *gateway.Call, query, group string) (fault string) {
 	number, err := strconv.ParseUint(group, 10, 8)
 	if err != nil {
 		return "group is not 0 to 255"
@@ -26,8 +24,5 @@
 		}
 		c.Part, c.HasPart = int(part), true
 	}
-	if tag := strings.Trim(header.Get("If-None-Match"), `"`); gateway.IsName(tag) {
-		c.Tag = tag
-	}
 	return ""
 }
--- a/internal/front/signed/signed.go
+++ b/internal/front/signed/signed.go
@@ -1,8 +1,8 @@
-// Package signed is the front for links that expire: signed URLs as Google
-// Cloud CDN takes them, and tokens as Akamai EdgeAuth 2.0 makes them. It checks
-// a request's signature against the raw target before anything else is done
-// with it, so that no forged request comes near a cache node, and passes on the
-// object's name without the signing fields.
+// Package signed is the front for links and tokens that expire, as content
+// networks issue them. Whether a request is let in, grants decides, with what
+// quota and revoked have to say; this package asks them in order, carries costly
+// signatures to the pool, and words answers as content networks do. No request
+// that is not let in comes near a cache node.
 //
 // A target is /files/CLASS/GROUP/OBJECT, with ?seg=N for a part. The group is
 // the one that purges name.
@@ -16,103 +16,292 @@
 	"strconv"
 	"strings"
 
+	"cherryramp/internal/decide/content"
+	"cherryramp/internal/decide/grants"
+	"cherryramp/internal/decide/quota"
+	"cherryramp/internal/decide/revoked"
+	"cherryramp/internal/decide/suspects"
+	"cherryramp/internal/decide/turns"
 	"cherryramp/internal/front/session"
+	"cherryramp/internal/front/signed/encoding"
 	"cherryramp/internal/gateway"
 	"cherryramp/internal/httpwire"
 	"cherryramp/internal/loop"
+	"cherryramp/internal/workers"
 )
 
 const path = "/files/"
 
-// Limits bound a request; links have no body.
-var Limits = httpwire.Limits{Head: 8 << 10, Body: 0}
+// Limits bound a request; links have no body. A head has room for a token and
+// many cookies.
+var Limits = httpwire.Limits{Head: 16 << 10, Body: 0}
+
+// Buffer is what may wait of requests sent behind each other, in bytes.
+const Buffer = 64 << 10
 
 // Class is a class of requests.
 type Class struct {
-	Name   string
-	Write  bool
-	GiveUp gateway.Micros // how long a client waits
+	Name     string
+	Write    bool
+	GiveUp   gateway.Micros // how long a client waits
+	Fresh    gateway.Micros // how long a copy is; 0: always
+	Type     string         // Content-Type of answers; empty: none is told
+	Compress bool
+	MaxAge   gateway.Micros // that clients may keep answers; 0: they ask each time
+}
+
+// Uses is how often one token of a profile may be used; 0: as often as it likes.
+type Uses struct {
+	Most  int
+	Retry gateway.Micros // within which the same again is the same use
+}
+
+// Tenant is what a tenant's links may let in, and how much.
+type Tenant struct {
+	Paths             []string // prefixes; none: everything
+	All, Key, Subject quota.Limit
+}
+
+// CORS says which pages' scripts may read answers.
+type CORS struct {
+	Origins     []string
+	Headers     []string
+	Credentials bool
+	MaxAge      int // s
 }
 
-// Front checks signatures and words outcomes as a content network does.
+// Policy is what requests are judged by. A new one takes the place of the old
+// one whole.
+type Policy struct {
+	Set     *grants.Set
+	Uses    map[string]Uses   // by profile
+	Tenants map[string]Tenant // by name
+	Revoked *revoked.List
+	CORS    *CORS
+	Classes []Class
+}
+
+// Config bounds what the front holds.
+type Config struct {
+	Queue   int // costly checks that wait
+	Rates   int // names that rates are kept of
+	Uses    int // tokens that uses are kept of
+	Encoded int // bytes of encoded answers
+}
+
+// Front judges requests and words outcomes as a content network does.
 type Front struct {
-	rules   Rules
-	classes []Class
-	log     *slog.Logger
-	base    uint64 // of the ids that requests get
-	count   uint64
+	policy   Policy
+	log      *slog.Logger
+	pool     *workers.Pool
+	turns    *turns.Queue
+	proofs   map[*grants.Proof]*proof
+	suspects *suspects.Sketch
+	rates    *quota.Rates
+	uses     *quota.Uses
+	variants *encoding.Variants
+	base     uint64 // of the ids that requests get
+	count    uint64
 }
 
-// New makes a front for the classes, which calls name by their place.
-func New(rules Rules, classes []Class, log *slog.Logger) (*Front, error) {
-	var seed [8]byte
+// New makes a front. Its costly work goes to the pool.
+func New(cfg Config, policy Policy, pool *workers.Pool, log *slog.Logger) (*Front, error) {
+	var seed [16]byte
 	if _, err := rand.Read(seed[:]); err != nil {
 		return nil, fmt.Errorf("signed: %w", err)
 	}
-	return &Front{rules: rules, classes: classes, log: log, base: binary.BigEndian.Uint64(seed[:])}, nil
+	return &Front{policy: policy, log: log, pool: pool, turns: turns.New(cfg.Queue),
+		proofs: map[*grants.Proof]*proof{}, suspects: suspects.New(binary.BigEndian.Uint64(seed[8:])),
+		rates: quota.NewRates(cfg.Rates), uses: quota.NewUses(cfg.Uses), variants: encoding.New(cfg.Encoded),
+		base: binary.BigEndian.Uint64(seed[:])}, nil
+}
+
+// Reload has requests judged by another policy from now on. What was counted
+// stays; verdicts are found anew.
+func (f *Front) Reload(p Policy) { f.policy = p }
+
+// visit is one request.
+type visit struct {
+	x      *session.Exchange
+	r      *httpwire.Request
+	asked  grants.Request
+	ask    content.Ask
+	grant  grants.Grant
+	call   *gateway.Call
+	class  *Class
+	claims []quota.Claim // taken
+	use    [16]byte      // taken, if counted
+	used   bool
+	origin string // of a page whose script may read the answer
+	proof  *proof // waited for
 }
 
-// Take lets a request in, or refuses it for good.
-func (f *Front) Take(r *httpwire.Request) (*gateway.Call, *httpwire.Response) {
+// Take lets a request in, refuses it, or keeps it until its signature is checked.
+func (f *Front) Take(r *httpwire.Request, x *session.Exchange) (*gateway.Call, *httpwire.Response) {
+	v := &visit{x: x, r: r}
+	x.State = v
+	v.origin = f.policy.CORS.origin(r.Header)
+	if r.Method == "OPTIONS" && f.policy.CORS != nil {
+		return nil, f.preflight(v)
+	}
 	if r.Method != "GET" && r.Method != "HEAD" {
 		f.log.Info("signed request refused", "status", 405, "reason", "method")
-		return nil, &httpwire.Response{Status: 405, Body: []byte("links are for reading\n"),
-			Header: httpwire.Header{{Name: "Allow", Value: "GET, HEAD"}}}
+		return nil, f.worded(v, &httpwire.Response{Status: 405, Body: []byte("links are for reading\n"),
+			Header: httpwire.Header{{Name: "Allow", Value: "GET, HEAD"}}})
+	}
+	// The last byte is here: this try is judged once, for this moment.
+	v.asked = grants.Request{Target: r.Target, Header: r.Header, Peer: x.Peer(), Now: loop.Now()}
+	v.ask = content.Read(r.Method, r.Header)
+	return f.judge(v)
+}
+
+// judge asks whether a request is let in, and by which grant.
+func (f *Front) judge(v *visit) (*gateway.Call, *httpwire.Response) {
+	d := f.policy.Set.Judge(&v.asked)
+	v.grant = d.Grant
+	if d.Refusal != "" {
+		return nil, f.refuse(v, 403, string(d.Refusal), 0)
 	}
-	now := loop.Now() // the last byte is here: this try is judged once, now
-	g, err := f.rules.verify(r.Target, r.Header, now)
-	var call *gateway.Call
-	if err == nil {
-		call, err = f.read(g, r.Header, now)
+	// What costs little is asked before a signature is.
+	if what := f.policy.Revoked.Has(revoked.Grant{ID: d.ID, Subject: d.Subject, Key: d.Key.Name, Path: d.Path,
+		Digest: d.Digest}); what != "" {
+		return nil, f.refuse(v, 403, what+" is revoked", 0)
 	}
-	if err != nil {
-		f.log.Info("signed request refused", "status", 403, "reason", err.Error(), "key", g.key)
-		return nil, &httpwire.Response{Status: 403, Body: []byte(err.Error() + "\n")}
+	if tenant := f.policy.Tenants[d.Profile.Tenant]; !tenant.covers(d.Path) {
+		return nil, f.refuse(v, 403, string(grants.Path), 0)
 	}
-	return call, nil
+	if v.call, v.class = f.read(v); v.call == nil {
+		return nil, f.refuse(v, 403, string(grants.Target), 0)
+	}
+	if d.Proof != nil {
+		return nil, f.wait(v, d.Proof)
+	}
+	return f.admit(v)
 }
 
-// read turns a granted target into a call.
-func (f *Front) read(g grant, header httpwire.Header, now gateway.Micros) (*gateway.Call, error) {
-	rest, ok := strings.CutPrefix(g.path, path)
-	words := strings.Split(rest, "/")
-	if !ok || len(words) != 3 || !gateway.IsName(words[2]) {
-		return nil, errTarget
+// admit lets in a request whose grant is good, within what it may ask for.
+func (f *Front) admit(v *visit) (*gateway.Call, *httpwire.Response) {
+	tenant := f.policy.Tenants[v.grant.Profile.Tenant]
+	if away, status, reason := f.take(v, &tenant); reason != "" {
+		return nil, f.refuse(v, status, reason, away)
 	}
-	c := &gateway.Call{Class: -1, Object: words[2]}
-	for i, x := range f.classes {
-		if x.Name == words[0] && !x.Write {
-			c.Class, c.Deadline = i, now+x.GiveUp
+	f.count++
+	v.call.ID = fmt.Sprintf("%016x", f.base+f.count)
+	return v.call, nil
+}
+
+func (t *Tenant) covers(path string) bool {
+	for _, p := range t.Paths {
+		if strings.HasPrefix(path, p) {
+			return true
 		}
 	}
-	if c.Class < 0 || session.ReadCopy(c, g.query, words[1], header) != "" {
-		return nil, errTarget
+	return len(t.Paths) == 0
+}
+
+// read turns a target without signing fields into a call.
+func (f *Front) read(v *visit) (*gateway.Call, *Class) {
+	rest, ok := strings.CutPrefix(v.grant.Path, path)
+	name, rest, _ := strings.Cut(rest, "/")
+	group, object, _ := strings.Cut(rest, "/")
+	if !ok || !gateway.IsName(object) {
+		return nil, nil
+	}
+	c := &gateway.Call{Class: -1, Object: object}
+	for i := range f.policy.Classes {
+		if x := &f.policy.Classes[i]; x.Name == name && !x.Write {
+			c.Class, c.Deadline = i, v.asked.Now+x.GiveUp
+		}
+	}
+	if c.Class < 0 || session.ReadCopy(c, v.grant.Query, group) != "" {
+		return nil, nil
+	}
+	if tag := v.ask.Known(); gateway.IsName(tag) {
+		c.Tag = tag
+	}
+	class := &f.policy.Classes[c.Class]
+	if !class.Compress {
+		v.ask.Encoding = ""
+	}
+	return c, class
+}
+
+// take takes one request of all that is limited, or tells why not.
+func (f *Front) take(v *visit, t *Tenant) (away gateway.Micros, status int, reason string) {
+	now, g := loop.Now(), &v.grant
+	claims := []quota.Claim{{Kind: quota.Tenant, Name: g.Profile.Tenant, Limit: t.All},
+		{Kind: quota.Key, Name: g.Profile.Ring.Name + "/" + g.Key.Name, Limit: t.Key}}
+	if g.Subject != "" {
+		claims = append(claims, quota.Claim{Kind: quota.Subject, Name: g.Profile.Tenant + "/" + g.Subject, Limit: t.Subject})
+	}
+	if away, refusal := f.rates.Take(claims, now); refusal != "" {
+		status = 429
+		if refusal == quota.NoRoom {
+			status = 503
+		}
+		return away, status, string(refusal)
+	}
+	v.claims = claims
+	if u := f.policy.Uses[g.Profile.Name]; u.Most > 0 {
+		v.use = g.Digest()
+		away, refusal := f.uses.Take(quota.Token{Name: v.use, Until: g.Ends(), Most: u.Most,
+			Object: g.Path + "?" + g.Query + " " + v.asked.Peer.String(), Retry: u.Retry}, now)
+		switch refusal {
+		case "":
+			v.used = true
+		case quota.UsedUp:
+			status = 403
+		case quota.UsesFull:
+			status = 503
+		default:
+			status = 429
+		}
+		if refusal != "" {
+			f.release(v, true)
+			return away, status, string(refusal)
+		}
+	}
+	return 0, 0, ""
+}
+
+// release gives back what a visit took.
+func (f *Front) release(v *visit, harmless bool) {
+	if v.claims != nil {
+		f.rates.Done(v.claims)
+		v.claims = nil
+	}
+	if v.used {
+		f.uses.Done(v.use, harmless)
+		v.used = false
+	}
+}
+
+// refuse words a refusal; away tells when to come back, where that helps.
+func (f *Front) refuse(v *visit, status int, reason string, away gateway.Micros) *httpwire.Response {
+	name, key := "", ""
+	if v.grant.Profile != nil {
+		name = v.grant.Profile.Name
+	}
+	if v.grant.Key != nil {
+		key = v.grant.Key.Name
+	}
+	f.log.Info("signed request refused", "status", status, "reason", reason, "profile", name, "key", key)
+	r := &httpwire.Response{Status: status, Body: []byte(reason + "\n")}
+	if status != 403 {
+		r.Header = httpwire.Header{{Name: "Retry-After", Value: seconds(away)}}
+	}
+	return f.worded(v, r)
+}
+
+// seconds is a span in whole seconds, one at least (RFC 9110, section 10.2.3).
+func seconds(m gateway.Micros) string {
+	return strconv.FormatInt(max(1, (m+999_999)/1_000_000), 10)
+}
+
+// Left ends a visit whose client has gone.
+func (f *Front) Left(x *session.Exchange) {
+	if v, ok := x.State.(*visit); ok {
+		f.leave(v)
+		f.release(v, false)
 	}
-	f.count++
-	c.ID = fmt.Sprintf("%016x", f.base+f.count)
-	return c, nil
-}
-
-// Reply words the final answer to a call.
-func (f *Front) Reply(a gateway.Answer) *httpwire.Response {
-	r := &httpwire.Response{Status: 502}
-	switch {
-	case a.Kind == gateway.Served:
-		r.Status, r.Body = 200, a.Body
-	case a.Kind == gateway.Current:
-		r.Status = 304
-	case a.Kind == gateway.Refused:
-		r.Status = 503
-		away := strconv.FormatInt(max(1, (a.Await+999_999)/1_000_000), 10)
-		r.Header = httpwire.Header{{Name: "Retry-After", Value: away}}
-		return r
-	case a.Late:
-		r.Status = 504
-	}
-	// Links run out, so no cache on the way may answer in their place.
-	r.Header = httpwire.Header{{Name: "Cache-Control", Value: "private, no-cache"}}
-	if a.Tag != "" {
-		r.Header = append(r.Header, httpwire.Field{Name: "ETag", Value: `"` + a.Tag + `"`})
-	}
-	return r
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -207,9 +207,9 @@
 	}
 	if x := g.copies.find(c, &g.cfg.Settings.Classes[c.Class], loop.Now()); x != nil {
 		c.over = true
-		a := Answer{Kind: Served, Body: x.body, Tag: x.tag}
+		a := Answer{Kind: Served, Body: x.body, Tag: x.tag, Born: x.born}
 		if c.Tag != "" && c.Tag == x.tag {
-			a = Answer{Kind: Current, Tag: x.tag}
+			a = Answer{Kind: Current, Tag: x.tag, Born: x.born}
 		}
 		c.Caller.Answer(a)
 		return
--- a/internal/httpwire/httpwire.go
+++ b/internal/httpwire/httpwire.go
@@ -211,14 +211,15 @@
 }
 
 // reasons are the phrases of the statuses that the fronts use.
-var reasons = map[int]string{200: "OK", 304: "Not Modified", 400: "Bad Request", 403: "Forbidden",
+var reasons = map[int]string{200: "OK", 204: "No Content", 206: "Partial Content",
+	304: "Not Modified", 400: "Bad Request", 403: "Forbidden",
 	404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout", 413: "Content Too Large",
-	429: "Too Many Requests",
+	416: "Range Not Satisfiable", 429: "Too Many Requests",
 	431: "Request Header Fields Too Large", 502: "Bad Gateway", 503: "Service Unavailable",
 	504: "Gateway Timeout"}
 
 // AppendResponse writes a response. An answer to HEAD tells the length of the
-// body that it leaves out; a 304 has neither.
+// body that it leaves out; a 204 and a 304 have neither.
 func AppendResponse(dst []byte, r *Response, head bool) []byte {
 	dst = append(dst, "HTTP/1.1 "...)
 	dst = strconv.AppendInt(dst, int64(r.Status), 10)
@@ -231,7 +232,7 @@
 		dst = append(dst, f.Value...)
 		dst = append(dst, "\r\n"...)
 	}
-	bodiless := r.Status == 304
+	bodiless := r.Status == 304 || r.Status == 204
 	if !bodiless {
 		dst = append(dst, "Content-Length: "...)
 		dst = strconv.AppendInt(dst, int64(len(r.Body)), 10)
--- /dev/null
+++ b/lab/conformance/conformance_test.go
@@ -0,0 +1,54 @@
+package conformance
+
+import (
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"cherryramp/internal/config"
+	"cherryramp/internal/decide/grants"
+	"cherryramp/internal/httpwire"
+)
+
+// The pure verdict on every case that the grant decides, asked anew and remembered.
+func TestVerdicts(t *testing.T) {
+	w, err := New(time.Now())
+	if err != nil {
+		t.Fatal(err)
+	}
+	o, err := config.ParseOperator(w.Operator("127.0.0.1:1"), ".")
+	if err != nil {
+		t.Fatal(err)
+	}
+	set, pure, names := o.Signed.Set, 0, map[string]bool{}
+	for _, c := range w.Cases() {
+		if names[c.Name] {
+			t.Errorf("two cases are named %s", c.Name)
+		}
+		names[c.Name] = true
+		if !c.Pure {
+			continue
+		}
+		pure++
+		r := grants.Request{Target: c.Target, Peer: netip.MustParseAddr("127.0.0.1"), Now: w.Now.UnixMicro()}
+		for _, f := range c.Header {
+			name, value, _ := strings.Cut(f, ": ")
+			r.Header = append(r.Header, httpwire.Field{Name: name, Value: value})
+		}
+		for range 2 {
+			v := set.Judge(&r)
+			if v.Proof != nil {
+				set.Settle(v.Proof, v.Proof.Check(), r.Now)
+				v = set.Judge(&r)
+			}
+			if !c.Gives(string(v.Refusal)) {
+				t.Errorf("%s: %q, want %q\n%s", c.Name, v.Refusal, c.Reason, c.Bytes())
+			}
+		}
+	}
+	if len(names) < 400 || pure < 400 {
+		t.Errorf("%d cases, %d of them pure", len(names), pure)
+	}
+	t.Logf("%d cases, %d of them pure", len(names), pure)
+}
