Deadlines on a timing wheel, the clock handed in; connections in lists by state

Change: internal/loop has a hierarchical timing wheel with embedded entries, exact to the microsecond, a bit a slot so that none empty is visited; coarse deadlines fall together, late by a 32nd at most; a clock that is set back moves the wheel back. Loop.Now takes the place of the package's; Virtual is a clock that only moves when all is done. session keeps connections in intrusive lists by state, each with one deadline: a connection costs two links, nothing walks over all of them but the drain.

--- a/cmd/cherryramp/serve.go
+++ b/cmd/cherryramp/serve.go
@@ -139,11 +139,11 @@
 	}
 	p.fronts = append(p.fronts, session.New(session.Config{Name: "platform", Listen: cfg.Listen,
 		Limits: platform.Limits, Connections: int(clientShare * float64(cfg.Sockets))}, p.loop,
-		platform.New(classes, log), p.gate, log))
+		platform.New(classes, p.loop.Now, log), p.gate, log))
 	if operator.Signed != nil {
 		o := operator.Signed
 		p.signed, err = signed.New(signed.Config{Queue: o.Pool.Queue, Rates: o.Tables.Rates, Uses: o.Tables.Uses,
-			Encoded: *o.EncodedMB << 20}, signedPolicy(cfg, o), workers.New(p.loop, o.Pool.Workers), log)
+			Encoded: *o.EncodedMB << 20}, signedPolicy(cfg, o), workers.New(p.loop, o.Pool.Workers), p.loop.Now, log)
 		if err != nil {
 			return nil, err
 		}
@@ -241,7 +241,7 @@
 	}
 	p.stopping = true
 	p.log.Info("told to end", "signal", got.String(), "open", p.gate.Open())
-	now := loop.Now()
+	now := p.loop.Now()
 	p.loop.At(now+drainAfter, func() {
 		for _, f := range p.fronts {
 			f.Drain()
@@ -271,5 +271,5 @@
 		p.loop.Quit()
 		return
 	}
-	p.loop.At(loop.Now()+drainPoll, p.watch)
+	p.loop.At(p.loop.Now()+drainPoll, p.watch)
 }
--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -97,7 +97,7 @@
 func (b *Board) connect() {
 	k := &link{board: b}
 	b.link = k
-	transport.Dial(b.loop, b.address, maxAnswer+limits.Head, k, loop.Now()+connectTime,
+	transport.Dial(b.loop, b.address, maxAnswer+limits.Head, k, b.loop.Now()+connectTime,
 		func(c *transport.Conn, err error) {
 			switch {
 			case b.link != k: // the board has moved meanwhile
@@ -117,7 +117,7 @@
 
 // again connects anew after a pause, unless the board has moved by then.
 func (b *Board) again() {
-	b.loop.At(loop.Now()+b.pause, func() {
+	b.loop.At(b.loop.Now()+b.pause, func() {
 		if b.link == nil {
 			b.connect()
 		}
@@ -127,7 +127,7 @@
 
 // warn logs trouble, but not each time where it repeats.
 func (b *Board) warn(text string, args ...any) {
-	if now := loop.Now(); now-b.warned > warnEvery {
+	if now := b.loop.Now(); now-b.warned > warnEvery {
 		b.warned = now
 		b.log.Warn(text, append(args, "last", b.last)...)
 	}
@@ -161,7 +161,7 @@
 func (k *link) poll() {
 	b := k.board
 	b.loop.Stop(k.dead)
-	k.dead = b.loop.At(loop.Now()+linger*1000+answerSlack, func() {
+	k.dead = b.loop.At(b.loop.Now()+linger*1000+answerSlack, func() {
 		b.warn("notice board is silent")
 		k.fail()
 	})
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -10,7 +10,6 @@
 	"cherryramp/internal/front/session"
 	"cherryramp/internal/gateway"
 	"cherryramp/internal/httpwire"
-	"cherryramp/internal/loop"
 )
 
 const (
@@ -31,12 +30,13 @@
 // Front reads the platform's requests and words its answers.
 type Front struct {
 	classes []Class
+	now     func() gateway.Micros
 	log     *slog.Logger
 }
 
 // New makes a front for the classes, which calls name by their place.
-func New(classes []Class, log *slog.Logger) *Front {
-	return &Front{classes: classes, log: log}
+func New(classes []Class, now func() gateway.Micros, log *slog.Logger) *Front {
+	return &Front{classes: classes, now: now, log: log}
 }
 
 // Take answers a health check, and turns any other request into a call.
@@ -83,7 +83,7 @@
 	if err != nil || wait == 0 || wait > longestWait {
 		return nil, bad("Req-Wait-Ms is not 1 to 60000")
 	}
-	c.Deadline = loop.Now() + int64(wait)*1000
+	c.Deadline = f.now() + int64(wait)*1000
 	if fault := session.ReadCopy(c, query, r.Header.Get("X-Bucket")); fault != "" {
 		return nil, bad(fault)
 	}
--- a/internal/front/session/session.go
+++ b/internal/front/session/session.go
@@ -4,6 +4,7 @@
 package session
 
 import (
+	"cmp"
 	"errors"
 	"log/slog"
 	"net/netip"
@@ -15,12 +16,15 @@
 	"cherryramp/internal/transport"
 )
 
+// The limits where a front sets none, in us.
+const (
+	idleMost    = 4_500_000 // without an open request; clients close after 4 s themselves
+	requestMost = 2_300_000 // that a whole request may take to come, from connecting or its first byte
+)
+
 const (
-	idleMost     = 4_500_000 // us without an open request; clients close after 4 s themselves
-	requestMost  = 2_300_000 // us that a whole request may take to come, from connecting or its first byte
 	yieldSilent  = 400_000   // us after which one that has said nothing whole yet may have to make room
 	yieldIdle    = 50_000    // us after which an idle one may
-	sweepEvery   = 100_000   // us
 	refusalEvery = 1_000_000 // us between log lines about clients turned away
 	crowdShare   = 0.9       // part of the places from which new clients have others make room
 )
@@ -30,8 +34,10 @@
 	Name        string // of the front, for the log
 	Listen      string
 	Limits      httpwire.Limits
-	Buffer      int // bytes that may wait, of requests sent behind each other; 0: as one request
-	Connections int // held at most
+	Buffer      int         // bytes that may wait, of requests sent behind each other; 0: as one request
+	Connections int         // held at most
+	Idle        loop.Micros // that a connection may have no open request; 0: 4.5 s
+	Request     loop.Micros // that a whole request may take to come; 0: 2.3 s
 }
 
 // App gives requests and outcomes their meaning.
@@ -92,7 +98,7 @@
 	app     App
 	desk    Desk
 	log     *slog.Logger
-	conns   map[*conn]struct{}
+	lists   [states]list
 	held    atomic.Int64
 	refused atomic.Int64 // when one was last turned away
 	closing bool
@@ -108,28 +114,33 @@
 	peer   netip.Addr    // once asked for
 	head   bool          // the open request wants no body
 	last   bool          // the connection ends with the answer
-	served bool          // it has brought a whole request
-	since  loop.Micros   // when it last became idle
-	begun  loop.Micros   // when the first byte came of a request that is not whole; 0: none
+	begun  bool          // a request has come in part
 	over   bool
+
+	state      state
+	since      loop.Micros // when it came into its state
+	prev, next *conn       // of its state
 }
 
 // New makes a server that hands its calls to the desk.
 func New(cfg Config, l *loop.Loop, app App, desk Desk, log *slog.Logger) *Server {
-	return &Server{cfg: cfg, loop: l, app: app, desk: desk, log: log.With("front", cfg.Name),
-		conns: map[*conn]struct{}{}}
+	cfg.Idle, cfg.Request = cmp.Or(cfg.Idle, idleMost), cmp.Or(cfg.Request, requestMost)
+	s := &Server{cfg: cfg, loop: l, app: app, desk: desk, log: log.With("front", cfg.Name)}
+	for i, most := range [states]loop.Micros{silent: cfg.Request, idle: cfg.Idle, reading: cfg.Request} {
+		s.lists[i].init(s, most)
+	}
+	return s
 }
 
 // Start begins to accept clients.
 func (s *Server) Start() error {
-	s.loop.Post(s.sweep)
 	return transport.Listen(s.loop, s.cfg.Listen, max(s.cfg.Buffer, s.cfg.Limits.Head+s.cfg.Limits.Body), s.admit)
 }
 
 // admit runs on the poller. Where few places are left, one of the connections
 // that stand idle has to make room.
 func (s *Server) admit(tc *transport.Conn) transport.Handler {
-	now, held := loop.Now(), s.held.Add(1)
+	now, held := s.loop.Now(), s.held.Add(1)
 	if held > int64(s.cfg.Connections) {
 		s.held.Add(-1)
 		if last := s.refused.Load(); now-last > refusalEvery && s.refused.CompareAndSwap(last, now) {
@@ -138,10 +149,10 @@
 		s.loop.Post(s.makeRoom)
 		return nil
 	}
-	c := &conn{server: s, tc: tc, since: now}
+	c := &conn{server: s, tc: tc}
 	s.loop.Post(func() {
-		if !c.over {
-			s.conns[c] = struct{}{}
+		if !c.over && c.state == outside {
+			c.enter(silent)
 		}
 	})
 	if float64(held) > crowdShare*float64(s.cfg.Connections) {
@@ -154,58 +165,38 @@
 // no whole request for a while the oldest, else the one idle for longest. One
 // that has just come is left alone, since its first request may be under way.
 func (s *Server) makeRoom() {
-	var least *conn
-	now := loop.Now()
-	for c := range s.conns {
-		limit := loop.Micros(yieldIdle)
-		if !c.served {
-			limit = yieldSilent
-		}
-		if c.x != nil || c.last || now-c.since < limit || c.tc.Blocked() {
-			continue
-		}
-		if least == nil || c.served != least.served && !c.served ||
-			c.served == least.served && c.since < least.since {
-			least = c
-		}
-	}
-	if least != nil {
-		least.quit()
-	}
-}
-
-// sweep ends connections that have stood idle, or been silent or slow with a
-// request, for too long.
-func (s *Server) sweep() {
-	now := loop.Now()
-	for c := range s.conns {
-		switch {
-		case c.x != nil || c.last:
-		case c.begun > 0 && now-c.begun > requestMost, !c.served && now-c.since > requestMost:
-			c.quit()
-		case now-c.since > idleMost:
+	now := s.loop.Now()
+	for _, x := range []struct {
+		state state
+		limit loop.Micros
+	}{{silent, yieldSilent}, {idle, yieldIdle}, {reading, yieldIdle}} {
+		if c := s.lists[x.state].least(now - x.limit); c != nil {
 			c.quit()
+			return
 		}
 	}
-	s.loop.At(now+sweepEvery, s.sweep)
 }
 
 // Drain has every connection end with its next answer, and idle ones at once.
 func (s *Server) Drain() {
 	s.closing = true
-	for c := range s.conns {
-		if c.x == nil && !c.tc.Blocked() {
-			c.quit()
-		}
+	for _, state := range []state{silent, idle, reading} {
+		s.lists[state].each(func(c *conn) {
+			if !c.tc.Blocked() {
+				c.quit()
+			}
+		})
 	}
 }
 
 // Busy counts connections whose answer is open or not all out.
 func (s *Server) Busy() (n int) {
-	for c := range s.conns {
-		if c.x != nil || c.tc.Blocked() {
-			n++
-		}
+	for i := range s.lists {
+		s.lists[i].each(func(c *conn) {
+			if c.x != nil || c.tc.Blocked() {
+				n++
+			}
+		})
 	}
 	return n
 }
@@ -217,11 +208,7 @@
 		var err error
 		tc.Consume(func(b []byte) (used int) {
 			r, used, err = httpwire.ParseRequest(b, c.server.cfg.Limits)
-			if begun := len(b) > 0 && r == nil; !begun {
-				c.begun = 0
-			} else if c.begun == 0 {
-				c.begun = loop.Now()
-			}
+			c.begun = len(b) > 0 && r == nil
 			return used
 		})
 		if r == nil && err == nil && tc.Flooded() {
@@ -235,6 +222,9 @@
 			return
 		}
 		if r == nil {
+			if c.begun && c.state == idle {
+				c.enter(reading)
+			}
 			return
 		}
 		c.take(r)
@@ -243,16 +233,18 @@
 
 // quit ends a connection without an open request. Half a request is answered.
 func (c *conn) quit() {
-	if c.begun > 0 {
+	if c.begun {
 		c.write(&httpwire.Response{Status: 408, Close: true})
 		return
 	}
 	c.last = true
+	c.enter(ending)
 	c.tc.Finish()
 }
 
 func (c *conn) take(r *httpwire.Request) {
-	c.served, c.head, c.last = true, r.Method == "HEAD", r.Close || c.tc.Flooded()
+	c.head, c.last = r.Method == "HEAD", r.Close || c.tc.Flooded()
+	c.enter(busy)
 	x := &Exchange{conn: c, open: true}
 	c.x = x
 	switch call, answer := c.server.app.Take(r, x); {
@@ -293,12 +285,13 @@
 	c.last = c.last || r.Close || s.closing || c.tc.Flooded()
 	r.Close = c.last
 	s.buf = httpwire.AppendResponse(s.buf[:0], r, c.head)
-	c.since = loop.Now()
+	c.enter(idle)
 	if _, err := c.tc.Send(s.buf); err != nil {
 		c.tc.Close()
 		return
 	}
 	if c.last {
+		c.enter(ending)
 		c.tc.Finish()
 	}
 }
@@ -310,7 +303,7 @@
 func (c *conn) Closed(*transport.Conn) {
 	c.over = true
 	c.server.held.Add(-1)
-	delete(c.server.conns, c)
+	c.enter(outside)
 	if c.call != nil {
 		c.server.desk.Leave(c.call)
 		c.call = nil
--- /dev/null
+++ b/internal/front/session/states.go
@@ -0,0 +1,97 @@
+package session
+
+import "cherryramp/internal/loop"
+
+// state is what a connection is doing. One that has a limit is ended when it
+// stays too long.
+type state uint8
+
+const (
+	outside state = iota // in no list: not yet heard of on the loop, or closed
+	silent               // it has brought no whole request yet
+	idle                 // no request is open
+	reading              // a further request has come in part
+	busy                 // a request is open
+	ending               // its last answer is on its way
+	states
+)
+
+// list is the connections in one state, in the order in which they came into
+// it. All may stay equally long, so the first is the next to be ended, and one
+// deadline serves them all. A connection costs its two links.
+type list struct {
+	server *Server
+	head   conn // of a ring
+	count  int
+	most   loop.Micros // that one may stay; 0: as long as it likes
+	due    loop.Deadline
+}
+
+func (l *list) init(s *Server, most loop.Micros) {
+	l.server, l.most = s, most
+	l.head.prev, l.head.next = &l.head, &l.head
+	l.due.Init(l.expire)
+}
+
+// enter takes a connection from its state to another.
+func (c *conn) enter(to state) {
+	s := c.server
+	if c.next != nil {
+		c.prev.next, c.next.prev = c.next, c.prev
+		c.prev, c.next = nil, nil
+		s.lists[c.state].count--
+	}
+	c.state = to
+	if to == outside {
+		return
+	}
+	l := &s.lists[to]
+	c.since = s.loop.Now()
+	c.prev, c.next = l.head.prev, &l.head
+	c.prev.next, l.head.prev = c, c
+	l.count++
+	l.watch()
+}
+
+// watch has the first looked at when its time is up. Nothing is due where nobody
+// is in the state, and the deadline is not moved for who leaves it early: it
+// comes, finds the first one young, and is set anew.
+func (l *list) watch() {
+	if l.most > 0 && l.count > 0 && !l.due.Pending() {
+		l.server.loop.SetCoarse(&l.due, l.head.next.since+l.most)
+	}
+}
+
+func (l *list) expire() {
+	now := l.server.loop.Now()
+	for c := l.head.next; c != &l.head && now-c.since >= l.most; c = l.head.next {
+		c.quit() // which takes it to another state
+	}
+	l.watch()
+}
+
+// mostPassed is how many that a full socket holds up are passed over for the
+// least missed.
+const mostPassed = 8
+
+// least gives the one that has been in the state for longest, if it came into it
+// before a moment.
+func (l *list) least(before loop.Micros) *conn {
+	passed := 0
+	for c := l.head.next; c != &l.head && c.since <= before && passed < mostPassed; c = c.next {
+		if !c.tc.Blocked() {
+			return c
+		}
+		passed++
+	}
+	return nil
+}
+
+// each visits all; what is visited may leave the state.
+func (l *list) each(visit func(c *conn)) {
+	for c := l.head.next; c != nil && c != &l.head; {
+		next := c.next
+		visit(c)
+		c = next
+	}
+}
--- a/internal/front/signed/answer.go
+++ b/internal/front/signed/answer.go
@@ -15,7 +15,6 @@
 	"cherryramp/internal/front/signed/encoding"
 	"cherryramp/internal/gateway"
 	"cherryramp/internal/httpwire"
-	"cherryramp/internal/loop"
 )
 
 // encodeLeft is how much of a client's time must be left for an answer to be
@@ -49,7 +48,7 @@
 	if !renews {
 		return f.answer(v, a, nil)
 	}
-	now := loop.Now()
+	now := f.now()
 	if !costly {
 		return f.answer(v, a, f.minted(v.grant.Renew(now)))
 	}
@@ -102,7 +101,7 @@
 // encode has a worker encode an answer, if one is free and there is time. An
 // answer does not wait for a turn: it goes as it is.
 func (f *Front) encode(v *visit, a *gateway.Answer, c *grants.Cookie, of encoding.Of) bool {
-	if v.call.Deadline-loop.Now() < encodeLeft {
+	if v.call.Deadline-f.now() < encodeLeft {
 		return false
 	}
 	var body []byte
@@ -159,7 +158,7 @@
 		add(r, "Accept-Ranges", "bytes")
 		add(r, "Cache-Control", f.cacheControl(v, a))
 		if a.Born > 0 {
-			add(r, "Age", strconv.FormatInt(max(0, (loop.Now()-a.Born)/1_000_000), 10))
+			add(r, "Age", strconv.FormatInt(max(0, (f.now()-a.Born)/1_000_000), 10))
 		}
 	}
 	if tag != "" {
@@ -175,7 +174,7 @@
 // cacheControl says how long the client may keep an answer: never longer than
 // its grant or the copy lasts, and no cache that others share may.
 func (f *Front) cacheControl(v *visit, a *gateway.Answer) string {
-	now, left := loop.Now(), v.class.MaxAge
+	now, left := f.now(), v.class.MaxAge
 	if v.grant.Expires > 0 {
 		left = min(left, v.grant.Expires-now)
 	}
--- a/internal/front/signed/proofs.go
+++ b/internal/front/signed/proofs.go
@@ -8,7 +8,6 @@
 	"cherryramp/internal/decide/turns"
 	"cherryramp/internal/gateway"
 	"cherryramp/internal/httpwire"
-	"cherryramp/internal/loop"
 )
 
 const (
@@ -103,7 +102,7 @@
 // they are judged anew, by the keys of now.
 func (f *Front) checked(p *proof, good bool) {
 	delete(f.proofs, p.Proof)
-	now := loop.Now()
+	now := f.now()
 	p.set.Settle(p.Proof, good, now)
 	if !good {
 		f.suspects.Add(p.job.Prefix, now)
--- a/internal/front/signed/signed.go
+++ b/internal/front/signed/signed.go
@@ -26,7 +26,6 @@
 	"cherryramp/internal/front/signed/encoding"
 	"cherryramp/internal/gateway"
 	"cherryramp/internal/httpwire"
-	"cherryramp/internal/loop"
 	"cherryramp/internal/workers"
 )
 
@@ -92,6 +91,7 @@
 // Front judges requests and words outcomes as a content network does.
 type Front struct {
 	policy   Policy
+	now      func() gateway.Micros
 	log      *slog.Logger
 	pool     *workers.Pool
 	turns    *turns.Queue
@@ -105,12 +105,12 @@
 }
 
 // New makes a front. Its costly work goes to the pool.
-func New(cfg Config, policy Policy, pool *workers.Pool, log *slog.Logger) (*Front, error) {
+func New(cfg Config, policy Policy, pool *workers.Pool, now func() gateway.Micros, log *slog.Logger) (*Front, error) {
 	var seed [16]byte
 	if _, err := rand.Read(seed[:]); err != nil {
 		return nil, fmt.Errorf("signed: %w", err)
 	}
-	return &Front{policy: policy, log: log, pool: pool, turns: turns.New(cfg.Queue),
+	return &Front{policy: policy, now: now, log: log, pool: pool, turns: turns.New(cfg.Queue),
 		proofs: map[*grants.Proof]*proof{}, suspects: suspects.New(binary.BigEndian.Uint64(seed[8:])),
 		rates: quota.NewRates(cfg.Rates), uses: quota.NewUses(cfg.Uses), variants: encoding.New(cfg.Encoded),
 		base: binary.BigEndian.Uint64(seed[:])}, nil
@@ -150,7 +150,7 @@
 			Header: httpwire.Header{{Name: "Allow", Value: "GET, HEAD"}}})
 	}
 	// The last byte is here: this try is judged once, for this moment.
-	v.asked = grants.Request{Target: r.Target, Header: r.Header, Peer: x.Peer(), Now: loop.Now()}
+	v.asked = grants.Request{Target: r.Target, Header: r.Header, Peer: x.Peer(), Now: f.now()}
 	v.ask = content.Read(r.Method, r.Header)
 	return f.judge(v)
 }
@@ -228,7 +228,7 @@
 
 // take takes one request of all that is limited, or tells why not.
 func (f *Front) take(v *visit, t *Tenant) (away gateway.Micros, status int, reason string) {
-	now, g := loop.Now(), &v.grant
+	now, g := f.now(), &v.grant
 	claims := []quota.Claim{{Kind: quota.Tenant, Name: g.Profile.Tenant, Limit: t.All},
 		{Kind: quota.Key, Name: g.Profile.Ring.Name + "/" + g.Key.Name, Limit: t.Key}}
 	if g.Subject != "" {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -195,7 +195,7 @@
 func groupKey(group int) uint64 { return key(fmt.Sprintf("group %d", group)) }
 
 // Heard tells that the notice board has just answered.
-func (g *Gateway) Heard() { g.copies.heard = loop.Now() }
+func (g *Gateway) Heard() { g.copies.heard = g.loop.Now() }
 
 // Submit takes a call; exactly one answer follows, unless the call is left.
 // A call under the id of one that is open has failed: to the nodes they would be one.
@@ -205,7 +205,7 @@
 		c.Caller.Answer(Answer{Kind: Failed})
 		return
 	}
-	if x := g.copies.find(c, &g.cfg.Settings.Classes[c.Class], loop.Now()); x != nil {
+	if x := g.copies.find(c, &g.cfg.Settings.Classes[c.Class], g.loop.Now()); x != nil {
 		c.over = true
 		a := Answer{Kind: Served, Body: x.body, Tag: x.tag, Born: x.born}
 		if c.Tag != "" && c.Tag == x.tag {
@@ -219,7 +219,7 @@
 	g.calls[c.id] = c
 	g.open[c.ID] = struct{}{}
 	g.events = append(g.events, rules.Request{ID: c.id, Class: c.Class, Object: key(c.Object),
-		Part: c.Part, Group: c.Group, Expires: max(0, c.Deadline-loop.Now()), Repeat: c.Repeat})
+		Part: c.Part, Group: c.Group, Expires: max(0, c.Deadline-g.loop.Now()), Repeat: c.Repeat})
 }
 
 // Leave ends a call whose client has gone; its attempts are given up.
@@ -314,7 +314,7 @@
 
 // Purge tells of a purge.
 func (g *Gateway) Purge(p Purge) {
-	now := loop.Now()
+	now := g.loop.Now()
 	k, e := groupKey(p.Group), rules.Purge{Group: p.Group, Age: max(0, now-p.At)}
 	if p.Object != "" {
 		k = key(p.Object)
@@ -342,7 +342,7 @@
 	for len(g.events) > 0 {
 		events := g.events
 		g.events = nil
-		for _, a := range g.router.Step(loop.Now(), events) {
+		for _, a := range g.router.Step(g.loop.Now(), events) {
 			g.act(a)
 		}
 	}
@@ -363,7 +363,7 @@
 			g.end(x, End{Code: rules.Cancelled})
 		}
 	case rules.Wake:
-		g.loop.At(loop.Now()+a.In, func() { g.events = append(g.events, rules.Timer{Tag: a.Tag}) })
+		g.loop.At(g.loop.Now()+a.In, func() { g.events = append(g.events, rules.Timer{Tag: a.Tag}) })
 	case rules.Log:
 		g.log.Info("module", "text", a.Text)
 	}
@@ -375,14 +375,14 @@
 		return
 	}
 	c.over = true
-	a.Late = loop.Now() >= c.Deadline
+	a.Late = g.loop.Now() >= c.Deadline
 	g.giveUp(c)
 	c.Caller.Answer(a)
 }
 
 // get carries out the module's choice.
 func (g *Gateway) get(x rules.Get) {
-	c, now := g.calls[x.ID], loop.Now()
+	c, now := g.calls[x.ID], g.loop.Now()
 	if c == nil || c.over {
 		return
 	}
@@ -428,7 +428,7 @@
 // deadline, by a drain or restart of the server or the source, or by a purge.
 // An attempt that may not leave must be ended as never sent.
 func (g *Gateway) Clear(a *Attempt) (maxAge Micros, ok bool) {
-	now := loop.Now()
+	now := g.loop.Now()
 	if a.done || now >= a.Deadline || a.Server.State != rules.Ready || a.Server.Born != a.born ||
 		a.Source != nil && (a.Source.State != rules.Ready || a.Source.Born != a.srcBorn) {
 		return 0, false
@@ -461,7 +461,7 @@
 	g.loop.Stop(a.due)
 	serves := e.Code == rules.OK && !c.over
 	g.events = append(g.events, rules.Outcome{ID: c.id, Attempt: a.number, Server: serverID(a.Server),
-		Code: e.Code, Spent: loop.Now() - a.started, Closed: c.over || serves, Note: e.Note,
+		Code: e.Code, Spent: g.loop.Now() - a.started, Closed: c.over || serves, Note: e.Note,
 		Waited: e.Waited})
 	if serves {
 		c.over = true
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -59,7 +59,7 @@
 
 func submit(g *Gateway, class int, object string) (*Call, *caller) {
 	a := &caller{}
-	c := &Call{ID: "1", Class: class, Object: object, Group: 17, Deadline: loop.Now() + 4*second, Caller: a}
+	c := &Call{ID: "1", Class: class, Object: object, Group: 17, Deadline: g.loop.Now() + 4*second, Caller: a}
 	g.Submit(c)
 	g.Settle()
 	return c, a
@@ -69,7 +69,7 @@
 // change must be seen just before the first byte.
 func TestClearLooksAgain(t *testing.T) {
 	for name, change := range map[string]func(*Gateway, *Attempt){
-		"deadline":      func(_ *Gateway, a *Attempt) { a.Deadline = loop.Now() },
+		"deadline":      func(g *Gateway, a *Attempt) { a.Deadline = g.loop.Now() },
 		"server drains": func(g *Gateway, a *Attempt) { g.Members(false, []Member{member(a.Server.Name, "box", rules.Draining)}) },
 		"source drains": func(g *Gateway, a *Attempt) {
 			g.Members(false, []Member{member(a.Source.Name, "parent", rules.Draining)})
@@ -99,7 +99,7 @@
 	for _, p := range []Purge{{Object: "a"}, {Group: 17}} {
 		g, n := newGateway(t)
 		submit(g, 0, "a")
-		p.At = loop.Now() - second
+		p.At = g.loop.Now() - second
 		g.Purge(p)
 		age, ok := g.Clear(n.started[0])
 		if !ok || age < second || age > 2*second {
@@ -143,11 +143,11 @@
 		served  bool
 	}{
 		{"kept", 0, func(*Gateway) {}, true},
-		{"object purged", 0, func(g *Gateway) { g.Purge(Purge{Object: "a", At: loop.Now()}) }, false},
-		{"group purged", 0, func(g *Gateway) { g.Purge(Purge{Group: 17, At: loop.Now()}) }, false},
-		{"other group purged", 0, func(g *Gateway) { g.Purge(Purge{Group: 18, At: loop.Now()}) }, true},
+		{"object purged", 0, func(g *Gateway) { g.Purge(Purge{Object: "a", At: g.loop.Now()}) }, false},
+		{"group purged", 0, func(g *Gateway) { g.Purge(Purge{Group: 17, At: g.loop.Now()}) }, false},
+		{"other group purged", 0, func(g *Gateway) { g.Purge(Purge{Group: 18, At: g.loop.Now()}) }, true},
 		{"board silent", 0, func(g *Gateway) { g.copies.heard -= second }, false},
-		{"link busy", 0, func(g *Gateway) { g.copies.freeAt = loop.Now() + second }, false},
+		{"link busy", 0, func(g *Gateway) { g.copies.freeAt = g.loop.Now() + second }, false},
 		{"fresh", 1, func(*Gateway) {}, true},
 		{"past its fresh time", 1, func(g *Gateway) { age(g, 9*second) }, false},
 		{"old, of a class without an age", 0, func(g *Gateway) { age(g, 99*second) }, true},
@@ -157,7 +157,7 @@
 			g, n := newGateway(t)
 			g.Heard()
 			submit(g, x.class, "a")
-			g.End(n.started[0], End{Code: rules.OK, Answer: Answer{Body: []byte("abc"), Tag: "t", Born: loop.Now()}})
+			g.End(n.started[0], End{Code: rules.OK, Answer: Answer{Body: []byte("abc"), Tag: "t", Born: g.loop.Now()}})
 			x.between(g)
 			_, got := submit(g, x.class, "a")
 			if served := len(got.got) == 1 && string(got.got[0].Body) == "abc"; served != x.served {
@@ -169,7 +169,7 @@
 	g, n := newGateway(t)
 	g.Heard()
 	submit(g, 0, "a")
-	born := loop.Now()
+	born := g.loop.Now()
 	g.Purge(Purge{Object: "a", At: born + 1})
 	g.End(n.started[0], End{Code: rules.OK, Answer: Answer{Body: []byte("abc"), Born: born}})
 	if len(g.copies.byKey) > 0 {
@@ -189,7 +189,7 @@
 	for i := range 200 {
 		submit(g, 0, string(rune('a'+i%26))+string(rune('a'+i/26)))
 		a := n.started[len(n.started)-1]
-		g.End(a, End{Code: rules.OK, Answer: Answer{Body: make([]byte, 60_000), Born: loop.Now()}})
+		g.End(a, End{Code: rules.OK, Answer: Answer{Body: make([]byte, 60_000), Born: g.loop.Now()}})
 		g.Settle()
 	}
 	if g.copies.bytes > 1<<20 || g.copies.order.Len() != len(g.copies.byKey) || g.copies.bytes == 0 {
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -1,42 +1,110 @@
 // Package loop is the program's one event loop: a queue of callbacks that other
 // goroutines fill, and one timer that serves every deadline. Whatever runs on
 // the loop needs no locks against anything else that runs there.
+//
+// The loop has its clock from outside: the system's, or one that only moves when
+// nothing is left to be done, for tests and the laboratory.
 package loop
 
 import (
-	"container/heap"
 	"sync"
 	"time"
 )
 
-// Micros is a moment, in microseconds of the system's Unix clock.
+// Micros is a moment, in microseconds of the Unix clock.
 type Micros = int64
 
-// Now reads the system's clock.
-func Now() Micros { return time.Now().UnixMicro() }
+// Clock tells the time and waits.
+type Clock interface {
+	// Now may be called from anywhere.
+	Now() Micros
+	// Wait returns at a moment, or earlier when wake has something.
+	Wait(until Micros, wake <-chan struct{})
+}
+
+// forever is waited for where nothing is due.
+const forever Micros = 1<<63 - 1
+
+// system is the system's Unix clock.
+type system struct{ timer *time.Timer }
 
-// Deadline is something to be done at a moment, unless it is stopped before.
-type Deadline struct {
-	at    Micros
-	do    func()
-	place int // in the heap; -1 when it is not there
+func (s *system) Now() Micros { return time.Now().UnixMicro() }
+
+// Wait is part of Clock.
+func (s *system) Wait(until Micros, wake <-chan struct{}) {
+	if until == forever {
+		<-wake
+		return
+	}
+	span := time.Duration(min(until-s.Now(), int64(time.Hour/time.Microsecond))) * time.Microsecond
+	if s.timer == nil {
+		s.timer = time.NewTimer(max(0, span))
+	} else {
+		s.timer.Reset(max(0, span))
+	}
+	select {
+	case <-wake:
+	case <-s.timer.C:
+	}
+}
+
+// Virtual is a clock that stands still while something is done, and goes to the
+// next deadline when all is. Only the loop that it was given to may move it.
+type Virtual struct {
+	mu sync.Mutex
+	at Micros
+}
+
+// NewVirtual makes a clock that stands at a moment.
+func NewVirtual(at Micros) *Virtual { return &Virtual{at: at} }
+
+// Now is part of Clock.
+func (v *Virtual) Now() Micros {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.at
+}
+
+// Wait is part of Clock.
+func (v *Virtual) Wait(until Micros, wake <-chan struct{}) {
+	if until == forever {
+		<-wake
+		return
+	}
+	select {
+	case <-wake:
+	default:
+		v.mu.Lock()
+		v.at = max(v.at, until)
+		v.mu.Unlock()
+	}
 }
 
 // Loop runs callbacks one after another on the goroutine that calls Run.
 type Loop struct {
+	clock  Clock
 	mu     sync.Mutex
 	queue  []func()
 	wake   chan struct{}
-	due    deadlines
+	wheel  wheel
 	settle func()
 	done   bool
 }
 
-// New makes a loop that calls settle after each batch of callbacks.
-func New(settle func()) *Loop {
-	return &Loop{wake: make(chan struct{}, 1), settle: settle}
+// New makes a loop on the system's clock that calls settle after each batch of
+// callbacks.
+func New(settle func()) *Loop { return NewOn(&system{}, settle) }
+
+// NewOn makes a loop on a clock.
+func NewOn(clock Clock, settle func()) *Loop {
+	l := &Loop{clock: clock, wake: make(chan struct{}, 1), settle: settle}
+	l.wheel.now = clock.Now()
+	return l
 }
 
+// Now reads the loop's clock. It may be called from anywhere.
+func (l *Loop) Now() Micros { return l.clock.Now() }
+
 // Post queues a callback. It never blocks and may be called from anywhere.
 func (l *Loop) Post(f func()) {
 	l.mu.Lock()
@@ -48,27 +116,36 @@
 	}
 }
 
-// At has something done at a moment. Only the loop's own callbacks may call it.
+// At has something done at a moment. Only the loop's own callbacks may call it,
+// as all that follows.
 func (l *Loop) At(at Micros, do func()) *Deadline {
-	d := &Deadline{at: at, do: do}
-	heap.Push(&l.due, d)
+	d := &Deadline{do: do}
+	l.wheel.set(d, at)
 	return d
 }
 
+// Set sets or moves a deadline.
+func (l *Loop) Set(d *Deadline, at Micros) { l.wheel.set(d, at) }
+
+// SetCoarse is as Set, for what may come late by a 32nd of its span: many such
+// deadlines come together and cost one wake-up.
+func (l *Loop) SetCoarse(d *Deadline, at Micros) { l.wheel.set(d, coarse(l.wheel.now, at)) }
+
 // Stop takes a deadline back; one that has passed, or nil, is left alone.
 func (l *Loop) Stop(d *Deadline) {
-	if d != nil && d.place >= 0 {
-		heap.Remove(&l.due, d.place)
+	if d != nil && d.place != 0 {
+		l.wheel.stop(d)
 	}
 }
 
+// Pending counts the deadlines that are set.
+func (l *Loop) Pending() int { return l.wheel.count }
+
 // Quit ends Run after the batch at hand.
 func (l *Loop) Quit() { l.done = true }
 
 // Run serves callbacks and deadlines until Quit.
 func (l *Loop) Run() {
-	timer := time.NewTimer(time.Hour)
-	defer timer.Stop()
 	var batch []func()
 	for !l.done {
 		l.mu.Lock()
@@ -78,49 +155,15 @@
 			f()
 			batch[i] = nil
 		}
-		for now := Now(); len(l.due) > 0 && l.due[0].at <= now; {
-			heap.Pop(&l.due).(*Deadline).do()
-		}
+		l.wheel.advance(l.clock.Now())
 		l.settle()
 		if l.done || len(batch) > 0 {
 			continue
 		}
-		wait := time.Hour
-		if len(l.due) > 0 {
-			wait = time.Duration(l.due[0].at-Now()) * time.Microsecond
-		}
-		timer.Reset(max(0, wait))
-		select {
-		case <-l.wake:
-		case <-timer.C:
+		until, ok := l.wheel.due()
+		if !ok {
+			until = forever
 		}
+		l.clock.Wait(until, l.wake)
 	}
 }
-
-// deadlines is a heap by moment.
-type deadlines []*Deadline
-
-func (h deadlines) Len() int           { return len(h) }
-func (h deadlines) Less(i, j int) bool { return h[i].at < h[j].at }
-
-func (h deadlines) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].place, h[j].place = i, j
-}
-
-// Push is for package heap.
-func (h *deadlines) Push(x any) {
-	d := x.(*Deadline)
-	d.place = len(*h)
-	*h = append(*h, d)
-}
-
-// Pop is for package heap.
-func (h *deadlines) Pop() any {
-	old := *h
-	d := old[len(old)-1]
-	old[len(old)-1] = nil
-	*h = old[:len(old)-1]
-	d.place = -1
-	return d
-}
--- a/internal/loop/loop_test.go
+++ b/internal/loop/loop_test.go
@@ -15,7 +15,7 @@
 	l.Post(add("first"))
 	l.Post(add("second"))
 	l.Post(func() {
-		now := Now()
+		now := l.Now()
 		l.At(now+3000, func() { got = append(got, "late"); l.Quit() })
 		stopped := l.At(now+1000, add("stopped"))
 		l.At(now+2000, add("early"))
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -121,7 +121,7 @@
 // Dial connects until a deadline and then tells ready, on the loop.
 func Dial(l *loop.Loop, address string, limit int, h Handler, by loop.Micros, ready func(*Conn, error)) {
 	go func() {
-		left := time.Duration(by-loop.Now()) * time.Microsecond
+		left := time.Duration(by-l.Now()) * time.Microsecond
 		np, err := netpoll.DialConnection("tcp", address, max(left, time.Microsecond))
 		if err != nil {
 			l.Post(func() { ready(nil, fmt.Errorf("transport: dial %s: %w", address, err)) })
@@ -319,7 +319,7 @@
 		_ = syscall.Shutdown(c.fd, syscall.SHUT_WR)
 	}
 	c.mu.Unlock()
-	c.loop.At(loop.Now()+lingerSpan, c.Close)
+	c.loop.At(c.loop.Now()+lingerSpan, c.Close)
 }
 
 // Peer is the other side's address, for the log.
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -139,7 +139,7 @@
 	}
 	c.forget(a)
 	c.past[a.Call.ID] = struct{}{}
-	if loop.Now()-c.since > muteSpan {
+	if c.pool.all.loop.Now()-c.since > muteSpan {
 		c.mute++
 	}
 	if c.mute >= muteLimit || c.mute > 0 && len(c.open) == 0 || len(c.past) >= pastLimit {
@@ -222,7 +222,7 @@
 		if c.alone > 0 || x.all.alone(a) && (cost > 0 || c.stale()) {
 			cost += busyCost
 		}
-		if len(c.open) > 0 && loop.Now()-c.since > muteSpan {
+		if len(c.open) > 0 && c.pool.all.loop.Now()-c.since > muteSpan {
 			cost += muteCost
 		}
 		if best == nil || cost < least {
@@ -234,7 +234,9 @@
 
 // stale tells whether a connection has stood idle after use: nodes may have reset
 // it, and what is written before that is noticed may or may not have run.
-func (c *conn) stale() bool { return c.used && len(c.open) == 0 && loop.Now()-c.since > freshSpan }
+func (c *conn) stale() bool {
+	return c.used && len(c.open) == 0 && c.pool.all.loop.Now()-c.since > freshSpan
+}
 
 // alone tells whether an attempt is of a class that shares no connection.
 func (p *Pools) alone(a *gateway.Attempt) bool {
@@ -248,7 +250,7 @@
 		p.gate.End(a, gateway.End{Code: rules.Moot})
 		return
 	}
-	p.buf = appendServe(p.buf[:0], a, p.cfg.Lanes[a.Call.Class], loop.Now(), maxAge)
+	p.buf = appendServe(p.buf[:0], a, p.cfg.Lanes[a.Call.Class], p.loop.Now(), maxAge)
 	whole, err := c.tc.Send(p.buf)
 	if err != nil { // nothing of it can have come whole
 		c.retired = true
@@ -259,7 +261,7 @@
 	p.loop.Stop(c.idle)
 	c.idle, c.used = nil, true
 	if len(c.open) == 0 {
-		c.since = loop.Now()
+		c.since = c.pool.all.loop.Now()
 	}
 	c.open[a.Call.ID] = a
 	p.where[a] = c
@@ -276,7 +278,7 @@
 	p := x.all
 	c := &conn{pool: x, open: map[string]*gateway.Attempt{}, past: map[string]struct{}{}}
 	addr, born := x.addr, x.born
-	transport.Dial(p.loop, addr, inputLimit, c, loop.Now()+p.cfg.ConnectTime,
+	transport.Dial(p.loop, addr, inputLimit, c, p.loop.Now()+p.cfg.ConnectTime,
 		func(tc *transport.Conn, err error) {
 			x.dialing--
 			if x.denied = err != nil; err == nil {
@@ -334,7 +336,7 @@
 	}
 	l := c.pool.all.loop
 	l.Stop(c.idle)
-	c.idle = l.At(loop.Now()+c.pool.all.cfg.IdleTime, func() {
+	c.idle = l.At(l.Now()+c.pool.all.cfg.IdleTime, func() {
 		c.retired = true
 		c.tc.Close()
 	})
@@ -343,7 +345,7 @@
 // Readable takes the answers that have come. Those under ids that are not open
 // (a second copy, one that was given up) are passed over.
 func (c *conn) Readable(tc *transport.Conn) {
-	c.mute, c.since = 0, loop.Now()
+	c.mute, c.since = 0, c.pool.all.loop.Now()
 	for {
 		var ans answer
 		var used, have int
@@ -382,7 +384,7 @@
 		l.Stop(c.whole)
 		c.whole = nil
 	case c.whole == nil:
-		c.whole = l.At(loop.Now()+wholeMost, func() { c.spoilt(errStalled) })
+		c.whole = l.At(l.Now()+wholeMost, func() { c.spoilt(errStalled) })
 	}
 }
 
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -80,7 +80,7 @@
 // start starts an attempt with a body of so many bytes.
 func (r *rig) start(size int) *gateway.Attempt {
 	r.next++
-	a := &gateway.Attempt{Server: r.srv, Deadline: loop.Now() + 60_000_000,
+	a := &gateway.Attempt{Server: r.srv, Deadline: r.loop.Now() + 60_000_000,
 		Call: &gateway.Call{ID: fmt.Sprintf("%016x", r.next), Object: "x", Body: make([]byte, size)}}
 	r.on(func() { r.pools.Start(a) })
 	return a
@@ -213,6 +213,20 @@
 	}
 }
 
+// readUntil reads what the front sends until a word has come.
+func readUntil(t *testing.T, c net.Conn, word string) {
+	t.Helper()
+	_ = c.SetReadDeadline(time.Now().Add(patience))
+	var all []byte
+	for buf := make([]byte, 4096); !strings.Contains(string(all), word); {
+		n, err := c.Read(buf)
+		if err != nil {
+			t.Fatal(err)
+		}
+		all = append(all, buf[:n]...)
+	}
+}
+
 // Guards against a connection that goes on being used once an answer on it was
 // spoilt, came without end or stopped short: all that is open there may have run,
 // and its node is not held to be sick for it.
@@ -231,6 +245,7 @@
 			r := newRig(t, 1)
 			a, b := r.start(10), r.start(10)
 			c := r.accept()
+			readUntil(t, c, b.Call.ID) // nothing is answered before it was asked
 			_, _ = io.WriteString(c, strings.Replace(text, "%s", a.Call.ID, 1))
 			if name == "broken off" {
 				_ = c.(*net.TCPConn).CloseWrite()
