--- a/cmd/cherryramp/serve.go
+++ b/cmd/cherryramp/serve.go
@@ -137,9 +137,10 @@
 	for i, c := range cfg.Settings.Classes {
 		classes = append(classes, platform.Class{Name: cfg.Lanes[i], Write: c.Write})
 	}
-	p.fronts = append(p.fronts, session.New(session.Config{Name: "platform", Listen: cfg.Listen,
-		Limits: platform.Limits, Connections: int(clientShare * float64(cfg.Sockets))}, p.loop,
-		platform.New(classes, p.loop.Now, log), p.gate, log))
+	limits := session.Config{Name: "platform", Listen: cfg.Listen, Limits: platform.Limits,
+		Connections: int(clientShare * float64(cfg.Sockets))}
+	bound(&limits, operator.Clients)
+	p.fronts = append(p.fronts, session.New(limits, p.loop, platform.New(classes, p.loop.Now, log), p.gate, log))
 	if operator.Signed != nil {
 		o := operator.Signed
 		p.signed, err = signed.New(signed.Config{Queue: o.Pool.Queue, Rates: o.Tables.Rates, Uses: o.Tables.Uses,
@@ -147,9 +148,11 @@
 		if err != nil {
 			return nil, err
 		}
-		p.fronts = append(p.fronts, session.New(session.Config{Name: "signed", Listen: operator.Signed.Listen,
-			Limits: signed.Limits, Buffer: signed.Buffer, Connections: int(signedShare * float64(cfg.Sockets))},
-			p.loop, p.signed, p.gate, log))
+		limits := session.Config{Name: "signed", Listen: operator.Signed.Listen, Limits: signed.Limits,
+			Buffer: signed.Buffer, Connections: int(signedShare * float64(cfg.Sockets))}
+		bound(&limits, operator.Clients)
+		limits.Connections = int(signedShare * float64(cfg.Sockets)) // held is of the platform's front
+		p.fronts = append(p.fronts, session.New(limits, p.loop, p.signed, p.gate, log))
 	}
 	for _, f := range p.fronts {
 		if err := f.Start(); err != nil {
@@ -162,6 +165,17 @@
 	return p, nil
 }
 
+// bound takes over what the operator's file says of clients' connections.
+func bound(s *session.Config, c *config.Clients) {
+	if c == nil {
+		return
+	}
+	s.Idle, s.Request, s.Prefix, s.Shrink = int64(c.IdleMS)*1000, int64(c.RequestMS)*1000, c.Prefix, true
+	if c.Held > 0 {
+		s.Connections = c.Held
+	}
+}
+
 // purgesOnly is a gateway whose members come from elsewhere than the board.
 type purgesOnly struct{ *gateway.Gateway }
 
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -22,6 +22,7 @@
 // Nil parts are off.
 type Operator struct {
 	Signed    *Signed    `json:"signed"`
+	Clients   *Clients   `json:"clients"`
 	Ephemeral *Ephemeral `json:"ephemeral"`
 }
 
@@ -32,6 +33,37 @@
 	SessionMS int      `json:"session_ms"`
 }
 
+// Clients bounds the clients' connections of both fronts. Where it is left out,
+// the platform's limits hold.
+type Clients struct {
+	IdleMS    int `json:"idle_ms"`     // without an open request; 4500
+	RequestMS int `json:"request_ms"`  // that a whole request may take to come; 2300
+	Held      int `json:"held"`        // connections of the platform's front; 55% of the descriptors
+	Prefix    int `json:"each_prefix"` // connections of one /24 or /56; any number
+}
+
+// Bounds of the clients section.
+const (
+	leastIdleMS    = 100
+	mostIdleMS     = 24 * 3600 * 1000
+	leastRequestMS = 100
+	mostRequestMS  = 600_000
+	mostHeld       = 1 << 20
+)
+
+func (c *Clients) check(f *faults) {
+	for _, x := range []struct {
+		key         string
+		n           int
+		least, most int
+	}{{"idle_ms", c.IdleMS, leastIdleMS, mostIdleMS}, {"request_ms", c.RequestMS, leastRequestMS, mostRequestMS},
+		{"held", c.Held, 1, mostHeld}, {"each_prefix", c.Prefix, 1, mostHeld}} {
+		if x.n != 0 && (x.n < x.least || x.n > x.most) {
+			f.addf(x.key, "%d is not %d to %d", x.n, x.least, x.most)
+		}
+	}
+}
+
 // LoadOperator reads the operator's file that the environment names; without
 // one everything in it is off.
 func LoadOperator(getenv func(string) string) (*Operator, error) {
@@ -71,6 +103,9 @@
 	if o.Signed != nil {
 		o.Signed.check(f.at("signed"), dir)
 	}
+	if o.Clients != nil {
+		o.Clients.check(f.at("clients"))
+	}
 	if o.Ephemeral != nil {
 		if err := o.Ephemeral.check(); err != nil {
 			f.at("ephemeral").add("", err)
@@ -144,6 +179,9 @@
 	if !reflect.DeepEqual(o.Ephemeral, n.Ephemeral) {
 		keys = append(keys, "ephemeral")
 	}
+	if !reflect.DeepEqual(o.Clients, n.Clients) {
+		keys = append(keys, "clients")
+	}
 	a, b := o.Signed, n.Signed
 	if a == nil || b == nil {
 		if a != b {
--- /dev/null
+++ b/internal/decide/resources/resources.go
@@ -0,0 +1,117 @@
+// Package resources decides which clients' connections a front may hold: who is
+// let in, how long one may idle as places fill, and which prefix of addresses
+// has enough. It keeps one account of places, with marks.
+//
+// It does no I/O and asks no clock.
+package resources
+
+import (
+	"net/netip"
+)
+
+// Micros is a span in microseconds.
+type Micros = int64
+
+// Mark is how full a front is.
+type Mark uint8
+
+// The marks.
+const (
+	Easy     Mark = iota // everyone may idle as long as is set
+	Tight                // idle times shrink as places fill
+	Critical             // newcomers have others make room
+)
+
+func (m Mark) String() string { return [...]string{"easy", "tight", "critical"}[m] }
+
+// The shares of places at which the marks begin, and what is left of an idle
+// time when all are taken.
+const (
+	tightFrom    = 0.5
+	criticalFrom = 0.9
+	leastIdle    = 1.0 / 16
+)
+
+// Limits bound what is held.
+type Limits struct {
+	Places int // connections in all
+	Prefix int // of one prefix (/24 or /56); 0: as many as there are places
+}
+
+// Account is the places that are taken. Its table of prefixes holds those with
+// connections only, so it is bounded by the places.
+type Account struct {
+	limits   Limits
+	held     int
+	byPrefix map[netip.Prefix]int32 // empty unless prefixes are bounded
+}
+
+// New makes an account.
+func New(l Limits) *Account { return &Account{limits: l, byPrefix: map[netip.Prefix]int32{}} }
+
+// Limit sets other limits; what is held above them stays until it leaves.
+func (a *Account) Limit(l Limits) {
+	if a.limits = l; l.Prefix == 0 {
+		clear(a.byPrefix)
+	}
+}
+
+// PerPrefix tells whether Enter and Leave want to know the prefix.
+func (a *Account) PerPrefix() bool { return a.limits.Prefix > 0 }
+
+// Enter takes a place for a connection, or refuses it.
+func (a *Account) Enter(p netip.Prefix) bool {
+	if a.held >= a.limits.Places {
+		return false
+	}
+	if a.limits.Prefix > 0 && p.IsValid() {
+		if int(a.byPrefix[p]) >= a.limits.Prefix {
+			return false
+		}
+		a.byPrefix[p]++
+	}
+	a.held++
+	return true
+}
+
+// Leave gives a place back.
+func (a *Account) Leave(p netip.Prefix) {
+	a.held--
+	if n, ok := a.byPrefix[p]; ok {
+		if n <= 1 {
+			delete(a.byPrefix, p)
+		} else {
+			a.byPrefix[p] = n - 1
+		}
+	}
+}
+
+// Held counts the places taken.
+func (a *Account) Held() int { return a.held }
+
+// Prefixes counts the prefixes that are known.
+func (a *Account) Prefixes() int { return len(a.byPrefix) }
+
+// Mark tells how full it is.
+func (a *Account) Mark() Mark {
+	switch share := float64(a.held) / float64(max(1, a.limits.Places)); {
+	case share >= criticalFrom:
+		return Critical
+	case share >= tightFrom:
+		return Tight
+	}
+	return Easy
+}
+
+// Idle is how long a connection may idle now, of what is set: all of it while
+// places are easy, then less in proportion, down to a sixteenth when none is
+// left. It has no steps, so that a front near a mark does not drive its clients
+// back and forth.
+func (a *Account) Idle(most Micros) Micros {
+	share := float64(a.held) / float64(max(1, a.limits.Places))
+	if share <= tightFrom {
+		return most
+	}
+	left := 1 - (1-leastIdle)*min(1, (share-tightFrom)/(1-tightFrom))
+	return Micros(float64(most) * left)
+}
--- a/internal/front/session/session.go
+++ b/internal/front/session/session.go
@@ -8,8 +8,11 @@
 	"errors"
 	"log/slog"
 	"net/netip"
+	"strconv"
 	"sync/atomic"
 
+	"cherryramp/internal/decide/resources"
+	"cherryramp/internal/decide/suspects"
 	"cherryramp/internal/gateway"
 	"cherryramp/internal/httpwire"
 	"cherryramp/internal/loop"
@@ -36,8 +39,10 @@
 	Limits      httpwire.Limits
 	Buffer      int         // bytes that may wait, of requests sent behind each other; 0: as one request
 	Connections int         // held at most
+	Prefix      int         // held of one prefix of addresses at most; 0: any number
 	Idle        loop.Micros // that a connection may have no open request; 0: 4.5 s
 	Request     loop.Micros // that a whole request may take to come; 0: 2.3 s
+	Shrink      bool        // idle times shrink as places fill, and clients are told
 }
 
 // App gives requests and outcomes their meaning.
@@ -62,13 +67,15 @@
 }
 
 // Peer is the client's address.
-func (x *Exchange) Peer() netip.Addr {
-	if !x.conn.peer.IsValid() {
-		if at, err := netip.ParseAddrPort(x.conn.tc.Peer().String()); err == nil {
-			x.conn.peer = at.Addr()
+func (x *Exchange) Peer() netip.Addr { return x.conn.address() }
+
+func (c *conn) address() netip.Addr {
+	if !c.peer.IsValid() {
+		if at, err := netip.ParseAddrPort(c.tc.Peer().String()); err == nil {
+			c.peer = at.Addr()
 		}
 	}
-	return x.conn.peer
+	return c.peer
 }
 
 // Submit hands over the call that a kept request has become.
@@ -99,7 +106,8 @@
 	desk    Desk
 	log     *slog.Logger
 	lists   [states]list
-	held    atomic.Int64
+	account *resources.Account
+	held    atomic.Int64 // with those that the loop has not heard of yet
 	refused atomic.Int64 // when one was last turned away
 	closing bool
 	buf     []byte
@@ -107,15 +115,17 @@
 
 // conn is one client's connection; it carries one request at a time.
 type conn struct {
-	server *Server
-	tc     *transport.Conn
-	x      *Exchange     // open
-	call   *gateway.Call // of the open one; nil while the App keeps it
-	peer   netip.Addr    // once asked for
-	head   bool          // the open request wants no body
-	last   bool          // the connection ends with the answer
-	begun  bool          // a request has come in part
-	over   bool
+	server  *Server
+	tc      *transport.Conn
+	x       *Exchange     // open
+	call    *gateway.Call // of the open one; nil while the App keeps it
+	peer    netip.Addr    // once asked for
+	head    bool          // the open request wants no body
+	last    bool          // the connection ends with the answer
+	begun   bool          // a request has come in part
+	over    bool
+	counted bool         // in the account
+	prefix  netip.Prefix // where prefixes are bounded
 
 	state      state
 	since      loop.Micros // when it came into its state
@@ -125,7 +135,8 @@
 // New makes a server that hands its calls to the desk.
 func New(cfg Config, l *loop.Loop, app App, desk Desk, log *slog.Logger) *Server {
 	cfg.Idle, cfg.Request = cmp.Or(cfg.Idle, idleMost), cmp.Or(cfg.Request, requestMost)
-	s := &Server{cfg: cfg, loop: l, app: app, desk: desk, log: log.With("front", cfg.Name)}
+	s := &Server{cfg: cfg, loop: l, app: app, desk: desk, log: log.With("front", cfg.Name),
+		account: resources.New(resources.Limits{Places: cfg.Connections, Prefix: cfg.Prefix})}
 	for i, most := range [states]loop.Micros{silent: cfg.Request, idle: cfg.Idle, reading: cfg.Request} {
 		s.lists[i].init(s, most)
 	}
@@ -140,19 +151,33 @@
 // admit runs on the poller. Where few places are left, one of the connections
 // that stand idle has to make room.
 func (s *Server) admit(tc *transport.Conn) transport.Handler {
-	now, held := s.loop.Now(), s.held.Add(1)
+	held := s.held.Add(1)
 	if held > int64(s.cfg.Connections) {
 		s.held.Add(-1)
-		if last := s.refused.Load(); now-last > refusalEvery && s.refused.CompareAndSwap(last, now) {
-			s.log.Warn("client turned away: too many connections", "limit", s.cfg.Connections)
-		}
+		s.turnAway("client turned away: too many connections", "limit", s.cfg.Connections)
 		s.loop.Post(s.makeRoom)
 		return nil
 	}
 	c := &conn{server: s, tc: tc}
 	s.loop.Post(func() {
-		if !c.over && c.state == outside {
-			c.enter(silent)
+		if c.over || c.state != outside {
+			return
+		}
+		if s.account.PerPrefix() {
+			c.prefix = suspects.Prefix(c.address())
+		}
+		if !s.account.Enter(c.prefix) {
+			s.turnAway("client turned away: too many connections of its prefix", "prefix", c.prefix)
+			c.prefix = netip.Prefix{}
+			c.enter(ending)
+			c.last = true
+			tc.Finish()
+			return
+		}
+		c.counted = true
+		c.enter(silent)
+		if s.cfg.Shrink {
+			s.lists[idle].watch()
 		}
 	})
 	if float64(held) > crowdShare*float64(s.cfg.Connections) {
@@ -161,6 +186,15 @@
 	return c
 }
 
+// turnAway says now and then that clients are turned away. It may be called from
+// anywhere.
+func (s *Server) turnAway(text string, args ...any) {
+	now := s.loop.Now()
+	if last := s.refused.Load(); now-last > refusalEvery && s.refused.CompareAndSwap(last, now) {
+		s.log.Warn(text, args...)
+	}
+}
+
 // makeRoom ends the connection that is least missed: of those that have brought
 // no whole request for a while the oldest, else the one idle for longest. One
 // that has just come is left alone, since its first request may be under way.
@@ -284,6 +318,10 @@
 	s := c.server
 	c.last = c.last || r.Close || s.closing || c.tc.Flooded()
 	r.Close = c.last
+	if s.cfg.Shrink && !c.last {
+		r.Header = append(r.Header, httpwire.Field{Name: "Keep-Alive",
+			Value: "timeout=" + strconv.FormatInt(s.account.Idle(s.cfg.Idle)/1_000_000, 10)})
+	}
 	s.buf = httpwire.AppendResponse(s.buf[:0], r, c.head)
 	c.enter(idle)
 	if _, err := c.tc.Send(s.buf); err != nil {
@@ -304,6 +342,9 @@
 	c.over = true
 	c.server.held.Add(-1)
 	c.enter(outside)
+	if c.counted {
+		c.server.account.Leave(c.prefix)
+	}
 	if c.call != nil {
 		c.server.desk.Leave(c.call)
 		c.call = nil
--- a/internal/front/session/states.go
+++ b/internal/front/session/states.go
@@ -25,6 +25,7 @@
 	count  int
 	most   loop.Micros // that one may stay; 0: as long as it likes
 	due    loop.Deadline
+	at     loop.Micros // that it was set for
 }
 
 func (l *list) init(s *Server, most loop.Micros) {
@@ -53,18 +54,32 @@
 	l.watch()
 }
 
+// limit is how long one may stay now.
+func (l *list) limit() loop.Micros {
+	if l.server.cfg.Shrink && l == &l.server.lists[idle] {
+		return l.server.account.Idle(l.most)
+	}
+	return l.most
+}
+
 // watch has the first looked at when its time is up. Nothing is due where nobody
-// is in the state, and the deadline is not moved for who leaves it early: it
-// comes, finds the first one young, and is set anew.
+// is in the state, and the deadline is not put off for who leaves it early: it
+// comes, finds the first one young, and is set anew. As places fill it is brought
+// forward.
 func (l *list) watch() {
-	if l.most > 0 && l.count > 0 && !l.due.Pending() {
-		l.server.loop.SetCoarse(&l.due, l.head.next.since+l.most)
+	if l.most == 0 || l.count == 0 {
+		return
+	}
+	at := l.head.next.since + l.limit()
+	if !l.due.Pending() || l.server.cfg.Shrink && at < l.at-l.most/8 {
+		l.at = at
+		l.server.loop.SetCoarse(&l.due, at)
 	}
 }
 
 func (l *list) expire() {
 	now := l.server.loop.Now()
-	for c := l.head.next; c != &l.head && now-c.since >= l.most; c = l.head.next {
+	for c := l.head.next; c != &l.head && now-c.since >= l.limit(); c = l.head.next {
 		c.quit() // which takes it to another state
 	}
 	l.watch()
--- a/lab/site/site.go
+++ b/lab/site/site.go
@@ -7,6 +7,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	_ "embed"
 	"errors"
 	"fmt"
@@ -133,6 +134,7 @@
 	Operator func(listen string) []byte // the operator's file, for the signed front's address; nil: none
 	Log      io.Writer                  // of the front; nil: nowhere
 	MemoryMB int                        // the front's limit; 0: 192
+	Sockets  int                        // the front's limit; 0: 1024
 	Env      []string                   // beside what the site sets
 }
 
@@ -174,9 +176,9 @@
 	if o.MemoryMB == 0 {
 		o.MemoryMB = 192
 	}
-	config := fmt.Sprintf(`{"name":"lab","listen":%q,"seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":%d,"sockets":1024},
+	config := fmt.Sprintf(`{"name":"lab","listen":%q,"seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":%d,"sockets":%d},
 		"board":%q,"known":{"rev":1,"notices":[{"rev":1,"pool":{"revision":0,"complete":true,"members":[%s]}}]},"settings":%s}`,
-		s.Listen, o.MemoryMB, ln.Addr(), strings.Join(members, ","), settings)
+		s.Listen, o.MemoryMB, cmp.Or(o.Sockets, 1024), ln.Addr(), strings.Join(members, ","), settings)
 	path := filepath.Join(s.dir, "config.json")
 	if err = os.WriteFile(path, []byte(config), 0o600); err != nil {
 		return s, err
