No buffers while idle, 1 KB for the poller's; a learnt limit for wake storms

Need: 18,000 idle connections took 9.7 KB each at the limit of 192 MB, where the collector used 77% of the core; netpoll gives each connection 8 KB from its start. When all wake at once nothing limits what is taken but the module's places.

Change: a client's connection takes its buffer from a pool when bytes come and gives it back when nothing of a request is left; netpoll's begins at 1 KB and grows by itself. internal/decide/admission learns how many requests may be open from the answers' pace and times (AIMD or gradient), refuses at once what can't be answered in time, holds heavy prefixes apart, and hands out times to come back at the measured pace. It is off unless clients.admission names a law.

--- a/cmd/cherryramp/clients_test.go
+++ b/cmd/cherryramp/clients_test.go
@@ -111,3 +111,40 @@
 		t.Fatal("the front goes on")
 	}
 }
+
+// All idle connections ask at once: each gets one whole answer, served or
+// refused with a time to come back, and the front is calm afterwards.
+func TestAllWakeAtOnce(t *testing.T) {
+	for _, law := range []string{"aimd", "gradient"} {
+		t.Run(law, func(t *testing.T) {
+			s := newSite(t, 1, `{"clients":{"idle_ms":600000,"admission":"`+law+`"}}`)
+			s.boxes[0].serveAll()
+			var herd []*client
+			for range 400 {
+				herd = append(herd, dial(t, s.addr))
+			}
+			for range 2 {
+				for _, c := range herd {
+					c.send(get("page-asset", "9f3a", 2000))
+				}
+				served := 0
+				for _, c := range herd {
+					switch r, body := c.answer("GET"); {
+					case r.StatusCode == 200 && len(body) > 1000:
+						served++
+					case r.StatusCode != 503 || r.Header.Get("Srv-Wait-Ms") == "":
+						t.Fatalf("got %d, %v", r.StatusCode, r.Header)
+					}
+				}
+				if served < 8 { // what the limiter always lets be open
+					t.Errorf("%d of %d were served", served, len(herd))
+				}
+			}
+			c := dial(t, s.addr)
+			c.send(get("page-asset", "9f3a", 2000))
+			if r, _ := c.answer("GET"); r.StatusCode != 200 {
+				t.Errorf("afterwards: %d", r.StatusCode)
+			}
+		})
+	}
+}
--- a/cmd/cherryramp/serve.go
+++ b/cmd/cherryramp/serve.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"log/slog"
@@ -12,6 +13,7 @@
 
 	"cherryramp/internal/board"
 	"cherryramp/internal/config"
+	"cherryramp/internal/decide/admission"
 	"cherryramp/internal/ephemeral"
 	"cherryramp/internal/front/platform"
 	"cherryramp/internal/front/session"
@@ -140,6 +142,8 @@
 	limits := session.Config{Name: "platform", Listen: cfg.Listen, Limits: platform.Limits,
 		Connections: int(clientShare * float64(cfg.Sockets))}
 	bound(&limits, operator.Clients)
+	limits.Admission = limiter(cfg, operator.Clients)
+	limited := limits.Admission
 	p.fronts = append(p.fronts, session.New(limits, p.loop, platform.New(classes, p.loop.Now, log), p.gate, log))
 	if operator.Signed != nil {
 		o := operator.Signed
@@ -152,6 +156,7 @@
 			Buffer: signed.Buffer, Connections: int(signedShare * float64(cfg.Sockets))}
 		bound(&limits, operator.Clients)
 		limits.Connections = int(signedShare * float64(cfg.Sockets)) // held is of the platform's front
+		limits.Admission = limited
 		p.fronts = append(p.fronts, session.New(limits, p.loop, p.signed, p.gate, log))
 	}
 	for _, f := range p.fronts {
@@ -176,6 +181,25 @@
 	}
 }
 
+const (
+	admitLeast = 8       // requests that the limiter always lets be open
+	admitStart = 64      // and before it has learnt anything
+	admitAway  = 500_000 // us to stay away at most, where the settings give no time
+)
+
+// limiter makes the limiter of requests, where the operator's file asks for one.
+func limiter(cfg *config.Config, c *config.Clients) *admission.Limiter {
+	if c == nil || c.Admission == "" {
+		return nil
+	}
+	law := admission.AIMD
+	if c.Admission == "gradient" {
+		law = admission.Gradient
+	}
+	return admission.New(admission.Config{Law: law, Least: admitLeast, Start: admitStart, Most: max(admitStart, cfg.Settings.MaxHeld),
+		Away: cmp.Or(cfg.Settings.MaxAway, admitAway), Seed: cfg.Seed})
+}
+
 // purgesOnly is a gateway whose members come from elsewhere than the board.
 type purgesOnly struct{ *gateway.Gateway }
 
--- a/cmd/ramplab/main.go
+++ b/cmd/ramplab/main.go
@@ -259,6 +259,7 @@
 	Within      time.Duration `default:"100ms" help:"The span in which all wake."`
 	Procs       int           `default:"1" help:"Cores that the front uses."`
 	MemoryMB    int           `default:"192"`
+	Admission   string        `help:"The front's clients.admission: aimd, gradient or nothing."`
 }
 
 // Run measures a front without idle connections, then with them, then wakes them.
@@ -269,7 +270,7 @@
 	}
 	s, err := site.Start(site.Options{Front: front, Sockets: 2 * (c.Connections + 2000), MemoryMB: c.MemoryMB,
 		Env: []string{fmt.Sprint("GOMAXPROCS=", c.Procs)}, Operator: func(string) []byte {
-			return []byte(`{"clients":{"idle_ms":600000}}`)
+			return []byte(fmt.Sprintf(`{"clients":{"idle_ms":600000,"admission":%q}}`, c.Admission))
 		}})
 	if err != nil {
 		return err
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -9,6 +9,7 @@
 	"os"
 	"path/filepath"
 	"reflect"
+	"slices"
 	"strings"
 )
 
@@ -36,10 +37,11 @@
 // Clients bounds the clients' connections of both fronts. Where it is left out,
 // the platform's limits hold.
 type Clients struct {
-	IdleMS    int `json:"idle_ms"`     // without an open request; 4500
-	RequestMS int `json:"request_ms"`  // that a whole request may take to come; 2300
-	Held      int `json:"held"`        // connections of the platform's front; 55% of the descriptors
-	Prefix    int `json:"each_prefix"` // connections of one /24 or /56; any number
+	IdleMS    int    `json:"idle_ms"`     // without an open request; 4500
+	RequestMS int    `json:"request_ms"`  // that a whole request may take to come; 2300
+	Held      int    `json:"held"`        // connections of the platform's front; 55% of the descriptors
+	Admission string `json:"admission"`   // aimd, gradient; empty: as much as the module takes
+	Prefix    int    `json:"each_prefix"` // connections of one /24 or /56; any number
 }
 
 // Bounds of the clients section.
@@ -52,6 +54,9 @@
 )
 
 func (c *Clients) check(f *faults) {
+	if !slices.Contains([]string{"", "aimd", "gradient"}, c.Admission) {
+		f.addf("admission", "%q is not aimd or gradient", c.Admission)
+	}
 	for _, x := range []struct {
 		key         string
 		n           int
--- a/internal/config/signed_test.go
+++ b/internal/config/signed_test.go
@@ -59,7 +59,7 @@
 // Guards the clients section's bounds.
 func TestClientsErrorsNameTheKey(t *testing.T) {
 	for key, text := range map[string]string{"clients.idle_ms": `{"idle_ms":5}`, "clients.request_ms": `{"request_ms":-1}`,
-		"clients.held": `{"held":-1}`, "clients.each_prefix": `{"each_prefix":99999999}`, "seldom": `{"seldom":1}`} {
+		"clients.held": `{"held":-1}`, "clients.each_prefix": `{"each_prefix":99999999}`, "clients.admission": `{"admission":"all"}`, "seldom": `{"seldom":1}`} {
 		if _, err := ParseOperator([]byte(`{"clients":`+text+`}`), "."); err == nil || !strings.Contains(err.Error(), key) {
 			t.Errorf("%s: got %v", key, err)
 		}
--- a/internal/decide/suspects/suspects.go
+++ b/internal/decide/suspects/suspects.go
@@ -17,10 +17,12 @@
 // Micros is a moment or a span in microseconds of the Unix clock.
 type Micros = int64
 
+// Period is after which counts halve.
+const Period Micros = 10_000_000
+
 const (
-	rows   = 4
-	width  = 1 << 10 // counters in a row; a power of two
-	period = 10_000_000
+	rows  = 4
+	width = 1 << 10 // counters in a row; a power of two
 )
 
 type counter struct {
@@ -74,7 +76,7 @@
 
 // Count gives about how many forged signatures came from a prefix lately.
 func (s *Sketch) Count(p netip.Prefix, now Micros) uint32 {
-	epoch, least := uint32(now/period), ^uint32(0)
+	epoch, least := uint32(now/Period), ^uint32(0)
 	for i, at := range s.places(p) {
 		least = min(least, s.cells[i][at].at(epoch))
 	}
@@ -83,7 +85,7 @@
 
 // Add counts one more.
 func (s *Sketch) Add(p netip.Prefix, now Micros) {
-	epoch, n := uint32(now/period), s.Count(p, now)+1
+	epoch, n := uint32(now/Period), s.Count(p, now)+1
 	for i, at := range s.places(p) {
 		c := &s.cells[i][at]
 		*c = counter{epoch, max(c.at(epoch), n)}
--- a/internal/front/session/session.go
+++ b/internal/front/session/session.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"sync/atomic"
 
+	"cherryramp/internal/decide/admission"
 	"cherryramp/internal/decide/resources"
 	"cherryramp/internal/decide/suspects"
 	"cherryramp/internal/gateway"
@@ -37,12 +38,13 @@
 	Name        string // of the front, for the log
 	Listen      string
 	Limits      httpwire.Limits
-	Buffer      int         // bytes that may wait, of requests sent behind each other; 0: as one request
-	Connections int         // held at most
-	Prefix      int         // held of one prefix of addresses at most; 0: any number
-	Idle        loop.Micros // that a connection may have no open request; 0: 4.5 s
-	Request     loop.Micros // that a whole request may take to come; 0: 2.3 s
-	Shrink      bool        // idle times shrink as places fill, and clients are told
+	Buffer      int                // bytes that may wait, of requests sent behind each other; 0: as one request
+	Connections int                // held at most
+	Prefix      int                // held of one prefix of addresses at most; 0: any number
+	Idle        loop.Micros        // that a connection may have no open request; 0: 4.5 s
+	Request     loop.Micros        // that a whole request may take to come; 0: 2.3 s
+	Shrink      bool               // idle times shrink as places fill, and clients are told
+	Admission   *admission.Limiter // of requests, for all fronts that share it; nil: none
 }
 
 // App gives requests and outcomes their meaning.
@@ -120,6 +122,7 @@
 	x       *Exchange     // open
 	call    *gateway.Call // of the open one; nil while the App keeps it
 	peer    netip.Addr    // once asked for
+	taken   loop.Micros   // when the open call was let in; 0: not by the limiter
 	head    bool          // the open request wants no body
 	last    bool          // the connection ends with the answer
 	begun   bool          // a request has come in part
@@ -291,13 +294,36 @@
 }
 
 func (c *conn) submit(call *gateway.Call) {
+	if l := c.server.cfg.Admission; l != nil {
+		now := c.server.loop.Now()
+		away, ok := l.Take(suspects.Prefix(c.address()), call.Deadline-now, now)
+		if !ok { // nothing has been sent, so it is harmless
+			c.answer(gateway.Answer{Kind: gateway.Refused, Await: away})
+			return
+		}
+		c.taken = now
+	}
 	call.Caller = c
 	c.call = call
 	c.server.desk.Submit(call)
 }
 
+// done tells the limiter, if there is one, that the open call has ended.
+func (c *conn) done(answered bool) {
+	if c.taken > 0 {
+		now := c.server.loop.Now()
+		c.server.cfg.Admission.Done(now-c.taken, now, answered)
+		c.taken = 0
+	}
+}
+
 // Answer words and writes the final answer of the open call.
 func (c *conn) Answer(a gateway.Answer) {
+	c.done(a.Kind == gateway.Served || a.Kind == gateway.Current)
+	c.answer(a)
+}
+
+func (c *conn) answer(a gateway.Answer) {
 	c.call = nil
 	if r := c.server.app.Reply(c.x, a); r != nil {
 		c.reply(r)
@@ -346,6 +372,7 @@
 		c.server.account.Leave(c.prefix)
 	}
 	if c.call != nil {
+		c.done(false)
 		c.server.desk.Leave(c.call)
 		c.call = nil
 	}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -23,7 +23,8 @@
 var ErrClosed = errors.New("transport: connection is closed")
 
 const (
-	keepBuffer = 64 << 10  // an empty buffer larger than this is let go
+	keepBuffer = 64 << 10  // an empty buffer larger than this is let go, of those that we dial
+	pollBuffer = 1 << 10   // the poller's, for each connection from its start; it grows with what comes
 	sendBuffer = 416 << 10 // asked of the kernel for clients, so that one answer fits whole
 	takeBuffer = 64 << 10  // and for what they send; the poller reads as much at once
 	peerBuffer = 256 << 10 // and for what those that we dial send
@@ -44,6 +45,7 @@
 	fd      int
 	handler Handler // used on the loop only
 	limit   int
+	dialed  bool
 
 	mu       sync.Mutex
 	in       []byte // what came and is not consumed
@@ -60,8 +62,10 @@
 // Setup prepares the poller; call it once, before any connection. What the
 // poller has to say goes to the log's lowest level.
 func Setup(log *slog.Logger) error {
+	netpoll.LinkBufferCap = pollBuffer
 	err := netpoll.Configure(netpoll.Config{
 		PollerNum:    1,
+		BufferSize:   pollBuffer,
 		LoggerOutput: printer{log},
 		// Callbacks only hand bytes over, so they run on the poller itself and
 		// nothing is started for them.
@@ -128,7 +132,7 @@
 			return
 		}
 		c := wrap(l, np, limit)
-		c.handler = h
+		c.handler, c.dialed = h, true
 		_ = syscall.SetsockoptInt(c.fd, syscall.SOL_SOCKET, syscall.SO_RCVBUF, peerBuffer)
 		l.Post(func() {
 			ready(c, nil)
@@ -163,6 +167,9 @@
 		if len(c.in)+len(p) > c.limit {
 			c.flooded, c.discard = true, true
 		} else {
+			if c.in == nil {
+				c.in = buffers.Get().(*buffer)[:0]
+			}
 			c.in = append(c.in, p...)
 		}
 	}
@@ -212,11 +219,25 @@
 	n := parse(c.in)
 	rest := copy(c.in, c.in[n:])
 	c.in = c.in[:rest]
-	if rest == 0 && cap(c.in) > keepBuffer {
+	if rest > 0 {
+		return
+	}
+	// A client's connection holds no buffer while nothing of a request is here.
+	switch {
+	case cap(c.in) == len(buffer{}):
+		buffers.Put((*buffer)(c.in[:len(buffer{})]))
+		c.in = nil
+	case !c.dialed || cap(c.in) > keepBuffer:
 		c.in = nil
 	}
 }
 
+// buffer is what most requests fit in.
+type buffer [1 << 10]byte
+
+// buffers are those that no connection holds.
+var buffers = sync.Pool{New: func() any { return new(buffer) }}
+
 // Send writes bytes, keeping those that a full socket does not take. It tells
 // whether all are out; if not, Drained follows.
 func (c *Conn) Send(p []byte) (whole bool, err error) {
--- a/lab/idle/idle.go
+++ b/lab/idle/idle.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -39,7 +40,7 @@
 				c, err := d.Dial("tcp", address)
 				if err == nil {
 					h.conns[i] = c
-					_, err = h.ask(c, text(i))
+					_, _, err = h.ask(c, text(i))
 				}
 				if err != nil {
 					select {
@@ -64,28 +65,39 @@
 	}
 }
 
-func (h *Herd) ask(c net.Conn, text string) (int, error) {
+// ask sends a request and gives its answer's status, and the time to stay away
+// that a refusal tells.
+func (h *Herd) ask(c net.Conn, text string) (status int, away time.Duration, err error) {
 	_ = c.SetDeadline(time.Now().Add(h.patience))
 	if _, err := io.WriteString(c, text); err != nil {
-		return 0, err
+		return 0, 0, err
 	}
 	a, err := http.ReadResponse(bufio.NewReaderSize(c, 4096), nil)
 	if err != nil {
-		return 0, err
+		return 0, 0, err
+	}
+	if ms, err := strconv.Atoi(a.Header.Get("Srv-Wait-Ms")); err == nil {
+		away = time.Duration(ms) * time.Millisecond
 	}
 	_, err = io.Copy(io.Discard, a.Body)
-	return a.StatusCode, err
+	return a.StatusCode, away, err
 }
 
 // Woken is what became of a herd that woke.
 type Woken struct {
-	Count map[int]int
+	Count map[int]int // by the last answer's status
+	Asked int         // requests, with those that came back as told
 	Lost  int
 	Times *hdrhistogram.Histogram // us, of the whole answers
 	Calm  time.Duration           // until the last one
 }
 
-// Wake has all ask within a span, evenly spread over it.
+// mostBack is how often a client that was refused comes back, after the time that
+// it was told.
+const mostBack = 3
+
+// Wake has all ask within a span, evenly spread over it. Who is refused comes
+// back as told, three times at most.
 func (h *Herd) Wake(span time.Duration, text func(i int) string) *Woken {
 	w := &Woken{Count: map[int]int{}, Times: hdrhistogram.New(1, 60_000_000, 3)}
 	var mu sync.Mutex
@@ -97,10 +109,16 @@
 			defer wg.Done()
 			due := start.Add(span * time.Duration(i) / time.Duration(len(h.conns)))
 			time.Sleep(time.Until(due))
-			status, err := h.ask(c, text(i))
+			status, away, err := h.ask(c, text(i))
+			asked := 1
+			for ; err == nil && status == http.StatusServiceUnavailable && asked <= mostBack; asked++ {
+				time.Sleep(away)
+				status, away, err = h.ask(c, text(i+asked*len(h.conns)))
+			}
 			took := time.Since(due)
 			mu.Lock()
 			defer mu.Unlock()
+			w.Asked += asked
 			if err != nil {
 				w.Lost++
 				return
@@ -125,6 +143,6 @@
 
 // Report writes what became of a herd in a line.
 func (w *Woken) Report() string {
-	return fmt.Sprintf("%v lost %d, p50 %.0f ms, p99 %.0f ms, all answered after %.0f ms", w.Count, w.Lost,
+	return fmt.Sprintf("%v in %d requests, lost %d, p50 %.0f ms, p99 %.0f ms, all answered after %.0f ms", w.Count, w.Asked, w.Lost,
 		float64(w.Times.ValueAtQuantile(50))/1000, float64(w.Times.ValueAtQuantile(99))/1000, float64(w.Calm.Microseconds())/1000)
 }
