Review: described profiles told apart, subjects read back, dead code gone

Cause, found on reading the change again: of two described profiles under one field name only the first was ever asked, so the second's links were refused; a described token's subject stayed escaped, so revoking "member 13" missed it; Keep-Alive could say timeout=0; marks, a setter and a counter served nobody.

--- a/cmd/cherryramp/serve.go
+++ b/cmd/cherryramp/serve.go
@@ -143,7 +143,9 @@
 		Connections: int(clientShare * float64(cfg.Sockets))}
 	bound(&limits, operator.Clients)
 	limits.Admission = limiter(cfg, operator.Clients)
-	limited := limits.Admission
+	if c := operator.Clients; c != nil && c.Held > 0 {
+		limits.Connections = c.Held
+	}
 	p.fronts = append(p.fronts, session.New(limits, p.loop, platform.New(classes, p.loop.Now, log), p.gate, log))
 	if operator.Signed != nil {
 		o := operator.Signed
@@ -152,12 +154,10 @@
 		if err != nil {
 			return nil, err
 		}
-		limits := session.Config{Name: "signed", Listen: operator.Signed.Listen, Limits: signed.Limits,
-			Buffer: signed.Buffer, Connections: int(signedShare * float64(cfg.Sockets))}
-		bound(&limits, operator.Clients)
-		limits.Connections = int(signedShare * float64(cfg.Sockets)) // held is of the platform's front
-		limits.Admission = limited
-		p.fronts = append(p.fronts, session.New(limits, p.loop, p.signed, p.gate, log))
+		links := session.Config{Name: "signed", Listen: operator.Signed.Listen, Limits: signed.Limits,
+			Buffer: signed.Buffer, Connections: int(signedShare * float64(cfg.Sockets)), Admission: limits.Admission}
+		bound(&links, operator.Clients)
+		p.fronts = append(p.fronts, session.New(links, p.loop, p.signed, p.gate, log))
 	}
 	for _, f := range p.fronts {
 		if err := f.Start(); err != nil {
@@ -170,15 +170,12 @@
 	return p, nil
 }
 
-// bound takes over what the operator's file says of clients' connections.
+// bound takes over what the operator's file says of the connections of both fronts.
 func bound(s *session.Config, c *config.Clients) {
 	if c == nil {
 		return
 	}
 	s.Idle, s.Request, s.Prefix, s.Shrink = int64(c.IdleMS)*1000, int64(c.RequestMS)*1000, c.Prefix, true
-	if c.Held > 0 {
-		s.Connections = c.Held
-	}
 }
 
 const (
--- a/internal/decide/admission/admission.go
+++ b/internal/decide/admission/admission.go
@@ -42,7 +42,7 @@
 
 const (
 	round       Micros = 50_000 // after which what was measured is used
-	fewest             = 8      // answers, or the round goes on
+	fewest      int    = 8      // answers, or the round goes on
 	tolerance          = 2.0    // how much slower than usual is still well
 	usualWeight        = 0.01   // of a round, in the usual time
 	paceWeight         = 0.3    // of a round, in the pace
--- a/internal/decide/grants/cdni.go
+++ b/internal/decide/grants/cdni.go
@@ -212,7 +212,10 @@
 	}
 	if m.ClientIP != "" {
 		text, ok := t.decrypt(m.ClientIP)
-		if t.nets, ok = readNets([]string{text}); !ok {
+		if ok {
+			t.nets, ok = readNets([]string{text})
+		}
+		if !ok {
 			return Address
 		}
 	}
--- a/internal/decide/grants/grants.go
+++ b/internal/decide/grants/grants.go
@@ -85,7 +85,6 @@
 	ID          string // of the one token, for those that are used once
 	Expires     Micros // without skew
 	token       *token
-	carrier     carrier
 }
 
 // Verdict is the answer to a request. Exactly one of Refusal and Proof is set
@@ -227,6 +226,10 @@
 	n := p.format.names(p)
 	for _, f := range s.families {
 		if f.format.kin(p.format) && sameNames(f.names, n) {
+			if p.Format == Timed {
+				return fmt.Errorf("query, cookie, header: profile %q is carried alike, and nothing else tells them apart",
+					f.profiles[0].Name)
+			}
 			for _, k := range p.Ring.Keys {
 				for _, o := range f.profiles {
 					if p.format.named() && o.Ring.Find(k.Name) != nil {
@@ -321,7 +324,7 @@
 // good, or not yet known, or known to be forged.
 func (s *Set) judge(t *token, c *credential, r *Request) Verdict {
 	v := Verdict{Grant: Grant{Path: c.path, Query: c.query, Profile: t.profile, Key: t.key,
-		Subject: t.subject, ID: t.id, Expires: t.expires, token: t, carrier: c.carrier}}
+		Subject: t.subject, ID: t.id, Expires: t.expires, token: t}}
 	v.Refusal = s.refusal(t, c, r)
 	if v.Refusal == "" && t.state == pending {
 		v.Proof = &t.proof
--- a/internal/decide/grants/grants_test.go
+++ b/internal/decide/grants/grants_test.go
@@ -551,3 +551,27 @@
 		b.Run(x.name+"/forged", func(b *testing.B) { benchmark(b, x.format, x.wish, true, true) })
 	}
 }
+
+// Two described profiles under one name could not be told apart, and a described
+// token's subject is read back as it was named.
+func TestDescribedProfiles(t *testing.T) {
+	d := Description{Message: "{path}{expires}{id}", Token: "{expires}_{id}_{mac}", Digest: "hmac-sha256", Encoding: "hex"}
+	profile := func(name string) *Profile {
+		return &Profile{Name: name, Format: Timed, Ring: ring(t, secretKey(name, "0123456789abcdef")), Query: "t", Describe: d}
+	}
+	if _, err := New(Config{Profiles: []*Profile{profile("a"), profile("b")}}); err == nil || !strings.Contains(err.Error(), `"a" is carried alike`) {
+		t.Error(err)
+	}
+	p := profile("a")
+	s, err := New(Config{Profiles: []*Profile{p}, Remember: 10})
+	if err != nil {
+		t.Fatal(err)
+	}
+	m, err := p.Mint(Wish{Target: target, Expires: now + 9_000_000, Subject: "member 13"}, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if v := ask(s, Request{Target: m.Target}); v.Refusal != "" || v.Subject != "member 13" {
+		t.Errorf("%q, subject %q", v.Refusal, v.Subject)
+	}
+}
--- a/internal/decide/grants/timed.go
+++ b/internal/decide/grants/timed.go
@@ -5,6 +5,7 @@
 	"encoding/hex"
 	"errors"
 	"fmt"
+	"net/url"
 	"slices"
 	"strconv"
 	"strings"
@@ -177,7 +178,10 @@
 		if err != nil || moment <= 0 || moment >= mostSeconds || !ok || len(mac) != digests[f.digest]().Size() {
 			continue
 		}
-		x.profile, x.subject = p, values["id"]
+		x.profile = p
+		if x.subject, err = url.QueryUnescape(values["id"]); err != nil {
+			continue
+		}
 		if x.expires = moment * 1_000_000; f.Life > 0 {
 			x.begins, x.expires = x.expires, x.expires+f.Life
 		}
--- a/internal/decide/resources/resources.go
+++ b/internal/decide/resources/resources.go
@@ -1,6 +1,6 @@
 // Package resources decides which clients' connections a front may hold: who is
 // let in, how long one may idle as places fill, and which prefix of addresses
-// has enough. It keeps one account of places, with marks.
+// has enough. It keeps one account of places.
 //
 // It does no I/O and asks no clock.
 package resources
@@ -12,24 +12,11 @@
 // Micros is a span in microseconds.
 type Micros = int64
 
-// Mark is how full a front is.
-type Mark uint8
-
-// The marks.
-const (
-	Easy     Mark = iota // everyone may idle as long as is set
-	Tight                // idle times shrink as places fill
-	Critical             // newcomers have others make room
-)
-
-func (m Mark) String() string { return [...]string{"easy", "tight", "critical"}[m] }
-
-// The shares of places at which the marks begin, and what is left of an idle
-// time when all are taken.
+// The share of places from which idle times shrink, and what is left of one when
+// all are taken.
 const (
-	tightFrom    = 0.5
-	criticalFrom = 0.9
-	leastIdle    = 1.0 / 16
+	tightFrom = 0.5
+	leastIdle = 1.0 / 16
 )
 
 // Limits bound what is held.
@@ -49,13 +36,6 @@
 // New makes an account.
 func New(l Limits) *Account { return &Account{limits: l, byPrefix: map[netip.Prefix]int32{}} }
 
-// Limit sets other limits; what is held above them stays until it leaves.
-func (a *Account) Limit(l Limits) {
-	if a.limits = l; l.Prefix == 0 {
-		clear(a.byPrefix)
-	}
-}
-
 // PerPrefix tells whether Enter and Leave want to know the prefix.
 func (a *Account) PerPrefix() bool { return a.limits.Prefix > 0 }
 
@@ -92,17 +72,6 @@
 // Prefixes counts the prefixes that are known.
 func (a *Account) Prefixes() int { return len(a.byPrefix) }
 
-// Mark tells how full it is.
-func (a *Account) Mark() Mark {
-	switch share := float64(a.held) / float64(max(1, a.limits.Places)); {
-	case share >= criticalFrom:
-		return Critical
-	case share >= tightFrom:
-		return Tight
-	}
-	return Easy
-}
-
 // Idle is how long a connection may idle now, of what is set: all of it while
 // places are easy, then less in proportion, down to a sixteenth when none is
 // left. It has no steps, so that a front near a mark does not drive its clients
--- a/internal/decide/resources/resources_test.go
+++ b/internal/decide/resources/resources_test.go
@@ -63,7 +63,7 @@
 		last = got
 		a.Enter(netip.Prefix{})
 	}
-	if a.Idle(1_000_000) != 62_500 || a.Mark() != Critical {
-		t.Error(a.Idle(1_000_000), a.Mark())
+	if got := a.Idle(1_000_000); got != 62_500 {
+		t.Error(got)
 	}
 }
--- a/internal/front/session/session.go
+++ b/internal/front/session/session.go
@@ -345,8 +345,10 @@
 	c.last = c.last || r.Close || s.closing || c.tc.Flooded()
 	r.Close = c.last
 	if s.cfg.Shrink && !c.last {
-		r.Header = append(r.Header, httpwire.Field{Name: "Keep-Alive",
-			Value: "timeout=" + strconv.FormatInt(s.account.Idle(s.cfg.Idle)/1_000_000, 10)})
+		// Under a second there is nothing that whole seconds could promise.
+		if left := s.account.Idle(s.cfg.Idle) / 1_000_000; left > 0 {
+			r.Header = append(r.Header, httpwire.Field{Name: "Keep-Alive", Value: "timeout=" + strconv.FormatInt(left, 10)})
+		}
 	}
 	s.buf = httpwire.AppendResponse(s.buf[:0], r, c.head)
 	c.enter(idle)
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -138,9 +138,6 @@
 	}
 }
 
-// Pending counts the deadlines that are set.
-func (l *Loop) Pending() int { return l.wheel.count }
-
 // Quit ends Run after the batch at hand.
 func (l *Loop) Quit() { l.done = true }
 
