--- /dev/null
+++ b/cmd/cherryramp/balance.go
@@ -0,0 +1,100 @@
+package main
+
+import (
+	"cmp"
+
+	"cherryramp/internal/config"
+	"cherryramp/internal/decide/pace"
+	"cherryramp/internal/decide/resources"
+	"cherryramp/internal/front/session"
+	"cherryramp/internal/loop"
+	"cherryramp/internal/upstream"
+)
+
+const (
+	balanceEvery = 50_000    // us between looks at what is held, while anything happens
+	clientsPart  = 0.45      // part of the memory limit for what the account counts
+	outCap       = 0.5       // of that, for answers that wait
+	inCap        = 0.25      // for requests that have come in part
+	floorPart    = 0.05      // that each is left under pressure
+	recordBytes  = 1500      // of an idle connection, with the collector's share
+	spareFiles   = 24        // descriptors that stay free: the board, the log, what is just closing
+	paceWindow   = 1_000_000 // us between two looks at a transfer
+	paceCredit   = 5000      // ms for which nothing may move
+	pacePart     = 0.25      // of the waiting answers, for one slow network
+	paceRoom     = 4096      // prefixes whose pace is known
+)
+
+// balance keeps the account of bytes and has those give back who must.
+type balance struct {
+	budget *resources.Budget
+	pace   *pace.Pacer
+	nodes  *upstream.Pools
+	next   loop.Micros
+	mark   resources.Mark
+}
+
+// newBalance makes the account, where the operator's file has a section of it.
+func newBalance(cfg *config.Config, c *config.Clients) *balance {
+	if c == nil {
+		return nil
+	}
+	all := int64(c.MemoryMB) << 20
+	if all == 0 {
+		all = int64(clientsPart * float64(cfg.MemoryMB) * (1 << 20))
+	}
+	part := func(share float64) int64 { return int64(share * float64(all)) }
+	b := resources.Bytes{All: all}
+	b.Cap[resources.Out], b.Cap[resources.In] = part(outCap), part(inCap)
+	for p := range b.Floor {
+		b.Floor[p] = part(floorPart)
+	}
+	return &balance{budget: resources.NewBudget(b), pace: pace.New(pace.Config{Least: float64(c.Least), Window: paceWindow,
+		Credit: int64(cmp.Or(c.CreditMS, paceCredit)) * 1000, Part: part(outCap * pacePart), Room: paceRoom})}
+}
+
+// apply has a front's connections keep to the account.
+func (b *balance) apply(s *session.Config, sockets int) {
+	if b != nil {
+		s.Pace, s.Bytes, s.Descriptors, s.Spare = b.pace, b.budget, sockets, spareFiles
+	}
+}
+
+// balance looks at what is held, now and then and only while anything happens.
+func (p *program) balance() {
+	b, now := p.held, p.loop.Now()
+	if b == nil || now < b.next && now > b.next-2*balanceEvery {
+		return
+	}
+	b.next = now + balanceEvery
+	var held [resources.Parts]int64
+	files, records := 0, 0
+	for _, f := range p.fronts {
+		in, out, n := f.Held()
+		held[resources.In] += in
+		held[resources.Out] += out
+		records += n
+	}
+	held[resources.Records] = int64(records) * recordBytes
+	files, held[resources.Nodes] = b.nodes.Held()
+	held[resources.Copies] = int64(p.gate.Kept())
+	give := b.budget.Observe(held)
+	if mark := b.budget.Mark(); mark != b.mark {
+		b.mark = mark
+		p.log.Warn("memory of clients and copies", "mark", mark.String(), "share", b.budget.Pressure(),
+			"copies", held[resources.Copies], "out", held[resources.Out], "in", held[resources.In], "connections", records)
+	}
+	limit := copies(p.cfg)
+	if b.mark != resources.Easy {
+		limit.Bytes = min(limit.Bytes, int(held[resources.Copies]-give[resources.Copies]))
+	}
+	p.gate.Limit(limit)
+	for _, f := range p.fronts {
+		others := files + records // of the other fronts too
+		_, _, own := f.Held()
+		f.Others(others - own)
+		if give[resources.Out]+give[resources.In]+give[resources.Records] > 0 {
+			f.Shed(give[resources.Out], give[resources.In], int(give[resources.Records]/recordBytes))
+		}
+	}
+}
--- a/cmd/cherryramp/serve.go
+++ b/cmd/cherryramp/serve.go
@@ -96,13 +96,18 @@
 	fronts   []*session.Server
 	operator *config.Operator
 	signed   *signed.Front // nil: off
+	held     *balance      // nil: no account of bytes is kept
 	stopping bool
 }
 
 // build wires the parts and starts to serve.
 func build(cfg *config.Config, operator *config.Operator, log *slog.Logger) (*program, error) {
 	p := &program{log: log, cfg: cfg, operator: operator}
-	p.loop = loop.New(func() { p.gate.Settle() })
+	p.held = newBalance(cfg, operator.Clients)
+	p.loop = loop.New(func() {
+		p.gate.Settle()
+		p.balance()
+	})
 	var err error
 	p.gate, err = gateway.New(gateway.Config{Settings: cfg.Settings, Zones: cfg.Zones, Kinds: cfg.Kinds,
 		Seed: cfg.Seed, Copies: copies(cfg)}, p.loop, log)
@@ -121,10 +126,14 @@
 	for _, c := range cfg.Settings.Classes {
 		alone = append(alone, c.Effect == rules.Unsafe)
 	}
-	p.gate.Use(upstream.New(upstream.Config{Lanes: cfg.Lanes, Alone: alone, Streams: cfg.Streams,
+	pools := upstream.New(upstream.Config{Lanes: cfg.Lanes, Alone: alone, Streams: cfg.Streams,
 		Connections: max(1, min(poolMost, int(poolShare*float64(cfg.Sockets))/nodes)),
 		ConnectTime: cfg.ConnectTime, IdleTime: int64(idleShare * float64(cfg.ConnIdle))},
-		p.loop, p.gate, log))
+		p.loop, p.gate, log)
+	p.gate.Use(pools)
+	if p.held != nil {
+		p.held.nodes = pools
+	}
 	var sink board.Sink = p.gate
 	if e := operator.Ephemeral; e != nil {
 		sink = purgesOnly{p.gate}
@@ -142,6 +151,7 @@
 	limits := session.Config{Name: "platform", Listen: cfg.Listen, Limits: platform.Limits,
 		Connections: int(clientShare * float64(cfg.Sockets))}
 	bound(&limits, operator.Clients)
+	p.held.apply(&limits, cfg.Sockets)
 	limits.Admission = limiter(cfg, operator.Clients)
 	if c := operator.Clients; c != nil && c.Held > 0 {
 		limits.Connections = c.Held
@@ -157,6 +167,7 @@
 		links := session.Config{Name: "signed", Listen: operator.Signed.Listen, Limits: signed.Limits,
 			Buffer: signed.Buffer, Connections: int(signedShare * float64(cfg.Sockets)), Admission: limits.Admission}
 		bound(&links, operator.Clients)
+		p.held.apply(&links, cfg.Sockets)
 		p.fronts = append(p.fronts, session.New(links, p.loop, p.signed, p.gate, log))
 	}
 	for _, f := range p.fronts {
@@ -175,7 +186,7 @@
 	if c == nil {
 		return
 	}
-	s.Idle, s.Request, s.Prefix, s.Shrink = int64(c.IdleMS)*1000, int64(c.RequestMS)*1000, c.Prefix, true
+	s.Idle, s.Request, s.Prefix, s.Shrink, s.Park = int64(c.IdleMS)*1000, int64(c.RequestMS)*1000, c.Prefix, true, true
 }
 
 const (
--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -40,6 +40,7 @@
 	link    *link // the one that counts
 	pause   loop.Micros
 	warned  loop.Micros
+	held    transport.Gauge
 }
 
 // link is one connection to the board. What an older one still brings is passed
@@ -97,7 +98,7 @@
 func (b *Board) connect() {
 	k := &link{board: b}
 	b.link = k
-	transport.Dial(b.loop, b.address, maxAnswer+limits.Head, k, b.loop.Now()+connectTime,
+	transport.Dial(b.loop, b.address, maxAnswer+limits.Head, &b.held, k, b.loop.Now()+connectTime,
 		func(c *transport.Conn, err error) {
 			switch {
 			case b.link != k: // the board has moved meanwhile
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -37,11 +37,14 @@
 // Clients bounds the clients' connections of both fronts. Where it is left out,
 // the platform's limits hold.
 type Clients struct {
-	IdleMS    int    `json:"idle_ms"`     // without an open request; 4500
-	RequestMS int    `json:"request_ms"`  // that a whole request may take to come; 2300
-	Held      int    `json:"held"`        // connections of the platform's front; 55% of the descriptors
-	Admission string `json:"admission"`   // aimd, gradient; empty: as much as the module takes
-	Prefix    int    `json:"each_prefix"` // connections of one /24 or /56; any number
+	IdleMS    int    `json:"idle_ms"`       // without an open request; 4500
+	RequestMS int    `json:"request_ms"`    // that a whole request may take to come; 2300
+	Held      int    `json:"held"`          // connections of the platform's front; 55% of the descriptors
+	Admission string `json:"admission"`     // aimd, gradient; empty: as much as the module takes
+	Prefix    int    `json:"each_prefix"`   // connections of one /24 or /56; any number
+	Least     int    `json:"least_bytes_s"` // pace of a request that comes or an answer that goes; any
+	CreditMS  int    `json:"credit_ms"`     // for which nothing may move; 5000
+	MemoryMB  int    `json:"memory_mb"`     // of all that clients and copies hold; 45% of the front's limit
 }
 
 // Bounds of the clients section.
@@ -51,6 +54,9 @@
 	leastRequestMS = 100
 	mostRequestMS  = 600_000
 	mostHeld       = 1 << 20
+	mostPace       = 1 << 30
+	leastCreditMS  = 1000 // a transfer is looked at once a second
+	leastMemoryMB  = 4
 )
 
 func (c *Clients) check(f *faults) {
@@ -62,7 +68,9 @@
 		n           int
 		least, most int
 	}{{"idle_ms", c.IdleMS, leastIdleMS, mostIdleMS}, {"request_ms", c.RequestMS, leastRequestMS, mostRequestMS},
-		{"held", c.Held, 1, mostHeld}, {"each_prefix", c.Prefix, 1, mostHeld}} {
+		{"held", c.Held, 1, mostHeld}, {"each_prefix", c.Prefix, 1, mostHeld},
+		{"least_bytes_s", c.Least, 1, mostPace}, {"credit_ms", c.CreditMS, leastCreditMS, mostRequestMS},
+		{"memory_mb", c.MemoryMB, leastMemoryMB, 1 << 20}} {
 		if x.n != 0 && (x.n < x.least || x.n > x.most) {
 			f.addf(x.key, "%d is not %d to %d", x.n, x.least, x.most)
 		}
--- /dev/null
+++ b/internal/decide/pace/pace.go
@@ -0,0 +1,182 @@
+// Package pace decides which clients are too slow: whose request comes, or whose
+// answer goes, at less than a least pace. One that is behind for a moment lives on
+// credit. It tells a slow client from a slow network: where nearly all of a prefix
+// of addresses are slow at once, a lower pace holds for them, as long as what they
+// have waiting together stays within their part.
+//
+// Nothing is timed here. Whoever holds the transfers looks at each once a window,
+// and keeps them in order of rank, so that the slowest are found at once.
+package pace
+
+import (
+	"cmp"
+	"net/netip"
+)
+
+// Micros is a moment or a span in microseconds.
+type Micros = int64
+
+// Config says what is too slow.
+type Config struct {
+	Least  float64 // bytes a second
+	Window Micros  // between two looks at a transfer
+	Credit Micros  // for so long nothing may move
+	Part   int64   // bytes that one prefix may have waiting while its network is slow
+	Room   int     // prefixes that are known at a time
+}
+
+// Rank orders transfers by their pace of late.
+type Rank uint8
+
+// The ranks: under the least pace, under 4 and 16 times that, and faster.
+const (
+	Crawling Rank = iota
+	Slow
+	Fair
+	Fast
+	Ranks
+)
+
+// Meter is what is kept of one transfer. Begin makes one.
+type Meter struct {
+	at     Micros
+	moved  int64
+	left   int64 // of what waits, as counted for its prefix
+	credit float32
+	rate   float32 // bytes a second, of the last windows
+}
+
+const (
+	rateWeight   = 0.5       // of the last window in the rate
+	half         = 5_000_000 // us after which what is known of a prefix halves
+	networkFrom  = 16        // looks at a prefix lately, from which it can be a network's fault
+	networkShare = 0.75      // of them that were behind
+	lenience     = 8         // what is left of the least pace there: an eighth
+)
+
+// crowd is what is known of a prefix.
+type crowd struct {
+	at          Micros
+	looks, slow float64 // lately, halving
+	left        int64   // waiting, of the transfers that are metered
+	metered     int
+}
+
+// Pacer judges transfers.
+type Pacer struct {
+	cfg    Config
+	ranks  float64 // the pace that ranks are counted from
+	crowds map[netip.Prefix]*crowd
+	swept  Micros
+}
+
+// rankLeast is where ranks begin when no least pace is set, bytes a second.
+const rankLeast = 1000
+
+// New makes a pacer. Without a least pace it ranks and ends nothing.
+func New(cfg Config) *Pacer {
+	return &Pacer{cfg: cfg, ranks: cmp.Or(cfg.Least, rankLeast), crowds: map[netip.Prefix]*crowd{}}
+}
+
+// Window is the time between two looks at a transfer.
+func (p *Pacer) Window() Micros { return p.cfg.Window }
+
+// Begin meters a transfer that has moved so much. It must be ended.
+func (p *Pacer) Begin(from netip.Prefix, moved, now Micros) Meter {
+	if c := p.crowd(from, now); c != nil {
+		c.metered++
+	}
+	return Meter{at: now, moved: moved, credit: float32(p.most()), rate: float32(16 * p.ranks)}
+}
+
+// End takes a transfer off its prefix's account.
+func (p *Pacer) End(m *Meter, from netip.Prefix) {
+	if c := p.crowds[from]; c != nil && c.metered > 0 {
+		c.metered--
+		c.left -= m.left
+		if c.metered == 0 {
+			c.left = 0
+		}
+	}
+	*m = Meter{}
+}
+
+func (p *Pacer) most() float64 { return p.cfg.Least * float64(p.cfg.Credit) / 1e6 }
+
+// Look judges a transfer that has moved so much in all and has so much left. Over
+// tells that it is to be ended.
+func (p *Pacer) Look(m *Meter, from netip.Prefix, moved, left int64, now Micros) (r Rank, over bool) {
+	spent := float64(now-m.at) / 1e6
+	if spent <= 0 { // the clock was set back: nothing is known of this window
+		m.at, m.moved = now, moved
+		return p.rank(m), false
+	}
+	rate := float64(moved-m.moved) / spent
+	m.rate += rateWeight * (float32(rate) - m.rate)
+	m.at, m.moved = now, moved
+	least, c := p.cfg.Least, p.crowd(from, now)
+	if c != nil {
+		c.left += left - m.left
+		m.left = left
+		c.looks++
+		if rate < least {
+			c.slow++
+		}
+		if c.looks >= networkFrom && c.slow >= networkShare*c.looks {
+			least /= lenience
+			if rate < p.cfg.Least && c.left > p.cfg.Part {
+				return p.rank(m), true // more than its part: it is not for the others to wait for
+			}
+		}
+	}
+	m.credit = min(float32(p.most()), m.credit+float32((rate-least)*spent))
+	return p.rank(m), m.credit < 0
+}
+
+func (p *Pacer) rank(m *Meter) Rank {
+	switch rate := float64(m.rate); {
+	case rate < p.ranks:
+		return Crawling
+	case rate < 4*p.ranks:
+		return Slow
+	case rate < 16*p.ranks:
+		return Fair
+	}
+	return Fast
+}
+
+// crowd gives what is known of a prefix, halved for the time since; nil where
+// there is no room for one more.
+func (p *Pacer) crowd(from netip.Prefix, now Micros) *crowd {
+	c := p.crowds[from]
+	if c == nil {
+		if len(p.crowds) >= p.cfg.Room && now-p.swept >= half {
+			p.swept = now
+			p.sweep()
+		}
+		if len(p.crowds) >= p.cfg.Room {
+			return nil
+		}
+		c = &crowd{at: now}
+		p.crowds[from] = c
+	}
+	for now-c.at >= half {
+		c.looks, c.slow, c.at = c.looks/2, c.slow/2, c.at+half
+		if c.looks < 1 {
+			c.looks, c.slow, c.at = 0, 0, now
+		}
+	}
+	return c
+}
+
+// sweep forgets the prefixes of which nothing is metered.
+func (p *Pacer) sweep() {
+	for from, c := range p.crowds {
+		if c.metered == 0 {
+			delete(p.crowds, from)
+		}
+	}
+}
+
+// Known counts the prefixes of which something is kept.
+func (p *Pacer) Known() int { return len(p.crowds) }
--- /dev/null
+++ b/internal/decide/resources/budget.go
@@ -0,0 +1,133 @@
+package resources
+
+// Part is who holds bytes.
+type Part uint8
+
+// The parts, in the order in which they give back under pressure: a copy costs a
+// fill later, a slow answer one client, a request that is still coming another,
+// and an idle connection a handshake for each of very many.
+const (
+	Copies  Part = iota // answers kept to be given again
+	Out                 // answers that wait for full sockets
+	In                  // requests that have come in part
+	Records             // of connections
+	Nodes               // answers of nodes that have come in part; they can't give
+	Parts
+)
+
+// Mark tells how near the account is to its end.
+type Mark uint8
+
+// The marks.
+const (
+	Easy     Mark = iota
+	Tight         // copies give back
+	Critical      // everything does, and nobody new is let in
+)
+
+// Where marks begin, as shares of all bytes. They end slack below that, so that a
+// front at a mark does not go back and forth.
+const (
+	tightAt    = 0.7
+	criticalAt = 0.9
+	slack      = 0.05
+)
+
+// Bytes bounds what is held.
+type Bytes struct {
+	All   int64
+	Cap   [Parts]int64 // of a part at any time; 0: as much as there is
+	Floor [Parts]int64 // that a part is left under pressure
+}
+
+// Budget is one account of bytes for all parts.
+type Budget struct {
+	limits Bytes
+	held   [Parts]int64
+	sum    int64
+	mark   Mark
+}
+
+// NewBudget makes an account.
+func NewBudget(b Bytes) *Budget { return &Budget{limits: b} }
+
+// Observe takes over what the parts hold, and tells what each must give back now.
+func (b *Budget) Observe(held [Parts]int64) (give [Parts]int64) {
+	b.held, b.sum = held, 0
+	for p, n := range held {
+		b.sum += n
+		if most := b.limits.Cap[p]; most > 0 {
+			give[p] = max(0, n-most)
+		}
+	}
+	b.remark()
+	var over int64
+	switch b.mark {
+	case Easy:
+		return give
+	case Tight, Critical:
+		over = b.sum - b.share(tightAt-slack)
+	}
+	for p := Copies; p < Nodes && over > 0; p++ {
+		if b.mark == Tight && p > Copies {
+			break
+		}
+		if p == Out { // past the copies only what is critical must go
+			over = b.sum - give[Copies] - b.share(criticalAt-slack)
+		}
+		n := max(give[p], min(over, held[p]-b.limits.Floor[p]))
+		over -= n
+		give[p] = max(0, n)
+	}
+	return give
+}
+
+func (b *Budget) remark() {
+	from := func(at float64, m Mark) bool {
+		if b.mark >= m {
+			at -= slack
+		}
+		return b.sum >= b.share(at)
+	}
+	switch {
+	case from(criticalAt, Critical):
+		b.mark = Critical
+	case from(tightAt, Tight):
+		b.mark = Tight
+	default:
+		b.mark = Easy
+	}
+}
+
+func (b *Budget) share(s float64) int64 { return int64(s * float64(b.limits.All)) }
+
+// Mark tells how near the account was to its end when it was last observed.
+func (b *Budget) Mark() Mark { return b.mark }
+
+// Pressure is the share of all bytes that are held.
+func (b *Budget) Pressure() float64 { return float64(b.sum) / float64(max(1, b.limits.All)) }
+
+// May tells whether a part may take on some bytes: within its cap; where it is
+// tight within half of that, and where it is critical up to its floor. What is
+// taken on counts until the next look.
+func (b *Budget) May(p Part, n int64) bool {
+	most := b.limits.Cap[p]
+	if most == 0 {
+		most = b.limits.All
+	}
+	switch b.mark {
+	case Tight:
+		most = max(b.limits.Floor[p], most/2)
+	case Critical:
+		most = b.limits.Floor[p]
+	}
+	if b.held[p]+n > most {
+		return false
+	}
+	b.held[p] += n
+	b.sum += n
+	return true
+}
+
+// String names a mark, for the log.
+func (m Mark) String() string { return [...]string{"easy", "tight", "critical"}[m] }
--- a/internal/decide/resources/resources.go
+++ b/internal/decide/resources/resources.go
@@ -1,6 +1,7 @@
-// Package resources decides which clients' connections a front may hold: who is
-// let in, how long one may idle as places fill, and which prefix of addresses
-// has enough. It keeps one account of places.
+// Package resources decides what a front may hold: which clients' connections are
+// let in, how long one may idle as places or bytes fill up, which prefix of
+// addresses has enough, and which part gives back how much when memory runs short.
+// It keeps one account of places and descriptors, and one of bytes.
 //
 // It does no I/O and asks no clock.
 package resources
@@ -23,25 +24,44 @@
 type Limits struct {
 	Places int // connections in all
 	Prefix int // of one prefix (/24 or /56); 0: as many as there are places
+	// Descriptors that the process may hold, of which Spare stay free for what
+	// comes and goes. 0: only the places count.
+	Descriptors, Spare int
 }
 
 // Account is the places that are taken. Its table of prefixes holds those with
 // connections only, so it is bounded by the places.
 type Account struct {
 	limits   Limits
+	bytes    *Budget // nil: none is kept
 	held     int
+	others   int                    // descriptors held by others than clients
 	byPrefix map[netip.Prefix]int32 // empty unless prefixes are bounded
 }
 
-// New makes an account.
-func New(l Limits) *Account { return &Account{limits: l, byPrefix: map[netip.Prefix]int32{}} }
+// New makes an account; of bytes, where a budget is given too.
+func New(l Limits, bytes *Budget) *Account {
+	return &Account{limits: l, bytes: bytes, byPrefix: map[netip.Prefix]int32{}}
+}
+
+// Others takes over how many descriptors are held by others than clients.
+func (a *Account) Others(n int) { a.others = n }
+
+// places is how many clients there is room for now. Where descriptors run short,
+// clients yield to nodes: without those nobody is served.
+func (a *Account) places() int {
+	if a.limits.Descriptors == 0 {
+		return a.limits.Places
+	}
+	return max(1, min(a.limits.Places, a.limits.Descriptors-a.limits.Spare-a.others))
+}
 
 // PerPrefix tells whether Enter and Leave want to know the prefix.
 func (a *Account) PerPrefix() bool { return a.limits.Prefix > 0 }
 
 // Enter takes a place for a connection, or refuses it.
 func (a *Account) Enter(p netip.Prefix) bool {
-	if a.held >= a.limits.Places {
+	if a.held >= a.places() || a.bytes != nil && a.bytes.Mark() == Critical {
 		return false
 	}
 	if a.limits.Prefix > 0 && p.IsValid() {
@@ -73,11 +93,14 @@
 func (a *Account) Prefixes() int { return len(a.byPrefix) }
 
 // Idle is how long a connection may idle now, of what is set: all of it while
-// places are easy, then less in proportion, down to a sixteenth when none is
-// left. It has no steps, so that a front near a mark does not drive its clients
+// places and bytes are easy, then less in proportion, down to a sixteenth when
+// none is left. It has no steps, so that a front near a mark does not drive its clients
 // back and forth.
 func (a *Account) Idle(most Micros) Micros {
-	share := float64(a.held) / float64(max(1, a.limits.Places))
+	share := float64(a.held) / float64(max(1, a.places()))
+	if a.bytes != nil {
+		share = max(share, a.bytes.Pressure())
+	}
 	if share <= tightFrom {
 		return most
 	}
--- a/internal/decide/resources/resources_test.go
+++ b/internal/decide/resources/resources_test.go
@@ -15,7 +15,7 @@
 func TestAccount(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		l := Limits{Places: rapid.IntRange(1, 50).Draw(t, "places"), Prefix: rapid.IntRange(0, 5).Draw(t, "prefix")}
-		a := New(l)
+		a := New(l, nil)
 		var in []netip.Prefix
 		for range rapid.IntRange(1, 200).Draw(t, "steps") {
 			if rapid.Bool().Draw(t, "leave") && len(in) > 0 {
@@ -54,7 +54,7 @@
 // Idle times shrink without steps, never below a sixteenth, and never grow as
 // places fill.
 func TestIdleShrinksSmoothly(t *testing.T) {
-	a, last := New(Limits{Places: 1000}), Micros(1_000_000)
+	a, last := New(Limits{Places: 1000}, nil), Micros(1_000_000)
 	for i := range 1000 {
 		got := a.Idle(1_000_000)
 		if got > last || last-got > 2000 || got < 62_000 || i <= 500 && got != 1_000_000 {
--- a/internal/front/session/session.go
+++ b/internal/front/session/session.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 
 	"cherryramp/internal/decide/admission"
+	"cherryramp/internal/decide/pace"
 	"cherryramp/internal/decide/resources"
 	"cherryramp/internal/decide/suspects"
 	"cherryramp/internal/gateway"
@@ -20,12 +21,21 @@
 	"cherryramp/internal/transport"
 )
 
+// parkAfter is how long a connection must have been idle for as little of it to
+// be held as can be. It is longer than most clients take between two requests,
+// since parking and back costs some 20 us.
+const parkAfter = 1_000_000
+
 // The limits where a front sets none, in us.
 const (
 	idleMost    = 4_500_000 // without an open request; clients close after 4 s themselves
 	requestMost = 2_300_000 // that a whole request may take to come, from connecting or its first byte
 )
 
+// pacedFrom is the bytes from which an answer's pace is looked at. Less goes into
+// the other side's window at once.
+const pacedFrom = 16 << 10
+
 const (
 	yieldSilent  = 400_000   // us after which one that has said nothing whole yet may have to make room
 	yieldIdle    = 50_000    // us after which an idle one may
@@ -44,6 +54,11 @@
 	Idle        loop.Micros        // that a connection may have no open request; 0: 4.5 s
 	Request     loop.Micros        // that a whole request may take to come; 0: 2.3 s
 	Shrink      bool               // idle times shrink as places fill, and clients are told
+	Park        bool               // connections long idle hold as little as can be
+	Pace        *pace.Pacer        // of requests that come and answers that go; nil: only whole times are bounded
+	Bytes       *resources.Budget  // of all parts of the program; nil: none is kept
+	Descriptors int                // of the process; 0: only the connections are bounded
+	Spare       int                // of them that stay free
 	Admission   *admission.Limiter // of requests, for all fronts that share it; nil: none
 }
 
@@ -71,14 +86,7 @@
 // Peer is the client's address.
 func (x *Exchange) Peer() netip.Addr { return x.conn.address() }
 
-func (c *conn) address() netip.Addr {
-	if !c.peer.IsValid() {
-		if at, err := netip.ParseAddrPort(c.tc.Peer().String()); err == nil {
-			c.peer = at.Addr()
-		}
-	}
-	return c.peer
-}
+func (c *conn) address() netip.Addr { return c.tc.Peer().Addr() }
 
 // Submit hands over the call that a kept request has become.
 func (x *Exchange) Submit(call *gateway.Call) {
@@ -108,6 +116,7 @@
 	desk    Desk
 	log     *slog.Logger
 	lists   [states]list
+	gauge   transport.Gauge
 	account *resources.Account
 	held    atomic.Int64 // with those that the loop has not heard of yet
 	refused atomic.Int64 // when one was last turned away
@@ -121,10 +130,11 @@
 	tc      *transport.Conn
 	x       *Exchange     // open
 	call    *gateway.Call // of the open one; nil while the App keeps it
-	peer    netip.Addr    // once asked for
 	taken   loop.Micros   // when the open call was let in; 0: not by the limiter
 	head    bool          // the open request wants no body
 	last    bool          // the connection ends with the answer
+	meter   *pace.Meter   // while a request comes or an answer goes
+	began   loop.Micros   // when the request began to come; 0: none is coming
 	begun   bool          // a request has come in part
 	over    bool
 	counted bool         // in the account
@@ -139,16 +149,31 @@
 func New(cfg Config, l *loop.Loop, app App, desk Desk, log *slog.Logger) *Server {
 	cfg.Idle, cfg.Request = cmp.Or(cfg.Idle, idleMost), cmp.Or(cfg.Request, requestMost)
 	s := &Server{cfg: cfg, loop: l, app: app, desk: desk, log: log.With("front", cfg.Name),
-		account: resources.New(resources.Limits{Places: cfg.Connections, Prefix: cfg.Prefix})}
-	for i, most := range [states]loop.Micros{silent: cfg.Request, idle: cfg.Idle, reading: cfg.Request} {
+		account: resources.New(resources.Limits{Places: cfg.Connections, Prefix: cfg.Prefix,
+			Descriptors: cfg.Descriptors, Spare: cfg.Spare}, cfg.Bytes)}
+	times := [states]loop.Micros{silent: cfg.Request, idle: cfg.Idle, parked: cfg.Idle - parkAfter, reading: cfg.Request}
+	for i, most := range times {
 		s.lists[i].init(s, most)
 	}
+	if p := cfg.Pace; p != nil {
+		s.lists[reading].most, s.lists[reading].ended = min(cfg.Request, p.Window()), (*conn).lookReading
+		for i := sending; i < states; i++ {
+			s.lists[i].most, s.lists[i].ended = p.Window(), (*conn).lookSending
+		}
+	}
+	if s.parks() {
+		s.lists[idle].most = parkAfter
+		s.lists[idle].ended = (*conn).park
+	}
 	return s
 }
 
+// parks tells whether connections idle for long enough to be parked.
+func (s *Server) parks() bool { return s.cfg.Park && s.cfg.Idle > 2*parkAfter }
+
 // Start begins to accept clients.
 func (s *Server) Start() error {
-	return transport.Listen(s.loop, s.cfg.Listen, max(s.cfg.Buffer, s.cfg.Limits.Head+s.cfg.Limits.Body), s.admit)
+	return transport.Listen(s.loop, s.cfg.Listen, max(s.cfg.Buffer, s.cfg.Limits.Head+s.cfg.Limits.Body), &s.gauge, s.admit)
 }
 
 // admit runs on the poller. Where few places are left, one of the connections
@@ -181,6 +206,7 @@
 		c.enter(silent)
 		if s.cfg.Shrink {
 			s.lists[idle].watch()
+			s.lists[parked].watch()
 		}
 	})
 	if float64(held) > crowdShare*float64(s.cfg.Connections) {
@@ -206,7 +232,7 @@
 	for _, x := range []struct {
 		state state
 		limit loop.Micros
-	}{{silent, yieldSilent}, {idle, yieldIdle}, {reading, yieldIdle}} {
+	}{{silent, yieldSilent}, {parked, yieldIdle}, {idle, yieldIdle}, {reading, yieldIdle}} {
 		if c := s.lists[x.state].least(now - x.limit); c != nil {
 			c.quit()
 			return
@@ -217,8 +243,11 @@
 // Drain has every connection end with its next answer, and idle ones at once.
 func (s *Server) Drain() {
 	s.closing = true
-	for _, state := range []state{silent, idle, reading} {
-		s.lists[state].each(func(c *conn) {
+	for i := silent; i < states; i++ {
+		if i == busy || i == ending {
+			continue
+		}
+		s.lists[i].each(func(c *conn) {
 			if !c.tc.Blocked() {
 				c.quit()
 			}
@@ -259,8 +288,8 @@
 			return
 		}
 		if r == nil {
-			if c.begun && c.state == idle {
-				c.enter(reading)
+			if c.begun {
+				c.begin()
 			}
 			return
 		}
@@ -268,6 +297,117 @@
 	}
 }
 
+// begin notes that a request has begun to come.
+func (c *conn) begin() {
+	paced := c.server.cfg.Pace != nil
+	if c.state == reading || c.state == silent && !paced {
+		return
+	}
+	c.began = c.server.loop.Now()
+	if c.state == silent { // its time runs since it connected
+		c.began = c.since
+	}
+	c.enter(reading)
+	if paced {
+		c.measure(c.tc.Came())
+	}
+}
+
+// measure begins to meter a transfer.
+func (c *conn) measure(moved int64) {
+	if c.meter == nil {
+		m := c.server.cfg.Pace.Begin(c.origin(), moved, c.server.loop.Now())
+		c.meter = &m
+	}
+}
+
+// origin is whom a connection's pace is held with.
+func (c *conn) origin() netip.Prefix { return suspects.Prefix(c.address()) }
+
+// lookReading ends a connection whose request comes too slowly, or not in its time.
+func (c *conn) lookReading() {
+	now := c.server.loop.Now()
+	if now-c.began >= c.server.cfg.Request {
+		c.quit()
+		return
+	}
+	if c.meter != nil {
+		if _, over := c.server.cfg.Pace.Look(c.meter, c.origin(), c.tc.Came(), 0, now); over {
+			c.server.slow(c, "request")
+			c.quit()
+			return
+		}
+	}
+	c.enter(reading)
+}
+
+// lookSending ends a connection that takes its answer too slowly.
+func (c *conn) lookSending() {
+	taken, left := c.tc.Taken()
+	if left == 0 || c.meter == nil {
+		c.enter(idle)
+		return
+	}
+	rank, over := c.server.cfg.Pace.Look(c.meter, c.origin(), taken, int64(left), c.server.loop.Now())
+	if over {
+		c.server.slow(c, "answer")
+		c.tc.Abort()
+		c.enter(ending)
+		return
+	}
+	c.enter(sending + state(rank))
+}
+
+func (s *Server) slow(c *conn, what string) {
+	s.log.Info("client is too slow", "what", what, "peer", c.tc.Peer().String())
+}
+
+// mostShed is how many transfers of one rank are looked at in one go.
+const mostShed = 64
+
+// Shed gives bytes back: answers that wait, the slowest first, requests that have
+// come in part, the longest under way first, and the connections least missed.
+func (s *Server) Shed(out, in int64, records int) {
+	ended := 0
+	for i := sending; i < states && out > 0; i++ {
+		l, next := &s.lists[i], (*conn)(nil)
+		for c, seen := l.head.next, 0; c != &l.head && out > 0 && seen < mostShed; c, seen = next, seen+1 {
+			next = c.next
+			if n := c.tc.Waiting(); n > 0 {
+				out -= int64(n)
+				ended++
+				c.tc.Abort()
+				c.enter(ending)
+			}
+		}
+	}
+	for c := s.lists[reading].head.next; in > 0 && c != &s.lists[reading].head; c = s.lists[reading].head.next {
+		in -= c.tc.Came()
+		ended++
+		c.quit()
+	}
+	for range min(records, mostShed) {
+		s.makeRoom()
+	}
+	if ended > 0 {
+		s.log.Warn("memory runs short: slow transfers are ended", "ended", ended)
+	}
+}
+
+// Held is the bytes that clients' connections hold, and how many there are.
+func (s *Server) Held() (in, out int64, records int) {
+	return s.gauge.In.Load(), s.gauge.Out.Load(), s.account.Held()
+}
+
+// Others takes over how many descriptors are held by others than clients.
+func (s *Server) Others(n int) { s.account.Others(n) }
+
+// park has as little as can be held for an idle connection.
+func (c *conn) park() {
+	c.enter(parked)
+	c.tc.Park()
+}
+
 // quit ends a connection without an open request. Half a request is answered.
 func (c *conn) quit() {
 	if c.begun {
@@ -281,6 +421,7 @@
 
 func (c *conn) take(r *httpwire.Request) {
 	c.head, c.last = r.Method == "HEAD", r.Close || c.tc.Flooded()
+	c.began = 0
 	c.enter(busy)
 	x := &Exchange{conn: c, open: true}
 	c.x = x
@@ -352,10 +493,22 @@
 	}
 	s.buf = httpwire.AppendResponse(s.buf[:0], r, c.head)
 	c.enter(idle)
-	if _, err := c.tc.Send(s.buf); err != nil {
+	whole, err := c.tc.Send(s.buf)
+	if err != nil {
 		c.tc.Close()
 		return
 	}
+	if s.cfg.Pace != nil && !c.last && len(s.buf) >= pacedFrom {
+		if taken, left := c.tc.Taken(); left > 0 {
+			c.enter(sending + state(pace.Fast))
+			c.measure(taken)
+		}
+	}
+	if b := s.cfg.Bytes; b != nil && !whole {
+		if n := int64(c.tc.Waiting()); !b.May(resources.Out, n) {
+			s.Shed(n, 0, 0)
+		}
+	}
 	if c.last {
 		c.enter(ending)
 		c.tc.Finish()
--- a/internal/front/session/states.go
+++ b/internal/front/session/states.go
@@ -1,6 +1,9 @@
 package session
 
-import "cherryramp/internal/loop"
+import (
+	"cherryramp/internal/decide/pace"
+	"cherryramp/internal/loop"
+)
 
 // state is what a connection is doing. One that has a limit is ended when it
 // stays too long.
@@ -10,12 +13,17 @@
 	outside state = iota // in no list: not yet heard of on the loop, or closed
 	silent               // it has brought no whole request yet
 	idle                 // no request is open
+	parked               // the same, for long
 	reading              // a further request has come in part
 	busy                 // a request is open
 	ending               // its last answer is on its way
-	states
+	sending              // an answer goes out and no request is open; so many states as there are ranks of pace
+	states  = sending + state(pace.Ranks)
 )
 
+// sends tells whether a state is one of those in which an answer goes out.
+func (s state) sends() bool { return s >= sending }
+
 // list is the connections in one state, in the order in which they came into
 // it. All may stay equally long, so the first is the next to be ended, and one
 // deadline serves them all. A connection costs its two links.
@@ -24,12 +32,13 @@
 	head   conn // of a ring
 	count  int
 	most   loop.Micros // that one may stay; 0: as long as it likes
+	ended  func(*conn) // what becomes of one that stayed as long
 	due    loop.Deadline
 	at     loop.Micros // that it was set for
 }
 
 func (l *list) init(s *Server, most loop.Micros) {
-	l.server, l.most = s, most
+	l.server, l.most, l.ended = s, most, (*conn).quit
 	l.head.prev, l.head.next = &l.head, &l.head
 	l.due.Init(l.expire)
 }
@@ -42,6 +51,10 @@
 		c.prev, c.next = nil, nil
 		s.lists[c.state].count--
 	}
+	if c.meter != nil && to != c.state && !(to.sends() && c.state.sends()) {
+		s.cfg.Pace.End(c.meter, c.origin())
+		c.meter = nil
+	}
 	c.state = to
 	if to == outside {
 		return
@@ -56,8 +69,9 @@
 
 // limit is how long one may stay now.
 func (l *list) limit() loop.Micros {
-	if l.server.cfg.Shrink && l == &l.server.lists[idle] {
-		return l.server.account.Idle(l.most)
+	s := l.server
+	if s.cfg.Shrink && (l == &s.lists[idle] || l == &s.lists[parked]) {
+		return s.account.Idle(l.most)
 	}
 	return l.most
 }
@@ -80,7 +94,7 @@
 func (l *list) expire() {
 	now := l.server.loop.Now()
 	for c := l.head.next; c != &l.head && now-c.since >= l.limit(); c = l.head.next {
-		c.quit() // which takes it to another state
+		l.ended(c) // which takes it to another state
 	}
 	l.watch()
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -174,6 +174,9 @@
 // Open counts the calls that are not answered yet.
 func (g *Gateway) Open() int { return len(g.calls) }
 
+// Kept is the bytes of the own copies.
+func (g *Gateway) Kept() int { return g.copies.bytes }
+
 // Limit bounds the own copies anew.
 func (g *Gateway) Limit(c Copies) { g.copies.bound(c) }
 
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -9,12 +9,14 @@
 	"errors"
 	"fmt"
 	"log/slog"
-	"net"
+	"net/netip"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/cloudwego/netpoll"
+	"golang.org/x/sys/unix"
 
 	"cherryramp/internal/loop"
 )
@@ -38,20 +40,33 @@
 	Closed(c *Conn)   // it has ended; told once, and nothing follows
 }
 
+// Gauge tells what connections hold, in bytes. It may be read from anywhere.
+type Gauge struct {
+	In  atomic.Int64 // came and is not consumed
+	Out atomic.Int64 // waits for full sockets
+}
+
 // Conn is one connection with one buffer for what came in.
 type Conn struct {
 	loop    *loop.Loop
-	np      netpoll.Connection
-	fd      int
+	np      netpoll.Connection // used on the poller only; nil while parked
+	gauge   *Gauge
 	handler Handler // used on the loop only
+	peer    netip.AddrPort
+	fd      int
 	limit   int
-	dialed  bool
 
 	mu       sync.Mutex
 	in       []byte // what came and is not consumed
-	told     bool   // the loop is about to look at it
 	out      []byte // what a full socket did not take
-	flushing bool
+	sent     int64  // bytes that the socket has taken
+	came     int64  // bytes that have come
+	serial   int32  // in the watch
+	events   uint32 // that the watch looks for
+	dialed   bool
+	told     bool // the loop is about to look at what came
+	flushing bool // out waits
+	parked   bool // netpoll knows nothing of it
 	closed   bool // the poller has said its last word; the descriptor may be another's
 	shut     bool // told to end
 	discard  bool // what comes in is of no more use
@@ -75,7 +90,7 @@
 	if err != nil {
 		return fmt.Errorf("transport: %w", err)
 	}
-	return nil
+	return startWatch()
 }
 
 // printer passes the poller's lines to the log.
@@ -83,27 +98,33 @@
 
 // Write is part of io.Writer.
 func (p printer) Write(line []byte) (int, error) {
+	if bytes.Contains(line, []byte(syscall.EMFILE.Error())) {
+		p.log.Warn("descriptors have run out: clients wait until one is free")
+	}
 	p.log.Debug("poller", "text", string(bytes.TrimSpace(line)))
 	return len(line), nil
 }
 
 type connKey struct{}
 
+// onRequest runs on the poller when bytes have come.
+func onRequest(ctx context.Context, _ netpoll.Connection) error {
+	ctx.Value(connKey{}).(*Conn).receive()
+	return nil
+}
+
 // Listen accepts connections at an address. For each, admit is called on the
 // poller and gives the connection's handler; nil turns the connection away.
-// What a connection buffers is bounded by limit; see Flooded.
-func Listen(l *loop.Loop, address string, limit int, admit func(*Conn) Handler) error {
+// What a connection buffers is bounded by limit; see Flooded. What all hold is in
+// the gauge.
+func Listen(l *loop.Loop, address string, limit int, g *Gauge, admit func(*Conn) Handler) error {
 	ln, err := netpoll.CreateListener("tcp", address)
 	if err != nil {
 		return fmt.Errorf("transport: listen on %s: %w", address, err)
 	}
-	events, err := netpoll.NewEventLoop(
-		func(ctx context.Context, _ netpoll.Connection) error {
-			ctx.Value(connKey{}).(*Conn).receive()
-			return nil
-		},
+	events, err := netpoll.NewEventLoop(onRequest,
 		netpoll.WithOnPrepare(func(np netpoll.Connection) context.Context {
-			c := wrap(l, np, limit)
+			c := wrap(l, np, limit, g)
 			c.handler = admit(c)
 			ctx := context.WithValue(context.Background(), connKey{}, c)
 			if c.handler == nil {
@@ -123,7 +144,7 @@
 }
 
 // Dial connects until a deadline and then tells ready, on the loop.
-func Dial(l *loop.Loop, address string, limit int, h Handler, by loop.Micros, ready func(*Conn, error)) {
+func Dial(l *loop.Loop, address string, limit int, g *Gauge, h Handler, by loop.Micros, ready func(*Conn, error)) {
 	go func() {
 		left := time.Duration(by-l.Now()) * time.Microsecond
 		np, err := netpoll.DialConnection("tcp", address, max(left, time.Microsecond))
@@ -131,7 +152,7 @@
 			l.Post(func() { ready(nil, fmt.Errorf("transport: dial %s: %w", address, err)) })
 			return
 		}
-		c := wrap(l, np, limit)
+		c := wrap(l, np, limit, g)
 		c.handler, c.dialed = h, true
 		_ = syscall.SetsockoptInt(c.fd, syscall.SOL_SOCKET, syscall.SO_RCVBUF, peerBuffer)
 		l.Post(func() {
@@ -149,8 +170,11 @@
 	}()
 }
 
-func wrap(l *loop.Loop, np netpoll.Connection, limit int) *Conn {
-	c := &Conn{loop: l, np: np, limit: limit, fd: -1}
+func wrap(l *loop.Loop, np netpoll.Connection, limit int, g *Gauge) *Conn {
+	c := &Conn{loop: l, np: np, limit: limit, gauge: g, fd: -1}
+	if at, err := netip.ParseAddrPort(np.RemoteAddr().String()); err == nil {
+		c.peer = at
+	}
 	if x, ok := np.(netpoll.Conn); ok {
 		c.fd = x.Fd()
 	}
@@ -163,6 +187,7 @@
 	p, err := r.Next(r.Len())
 	c.mu.Lock()
 	tell := !c.told && !c.discard
+	c.came += int64(len(p))
 	if err == nil && !c.discard {
 		if len(c.in)+len(p) > c.limit {
 			c.flooded, c.discard = true, true
@@ -171,6 +196,7 @@
 				c.in = buffers.Get().(*buffer)[:0]
 			}
 			c.in = append(c.in, p...)
+			c.gauge.In.Add(int64(len(p)))
 		}
 	}
 	c.told = c.told || tell
@@ -202,21 +228,42 @@
 // ended is the poller's last word on a connection; its descriptor is still open.
 func (c *Conn) ended(netpoll.Connection) error {
 	c.mu.Lock()
+	if c.parked { // netpoll has only let go of it
+		c.mu.Unlock()
+		return nil
+	}
 	first := !c.closed
 	c.closed = true
+	if first {
+		c.gauge.Out.Add(int64(-len(c.out)))
+		c.out, c.flushing = nil, false
+		watched.w.set(c, 0)
+	}
 	c.mu.Unlock()
 	if first {
-		c.loop.Post(func() { c.handler.Closed(c) })
+		c.loop.Post(func() { // behind what came before the end
+			c.handler.Closed(c)
+			c.mu.Lock()
+			c.drop()
+			c.mu.Unlock()
+		})
 	}
 	return nil
 }
 
+// drop lets go of what came in.
+func (c *Conn) drop() {
+	c.gauge.In.Add(int64(-len(c.in)))
+	c.in = nil
+}
+
 // Consume shows parse all that has come and drops the bytes that it says it
 // has used. What parse keeps it must copy.
 func (c *Conn) Consume(parse func(b []byte) (used int)) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	n := parse(c.in)
+	c.gauge.In.Add(int64(-n))
 	rest := copy(c.in, c.in[n:])
 	c.in = c.in[:rest]
 	if rest > 0 {
@@ -247,63 +294,64 @@
 		return false, ErrClosed
 	}
 	if !c.flushing {
-		for len(p) > 0 {
-			n, err := syscall.Write(c.fd, p)
-			if n > 0 {
-				p = p[n:]
-			}
-			if errors.Is(err, syscall.EINTR) {
-				continue
-			}
-			if errors.Is(err, syscall.EAGAIN) {
-				break
-			}
-			if err != nil {
-				return false, fmt.Errorf("transport: write: %w", err)
-			}
+		n, err := c.write(p)
+		if err != nil {
+			return false, fmt.Errorf("transport: write: %w", err)
 		}
-		if len(p) == 0 {
+		if p = p[n:]; len(p) == 0 {
 			return true, nil
 		}
 	}
 	c.out = append(c.out, p...)
+	c.gauge.Out.Add(int64(len(p)))
 	if !c.flushing {
 		c.flushing = true
-		go c.flush()
+		watched.w.set(c, c.wants())
 	}
 	return false, nil
 }
 
-// flush waits on a full socket, away from the loop; there is one at most for a
-// connection.
-func (c *Conn) flush() {
-	for {
-		c.mu.Lock()
-		out := c.out
-		c.out = nil
-		if c.closed {
-			c.mu.Unlock()
-			return
+// write hands bytes to the socket and tells how many it took.
+func (c *Conn) write(p []byte) (n int, err error) {
+	for n < len(p) {
+		some, err := syscall.Write(c.fd, p[n:])
+		if some > 0 {
+			n += some
+			c.sent += int64(some)
 		}
-		if len(out) == 0 {
-			c.flushing = false
-			if c.ending {
-				_ = syscall.Shutdown(c.fd, syscall.SHUT_WR)
-			}
-			c.mu.Unlock()
-			c.loop.Post(func() { c.handler.Drained(c) })
-			return
+		if errors.Is(err, syscall.EINTR) {
+			continue
 		}
-		c.mu.Unlock()
-		_, err := c.np.Writer().WriteBinary(out)
-		if err == nil {
-			err = c.np.Writer().Flush()
+		if errors.Is(err, syscall.EAGAIN) {
+			break
 		}
-		if err != nil { // Closed follows, and not Drained
-			c.Close()
-			return
+		if err != nil {
+			return n, err
 		}
 	}
+	return n, nil
+}
+
+func (c *Conn) drained() { c.handler.Drained(c) }
+
+// Park asks that as little as can be is held for a connection until it brings
+// something. One that is not idle is left as it is.
+func (c *Conn) Park() { watched.w.ask(c) }
+
+// Taken counts the bytes of what was sent that the other side has acknowledged,
+// and those that it has not: in the kernel, or waiting here. Where the kernel does
+// not tell, those that it holds count as taken.
+func (c *Conn) Taken() (taken int64, left int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return c.sent, 0
+	}
+	held, err := unix.IoctlGetInt(c.fd, unix.SIOCOUTQ)
+	if err != nil {
+		held = 0
+	}
+	return c.sent - int64(held), held + len(c.out)
 }
 
 // Blocked tells whether bytes wait for a full socket.
@@ -313,6 +361,20 @@
 	return c.flushing
 }
 
+// Came counts the bytes that have come.
+func (c *Conn) Came() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.came
+}
+
+// Waiting counts the bytes that wait for a full socket.
+func (c *Conn) Waiting() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.out)
+}
+
 // Close ends a connection now. Closed follows. It only shuts the socket, which
 // the poller then takes for an end by the other side: netpoll's own Close waits
 // for the poller to leave the connection, and so for ever where the poller is
@@ -320,13 +382,29 @@
 func (c *Conn) Close() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.close()
+}
+
+func (c *Conn) close() {
 	if c.closed || c.shut {
 		return
 	}
-	c.shut, c.discard, c.in = true, true, nil
+	c.shut, c.discard = true, true
+	c.drop()
 	_ = syscall.Shutdown(c.fd, syscall.SHUT_RDWR)
 }
 
+// Abort ends a connection now and has the kernel drop what it holds for it, so that
+// the other side sees a reset and not a whole end.
+func (c *Conn) Abort() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.closed {
+		_ = syscall.SetsockoptLinger(c.fd, syscall.SOL_SOCKET, syscall.SO_LINGER, &syscall.Linger{Onoff: 1})
+	}
+	c.close()
+}
+
 // Finish ends a connection once all is out and the other side has seen it: what
 // still comes in is dropped, so that no reset overtakes the last answer.
 func (c *Conn) Finish() {
@@ -335,7 +413,8 @@
 		c.mu.Unlock()
 		return
 	}
-	c.ending, c.discard, c.in = true, true, nil
+	c.ending, c.discard = true, true
+	c.drop()
 	if !c.flushing {
 		_ = syscall.Shutdown(c.fd, syscall.SHUT_WR)
 	}
@@ -343,5 +422,5 @@
 	c.loop.At(c.loop.Now()+lingerSpan, c.Close)
 }
 
-// Peer is the other side's address, for the log.
-func (c *Conn) Peer() net.Addr { return c.np.RemoteAddr() }
+// Peer is the other side's address.
+func (c *Conn) Peer() netip.AddrPort { return c.peer }
--- /dev/null
+++ b/internal/transport/transport_test.go
@@ -0,0 +1,266 @@
+package transport
+
+import (
+	"bytes"
+	"io"
+	"log/slog"
+	"net"
+	"os"
+	"sync"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"cherryramp/internal/loop"
+	"cherryramp/internal/seeded"
+)
+
+func TestMain(m *testing.M) { seeded.Main(m) }
+
+const patience = 10 * time.Second
+
+// end is the server's side of a connection; what happens to it is told on channels.
+type end struct {
+	c       *Conn
+	mu      sync.Mutex
+	got     []byte
+	more    chan struct{} // something was added to got
+	drained chan struct{}
+	closed  chan struct{}
+}
+
+func (e *end) Readable(c *Conn) {
+	c.Consume(func(b []byte) int {
+		e.mu.Lock()
+		e.got = append(e.got, b...)
+		e.mu.Unlock()
+		return len(b)
+	})
+	select {
+	case e.more <- struct{}{}:
+	default:
+	}
+}
+func (e *end) Drained(*Conn) { e.drained <- struct{}{} }
+func (e *end) Closed(*Conn)  { close(e.closed) }
+
+// world is a listener whose connections do nothing by themselves.
+type world struct {
+	loop  *loop.Loop
+	addr  string
+	gauge Gauge
+	ends  chan *end
+}
+
+func newWorld(t testing.TB) *world {
+	t.Helper()
+	if err := Setup(slog.New(slog.NewTextHandler(io.Discard, nil))); err != nil {
+		t.Fatal(err)
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	w := &world{addr: ln.Addr().String(), ends: make(chan *end, 1)}
+	_ = ln.Close()
+	w.loop = loop.New(func() {})
+	go w.loop.Run()
+	t.Cleanup(func() { w.loop.Post(w.loop.Quit) })
+	err = Listen(w.loop, w.addr, 1<<20, &w.gauge, func(c *Conn) Handler {
+		e := &end{c: c, more: make(chan struct{}, 1), drained: make(chan struct{}, 1), closed: make(chan struct{})}
+		w.ends <- e
+		return e
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return w
+}
+
+func (w *world) dial(t interface{ Fatal(...any) }) (net.Conn, *end) {
+	c, err := net.Dial("tcp", w.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = c.SetDeadline(time.Now().Add(patience))
+	return c, <-w.ends
+}
+
+// until looks again and again whether something holds.
+func until(t interface{ Fatal(...any) }, what string, holds func() bool) {
+	for end := time.Now().Add(patience); !holds(); {
+		if time.Now().After(end) {
+			t.Fatal(what)
+		}
+		time.Sleep(100 * time.Microsecond)
+	}
+}
+
+func (e *end) parked() bool {
+	e.c.mu.Lock()
+	defer e.c.mu.Unlock()
+	return e.c.parked
+}
+
+func (e *end) has(want []byte) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return bytes.Equal(e.got, want)
+}
+
+// What comes to a parked connection, or crosses its parking, comes once and in
+// order; so does its end.
+func TestParkLosesNothing(t *testing.T) {
+	w := newWorld(t)
+	rapid.Check(t, func(t *rapid.T) {
+		client, e := w.dial(t)
+		defer func() { _ = client.Close() }()
+		var sent []byte
+		for range rapid.IntRange(1, 20).Draw(t, "steps") {
+			switch rapid.IntRange(0, 2).Draw(t, "step") {
+			case 0:
+				e.c.Park()
+			case 1: // surely parked
+				until(t, "did not come", func() bool { return e.has(sent) })
+				until(t, "not parked", func() bool { e.c.Park(); return e.parked() })
+			}
+			p := rapid.SliceOfN(rapid.Byte(), 1, 4000).Draw(t, "bytes")
+			if _, err := client.Write(p); err != nil {
+				t.Fatal(err)
+			}
+			sent = append(sent, p...)
+		}
+		until(t, "bytes are missing", func() bool { return e.has(sent) })
+		if rapid.Bool().Draw(t, "parked at the end") {
+			e.c.Park()
+		}
+		if rapid.Bool().Draw(t, "we close") {
+			e.c.Close()
+			if n, _ := client.Read(make([]byte, 1)); n != 0 {
+				t.Fatal("no end")
+			}
+		}
+		_ = client.Close()
+		select {
+		case <-e.closed:
+		case <-time.After(patience):
+			t.Fatal("its end is not told")
+		}
+	})
+	until(t, "the gauge counts what has gone", func() bool { return w.gauge.In.Load() == 0 && w.gauge.Out.Load() == 0 })
+}
+
+// A full socket takes the rest later, whole, with the other side's pace told, and
+// nothing stands there for a connection that ends before.
+func TestFullSocket(t *testing.T) {
+	w := newWorld(t)
+	client, e := w.dial(t)
+	data := bytes.Repeat([]byte("0123456789abcdef"), 1<<19) // 8 MB
+	whole, err := e.c.Send(data)
+	if whole || err != nil {
+		t.Fatal("nobody reads, and all was taken", err)
+	}
+	if taken, left := e.c.Taken(); left == 0 || taken+int64(left) != int64(len(data)) || w.gauge.Out.Load() == 0 {
+		t.Errorf("%d taken and %d left of %d", taken, left, len(data))
+	}
+	got := make([]byte, len(data))
+	if _, err := io.ReadFull(client, got); err != nil || !bytes.Equal(got, data) {
+		t.Fatal("not what was sent", err)
+	}
+	<-e.drained
+	until(t, "all was read, and not all is taken", func() bool {
+		taken, left := e.c.Taken()
+		return taken == int64(len(data)) && left == 0
+	})
+	if n := w.gauge.Out.Load(); n != 0 {
+		t.Errorf("%d bytes wait", n)
+	}
+	if _, err := e.c.Send(data); err != nil {
+		t.Fatal(err)
+	}
+	_ = client.Close()
+	<-e.closed
+	if n := w.gauge.Out.Load(); n != 0 {
+		t.Errorf("%d bytes wait of what has ended", n)
+	}
+}
+
+// A connection that is parked and woken very often, and thousands that come and
+// go parked, leave no descriptor and nothing in the watch behind.
+func TestParkLeaksNothing(t *testing.T) {
+	w := newWorld(t)
+	files := func() int {
+		list, err := os.ReadDir("/proc/self/fd")
+		if err != nil {
+			t.Fatal(err)
+		}
+		return len(list)
+	}
+	before := files()
+	client, e := w.dial(t)
+	var sent []byte
+	for range 2000 {
+		until(t, "not parked", func() bool { e.c.Park(); return e.parked() })
+		_, _ = client.Write([]byte("x"))
+		sent = append(sent, 'x')
+		until(t, "did not come", func() bool { return e.has(sent) })
+	}
+	_ = client.Close()
+	<-e.closed
+	for range 500 {
+		client, e := w.dial(t)
+		until(t, "not parked", func() bool { e.c.Park(); return e.parked() })
+		_ = client.Close()
+		<-e.closed
+	}
+	watched.w.mu.Lock()
+	left := len(watched.w.conns)
+	watched.w.mu.Unlock()
+	if left != 0 {
+		t.Errorf("%d are left in the watch", left)
+	}
+	until(t, "descriptors are left", func() bool { return files() <= before+1 })
+}
+
+// BenchmarkPark is a connection parked and woken by a byte.
+func BenchmarkPark(b *testing.B) {
+	for _, park := range []bool{false, true} {
+		b.Run(map[bool]string{false: "left", true: "parked"}[park], func(b *testing.B) {
+			client, e := newWorld(b).dial(b)
+			defer func() { _ = client.Close() }()
+			_ = client.SetDeadline(time.Time{})
+			b.ReportAllocs()
+			for range b.N {
+				if park {
+					for e.c.Park(); !e.parked(); e.c.Park() {
+					}
+				}
+				_, _ = client.Write([]byte("x"))
+				<-e.more
+			}
+		})
+	}
+}
+
+// What came just before the end is still there when the loop comes to it.
+func TestLastWordsAreHeard(t *testing.T) {
+	w := newWorld(t)
+	for range 200 {
+		client, e := w.dial(t)
+		hold := make(chan struct{})
+		w.loop.Post(func() { <-hold }) // until the poller has seen both
+		_, _ = client.Write([]byte("last words"))
+		_ = client.Close()
+		until(t, "the poller has not seen the end", func() bool {
+			e.c.mu.Lock()
+			defer e.c.mu.Unlock()
+			return e.c.closed
+		})
+		close(hold)
+		<-e.closed
+		if !e.has([]byte("last words")) {
+			t.Fatalf("got %q", e.got)
+		}
+	}
+}
--- /dev/null
+++ b/internal/transport/watch.go
@@ -0,0 +1,250 @@
+package transport
+
+import (
+	"context"
+	"encoding/binary"
+	"fmt"
+	"net"
+	"sync"
+	"syscall"
+
+	"github.com/cloudwego/netpoll"
+)
+
+// watch is an epoll instance of our own that netpoll's poller watches as if it
+// were a listener: epoll descriptors can be polled themselves (epoll(7)). So its
+// Accept runs on the poller whenever something happens there, and never beside
+// what the poller does for a connection. Two kinds of descriptors stand in it:
+//
+//   - parked connections, those that have long been idle. netpoll's part of one,
+//     some 4 KB, is given up; only the descriptor stays. Its first byte, or its
+//     end, makes Accept hand the descriptor back to netpoll as if it were new.
+//   - full sockets, until they take more. Nothing is started to wait for them.
+type watch struct {
+	fd, wake int // epoll instance; eventfd that has it look at what is to be parked
+	events   [128]syscall.EpollEvent
+	ready    []syscall.EpollEvent // of events, not looked at yet
+	thawed   *Conn                // handed back to netpoll at this moment
+
+	mu     sync.Mutex
+	serial int32
+	conns  map[int32]*Conn // by serial; of those in the epoll instance
+	parks  []*Conn         // asked for
+}
+
+// watched is the program's watch, as netpoll's poller is the program's.
+var watched struct {
+	once sync.Once
+	w    *watch
+	err  error
+}
+
+// startWatch has the poller look after the watch; once for the program.
+func startWatch() error {
+	watched.once.Do(func() { watched.w, watched.err = newWatch() })
+	return watched.err
+}
+
+func newWatch() (*watch, error) {
+	fd, err := syscall.EpollCreate1(syscall.EPOLL_CLOEXEC)
+	if err != nil {
+		return nil, fmt.Errorf("transport: epoll: %w", err)
+	}
+	wake, _, errno := syscall.Syscall(syscall.SYS_EVENTFD2, 0, syscall.O_NONBLOCK|syscall.O_CLOEXEC, 0)
+	if errno != 0 {
+		return nil, fmt.Errorf("transport: eventfd: %w", errno)
+	}
+	w := &watch{fd: fd, wake: int(wake), conns: map[int32]*Conn{}}
+	if err := syscall.EpollCtl(fd, syscall.EPOLL_CTL_ADD, w.wake, &syscall.EpollEvent{Events: syscall.EPOLLIN, Fd: int32(wake)}); err != nil {
+		return nil, fmt.Errorf("transport: epoll: %w", err)
+	}
+	events, err := netpoll.NewEventLoop(onRequest, netpoll.WithOnPrepare(w.thaw))
+	if err != nil {
+		return nil, fmt.Errorf("transport: %w", err)
+	}
+	go func() { _ = events.Serve(w) }()
+	return w, nil
+}
+
+// Fd is part of netpoll.Listener.
+func (w *watch) Fd() int { return w.fd }
+
+// Addr is part of net.Listener.
+func (w *watch) Addr() net.Addr { return &net.UnixAddr{Name: "watch", Net: "unix"} }
+
+// Close is part of net.Listener. The watch lives as long as the program.
+func (w *watch) Close() error { return nil }
+
+// Accept runs on the poller. It gives a connection that is no longer parked, or
+// nothing; while something is left the poller calls it again.
+func (w *watch) Accept() (net.Conn, error) {
+	if len(w.ready) == 0 {
+		n, err := syscall.EpollWait(w.fd, w.events[:], 0)
+		if err != nil || n <= 0 {
+			return nil, nil // EINTR: it is called again
+		}
+		w.ready = w.events[:n]
+	}
+	for len(w.ready) > 0 {
+		e := w.ready[0]
+		w.ready = w.ready[1:]
+		if int(e.Fd) == w.wake {
+			w.parkAll()
+			continue
+		}
+		w.mu.Lock()
+		c := w.conns[e.Pad]
+		w.mu.Unlock()
+		if c == nil {
+			continue // it ended after the event
+		}
+		c.push()
+		if c.wakeUp() {
+			w.thawed = c
+			return thawedFD{c: c}, nil
+		}
+	}
+	return nil, nil
+}
+
+// thaw gives a connection that was parked its place in netpoll again.
+func (w *watch) thaw(np netpoll.Connection) context.Context {
+	c := w.thawed
+	w.thawed = nil
+	c.np = np
+	_ = np.AddCloseCallback(c.ended)
+	return context.WithValue(context.Background(), connKey{}, c)
+}
+
+// thawedFD is what netpoll takes over of a connection: its descriptor and its
+// addresses. The rest of a net.Conn netpoll brings itself, so there is none here.
+type thawedFD struct {
+	net.Conn
+	c *Conn
+}
+
+// Fd is part of netpoll.Conn.
+func (t thawedFD) Fd() int { return t.c.fd }
+
+// RemoteAddr is part of net.Conn.
+func (t thawedFD) RemoteAddr() net.Addr { return net.TCPAddrFromAddrPort(t.c.peer) }
+
+// LocalAddr is part of net.Conn.
+func (t thawedFD) LocalAddr() net.Addr { return &net.TCPAddr{} }
+
+// set has a descriptor watched for events; none takes it out.
+func (w *watch) set(c *Conn, events uint32) {
+	if events == c.events {
+		return
+	}
+	op := syscall.EPOLL_CTL_MOD
+	w.mu.Lock()
+	switch {
+	case c.events == 0:
+		op = syscall.EPOLL_CTL_ADD
+		for w.serial++; w.serial == 0 || w.conns[w.serial] != nil; w.serial++ {
+		}
+		c.serial = w.serial
+		w.conns[c.serial] = c
+	case events == 0:
+		op = syscall.EPOLL_CTL_DEL
+		delete(w.conns, c.serial)
+	}
+	w.mu.Unlock()
+	c.events = events
+	// It fails for a descriptor that has ended, of which Closed tells.
+	_ = syscall.EpollCtl(w.fd, op, c.fd, &syscall.EpollEvent{Events: events, Fd: int32(c.fd), Pad: c.serial})
+}
+
+// ask has the poller park a connection.
+func (w *watch) ask(c *Conn) {
+	w.mu.Lock()
+	w.parks = append(w.parks, c)
+	first := len(w.parks) == 1
+	w.mu.Unlock()
+	if first {
+		var one [8]byte
+		binary.NativeEndian.PutUint64(one[:], 1)
+		_, _ = syscall.Write(w.wake, one[:])
+	}
+}
+
+func (w *watch) parkAll() {
+	var count [8]byte
+	_, _ = syscall.Read(w.wake, count[:])
+	w.mu.Lock()
+	parks := w.parks
+	w.parks = nil
+	w.mu.Unlock()
+	for _, c := range parks {
+		c.park(w)
+	}
+}
+
+// park gives netpoll's part of a connection up. It runs on the poller, so nothing
+// of the connection is under way there; netpoll's Detach may be called at no
+// other time, since it waits for the poller.
+func (c *Conn) park(w *watch) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.parked || c.closed || c.shut || c.ending || c.discard || c.flushing || c.told || len(c.in) > 0 ||
+		c.np == nil || c.np.Reader().Len() > 0 {
+		return // it is no longer idle
+	}
+	np, ok := c.np.(interface{ Detach() error })
+	if !ok {
+		return
+	}
+	c.parked, c.np = true, nil
+	c.mu.Unlock()
+	_ = np.Detach() // calls ended, which passes over a parked connection
+	c.mu.Lock()
+	w.set(c, c.wants())
+}
+
+// wants is the events that the watch has to look for.
+func (c *Conn) wants() (events uint32) {
+	if c.parked {
+		events = syscall.EPOLLIN | syscall.EPOLLRDHUP
+	}
+	if c.flushing {
+		events |= syscall.EPOLLOUT
+	}
+	return events
+}
+
+// wakeUp ends a connection's being parked, and tells whether it was.
+func (c *Conn) wakeUp() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	was := c.parked
+	c.parked = false
+	watched.w.set(c, c.wants())
+	return was
+}
+
+// push sends what waited for a full socket. Drained follows when all is out. What
+// can't be sent ends the connection.
+func (c *Conn) push() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.flushing || c.closed {
+		return
+	}
+	n, err := c.write(c.out)
+	c.gauge.Out.Add(int64(-n))
+	c.out = c.out[n:]
+	if err != nil {
+		c.close()
+		return
+	}
+	if len(c.out) > 0 {
+		return
+	}
+	c.out, c.flushing = nil, false
+	watched.w.set(c, c.wants())
+	if c.ending {
+		_ = syscall.Shutdown(c.fd, syscall.SHUT_WR)
+	}
+	c.loop.Post(c.drained)
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -50,6 +50,7 @@
 	log   *slog.Logger
 	pools map[rules.ServerID]*pool
 	where map[*gateway.Attempt]*conn // attempts that were given to a connection
+	held  transport.Gauge
 	buf   []byte
 }
 
@@ -61,6 +62,14 @@
 		where: map[*gateway.Attempt]*conn{}}
 }
 
+// Held is the connections to all servers, and the bytes that they hold.
+func (p *Pools) Held() (connections int, bytes int64) {
+	for _, x := range p.pools {
+		connections += len(x.conns) + x.dialing
+	}
+	return connections, p.held.In.Load() + p.held.Out.Load()
+}
+
 // pool is one server's connections and what waits for them.
 type pool struct {
 	all     *Pools
@@ -278,7 +287,7 @@
 	p := x.all
 	c := &conn{pool: x, open: map[string]*gateway.Attempt{}, past: map[string]struct{}{}}
 	addr, born := x.addr, x.born
-	transport.Dial(p.loop, addr, inputLimit, c, p.loop.Now()+p.cfg.ConnectTime,
+	transport.Dial(p.loop, addr, inputLimit, &p.held, c, p.loop.Now()+p.cfg.ConnectTime,
 		func(tc *transport.Conn, err error) {
 			x.dialing--
 			if x.denied = err != nil; err == nil {
