Requests without a place wait for one, by worth and time left, as long as it is in time

Cause: the learnt limit refused whatever found no place at once.

Change: decide/admission keeps a queue. A lane a class and kind of prefix, ranked by the worth that a place earns a second, a heap by time left in each; Little's law at the measured pace says who can be answered in time. Who can't is refused at once, also when that turns out later. session.Queue drives it for both fronts. Parked connections are read by the watch itself and are not handed back.

--- a/cmd/cherryramp/serve.go
+++ b/cmd/cherryramp/serve.go
@@ -95,8 +95,9 @@
 	news     *board.Board
 	fronts   []*session.Server
 	operator *config.Operator
-	signed   *signed.Front // nil: off
-	held     *balance      // nil: no account of bytes is kept
+	signed   *signed.Front  // nil: off
+	held     *balance       // nil: no account of bytes is kept
+	queue    *session.Queue // nil: no limit is learnt
 	stopping bool
 }
 
@@ -152,7 +153,8 @@
 		Connections: int(clientShare * float64(cfg.Sockets))}
 	bound(&limits, operator.Clients)
 	p.held.apply(&limits, cfg.Sockets)
-	limits.Admission = limiter(cfg, operator.Clients)
+	p.queue = limiter(p.loop, cfg, operator.Clients)
+	limits.Admission = p.queue
 	if c := operator.Clients; c != nil && c.Held > 0 {
 		limits.Connections = c.Held
 	}
@@ -193,10 +195,11 @@
 	admitLeast = 8       // requests that the limiter always lets be open
 	admitStart = 64      // and before it has learnt anything
 	admitAway  = 500_000 // us to stay away at most, where the settings give no time
+	admitQueue = 1 << 15 // requests that wait at most
 )
 
 // limiter makes the limiter of requests, where the operator's file asks for one.
-func limiter(cfg *config.Config, c *config.Clients) *admission.Limiter {
+func limiter(l *loop.Loop, cfg *config.Config, c *config.Clients) *session.Queue {
 	if c == nil || c.Admission == "" {
 		return nil
 	}
@@ -204,8 +207,13 @@
 	if c.Admission == "gradient" {
 		law = admission.Gradient
 	}
-	return admission.New(admission.Config{Law: law, Least: admitLeast, Start: admitStart, Most: max(admitStart, cfg.Settings.MaxHeld),
-		Away: cmp.Or(cfg.Settings.MaxAway, admitAway), Seed: cfg.Seed})
+	var worth []float64
+	for _, x := range cfg.Settings.Classes {
+		worth = append(worth, x.Worth)
+	}
+	return session.NewQueue(l, admission.New(admission.Config{Law: law, Least: admitLeast, Start: admitStart,
+		Most: max(admitStart, cfg.Settings.MaxHeld), Queue: admitQueue, Away: cmp.Or(cfg.Settings.MaxAway, admitAway),
+		Worth: worth, Seed: cfg.Seed}))
 }
 
 // purgesOnly is a gateway whose members come from elsewhere than the board.
@@ -302,6 +310,9 @@
 	p.loop.At(now+last, func() {
 		if open := p.gate.Open(); open > 0 {
 			p.log.Warn("out of time: what is open is failed", "open", open)
+			if p.queue != nil {
+				p.queue.Abandon()
+			}
 			p.gate.Abandon()
 		}
 	})
--- a/internal/decide/admission/admission.go
+++ b/internal/decide/admission/admission.go
@@ -1,9 +1,12 @@
 // Package admission decides how many requests a front takes at a time when far
 // more come than it can answer, as when all idle clients wake at once. It learns
 // from the answers alone: how fast they go out, and how much longer each takes
-// than it did when little was open. What it refuses it refuses at once, with a
-// time to come back that belongs to that client: times are handed out one after
-// the other at the pace of the answers, so that what returns finds room.
+// than it did when little was open. Who finds no place waits for one, in the order
+// of the worth that a place earns and then of the time left, as long as the pace
+// allows an answer in time. Who can't be answered in time is refused as soon as
+// that is known, with a time to come back that belongs to that client: times are
+// handed out one after the other at the pace of the answers, so that what returns
+// finds room.
 //
 // Which server answers, and what is tried again, is decided elsewhere; a request
 // that is refused here has reached nothing. It does no I/O, asks no clock, and its
@@ -34,29 +37,36 @@
 // Config bounds the limit.
 type Config struct {
 	Law         Law
-	Least, Most int    // requests open at a time
-	Start       int    // before anything is learnt
-	Away        Micros // the greatest time to stay away
+	Least, Most int       // requests open at a time
+	Start       int       // before anything is learnt
+	Queue       int       // requests that wait at a time
+	Away        Micros    // the greatest time to stay away
+	Worth       []float64 // of the classes
 	Seed        uint64
 }
 
 const (
-	round       Micros = 50_000 // after which what was measured is used
-	fewest      int    = 8      // answers, or the round goes on
-	tolerance          = 2.0    // how much slower than usual is still well
-	usualWeight        = 0.01   // of a round, in the usual time
-	paceWeight         = 0.3    // of a round, in the pace
-	fairFrom           = 0.75   // share of the limit from which prefixes are held apart
-	fairShare          = 0.25   // of what came lately that one prefix may be
-	fairLeast          = 32     // requests lately, under which nobody is too many
-	freshShare         = 0.2    // of the pace that is kept for those who come for the first time
+	round        Micros = 50_000 // after which what was measured is used
+	fewest       int    = 8      // answers, or the round goes on
+	tolerance           = 2.0    // how much slower than usual is still well
+	usualWeight         = 0.01   // of a round, in the usual time
+	paceWeight          = 0.3    // of a round, in the pace
+	fairFrom            = 0.75   // share of the limit from which prefixes are held apart
+	fairShare           = 0.25   // of what came lately that one prefix may be
+	fairLeast           = 32     // requests lately, under which nobody is too many
+	freshShare          = 0.2    // of the pace that is kept for those who come for the first time
+	timeWeight          = 0.05   // of one answer in its class's time
+	unknownQueue        = 8      // times the limit that may be open or wait while the pace is unknown
 )
 
 // Limiter takes and refuses requests.
 type Limiter struct {
-	cfg   Config
-	limit float64
-	open  int
+	cfg     Config
+	limit   float64
+	open    int
+	lanes   []lane
+	waiting int
+	doubt   bool // something has changed since all that wait were found to be in time
 
 	began  Micros // the round
 	count  int    // answers in it
@@ -72,7 +82,13 @@
 
 // New makes a limiter.
 func New(cfg Config) *Limiter {
-	return &Limiter{cfg: cfg, limit: float64(min(max(cfg.Start, cfg.Least), cfg.Most)), came: suspects.New(cfg.Seed)}
+	l := &Limiter{cfg: cfg, limit: float64(min(max(cfg.Start, cfg.Least), cfg.Most)), came: suspects.New(cfg.Seed),
+		lanes: make([]lane, 2*len(cfg.Worth))}
+	for class, worth := range cfg.Worth {
+		l.lanes[laneOf(class, false)].worth = worth
+		l.lanes[laneOf(class, true)].worth = worth * heavyLess
+	}
+	return l
 }
 
 // Limit is how many may be open now.
@@ -84,19 +100,51 @@
 // Pace is the answers a second, as measured; 0: not known yet.
 func (l *Limiter) Pace() float64 { return l.pace * 1e6 }
 
-// Take asks for one request whose client waits so long. Refused, it tells how
-// long to stay away. What was taken must be given back with Done.
-func (l *Limiter) Take(from netip.Prefix, left, now Micros) (away Micros, ok bool) {
-	heavy := l.heavy(from, now)
-	switch {
-	case l.open >= int(l.limit), heavy && float64(l.open) >= fairFrom*l.limit:
-		return l.away(now), false
-	case l.pace > 0 && float64(l.open) > float64(l.cfg.Least) && float64(l.open+1)/l.pace > float64(left):
-		return l.away(now), false // by Little's law it would be answered too late
+// Verdict says what becomes of a request.
+type Verdict uint8
+
+// The verdicts.
+const (
+	Taken Verdict = iota // it must be given back with Done
+	Waits                // Next or Leave ends that
+	Refused
+)
+
+// Ask asks for one request. Refused, it is told how long to stay away. Where it
+// waits, another may have had to yield to it; that one is refused.
+func (l *Limiter) Ask(t *Ticket, now Micros) (v Verdict, away Micros, yields *Ticket) {
+	place := laneOf(t.Class, l.heavy(t.From, now))
+	x := &l.lanes[place]
+	if l.waiting == 0 && l.open < int(l.limit) && (place%2 == 0 || float64(l.open) < fairFrom*l.limit) {
+		if l.open > l.cfg.Least && !l.inTime(l.open, x, t.Until, now) {
+			return Refused, l.away(now), nil
+		}
+		l.enter()
+		return Taken, 0, nil
+	}
+	if !l.inTime(l.open+l.ahead(x.rank()), x, t.Until, now) {
+		return Refused, l.away(now), nil
 	}
+	if l.waiting >= l.cfg.Queue {
+		worst := l.worst()
+		if worst == nil || worst.rank() >= x.rank() {
+			return Refused, l.away(now), nil
+		}
+		yields = worst.take(0)
+		l.waiting--
+	}
+	x.push(t, place)
+	l.waiting++
+	l.doubt = l.doubt || l.waiting > len(x.tickets) // those of lower rank are further behind
+	if yields != nil {
+		away = l.away(now)
+	}
+	return Waits, away, yields
+}
+
+func (l *Limiter) enter() {
 	l.open++
 	l.taken = max(l.taken, l.open)
-	return 0, true
 }
 
 // heavy counts a request and tells whether its prefix is too large a part of
@@ -121,7 +169,7 @@
 	if l.pace == 0 {
 		l.next = max(l.next, now) + l.cfg.Away/64
 	} else {
-		l.next = max(l.next, now+Micros(float64(l.open)/l.pace)) + Micros(1/(l.pace*(1-freshShare)))
+		l.next = max(l.next, now+Micros(float64(l.open+l.waiting)/l.pace)) + Micros(1/(l.pace*(1-freshShare)))
 	}
 	if l.next > now+l.cfg.Away {
 		l.next = now + l.cfg.Away/8
@@ -132,11 +180,19 @@
 
 // Done gives a request back; spent is from when it was taken to its answer, and
 // answered tells that it has one that took work.
-func (l *Limiter) Done(spent, now Micros, answered bool) {
+func (l *Limiter) Done(class int, spent, now Micros, answered bool) {
 	l.open--
 	if !answered {
 		return
 	}
+	for _, heavy := range []bool{false, true} {
+		x := &l.lanes[laneOf(class, heavy)]
+		if x.time == 0 {
+			x.time = float64(spent)
+		} else {
+			x.time += timeWeight * (float64(spent) - x.time)
+		}
+	}
 	if l.count == 0 && now-l.began > 4*round {
 		l.began = now - round // nothing was asked for meanwhile: that is no slow pace
 	}
@@ -146,7 +202,7 @@
 		return
 	}
 	l.learn(float64(l.spent)/float64(l.count), float64(l.count)/float64(now-l.began))
-	l.began, l.count, l.spent, l.taken = now, 0, 0, l.open
+	l.began, l.count, l.spent, l.taken, l.doubt = now, 0, 0, l.open, true
 }
 
 // learn ends a round with the mean time of an answer and the answers a microsecond.
--- a/internal/front/session/session.go
+++ b/internal/front/session/session.go
@@ -23,7 +23,7 @@
 
 // parkAfter is how long a connection must have been idle for as little of it to
 // be held as can be. It is longer than most clients take between two requests,
-// since parking and back costs some 20 us.
+// since netpoll serves those that stay busy with fewer system calls.
 const parkAfter = 1_000_000
 
 // The limits where a front sets none, in us.
@@ -48,18 +48,18 @@
 	Name        string // of the front, for the log
 	Listen      string
 	Limits      httpwire.Limits
-	Buffer      int                // bytes that may wait, of requests sent behind each other; 0: as one request
-	Connections int                // held at most
-	Prefix      int                // held of one prefix of addresses at most; 0: any number
-	Idle        loop.Micros        // that a connection may have no open request; 0: 4.5 s
-	Request     loop.Micros        // that a whole request may take to come; 0: 2.3 s
-	Shrink      bool               // idle times shrink as places fill, and clients are told
-	Park        bool               // connections long idle hold as little as can be
-	Pace        *pace.Pacer        // of requests that come and answers that go; nil: only whole times are bounded
-	Bytes       *resources.Budget  // of all parts of the program; nil: none is kept
-	Descriptors int                // of the process; 0: only the connections are bounded
-	Spare       int                // of them that stay free
-	Admission   *admission.Limiter // of requests, for all fronts that share it; nil: none
+	Buffer      int               // bytes that may wait, of requests sent behind each other; 0: as one request
+	Connections int               // held at most
+	Prefix      int               // held of one prefix of addresses at most; 0: any number
+	Idle        loop.Micros       // that a connection may have no open request; 0: 4.5 s
+	Request     loop.Micros       // that a whole request may take to come; 0: 2.3 s
+	Shrink      bool              // idle times shrink as places fill, and clients are told
+	Park        bool              // connections long idle hold as little as can be
+	Pace        *pace.Pacer       // of requests that come and answers that go; nil: only whole times are bounded
+	Bytes       *resources.Budget // of all parts of the program; nil: none is kept
+	Descriptors int               // of the process; 0: only the connections are bounded
+	Spare       int               // of them that stay free
+	Admission   *Queue            // of requests, for all fronts that share it; nil: none
 }
 
 // App gives requests and outcomes their meaning.
@@ -128,14 +128,15 @@
 type conn struct {
 	server  *Server
 	tc      *transport.Conn
-	x       *Exchange     // open
-	call    *gateway.Call // of the open one; nil while the App keeps it
-	taken   loop.Micros   // when the open call was let in; 0: not by the limiter
-	head    bool          // the open request wants no body
-	last    bool          // the connection ends with the answer
-	meter   *pace.Meter   // while a request comes or an answer goes
-	began   loop.Micros   // when the request began to come; 0: none is coming
-	begun   bool          // a request has come in part
+	x       *Exchange         // open
+	call    *gateway.Call     // of the open one; nil while the App keeps it
+	ticket  *admission.Ticket // of the open call; nil: not by the limiter
+	taken   loop.Micros       // when it was let in; 0: it waits
+	head    bool              // the open request wants no body
+	last    bool              // the connection ends with the answer
+	meter   *pace.Meter       // while a request comes or an answer goes
+	began   loop.Micros       // when the request began to come; 0: none is coming
+	begun   bool              // a request has come in part
 	over    bool
 	counted bool         // in the account
 	prefix  netip.Prefix // where prefixes are bounded
@@ -435,32 +436,20 @@
 }
 
 func (c *conn) submit(call *gateway.Call) {
-	if l := c.server.cfg.Admission; l != nil {
-		now := c.server.loop.Now()
-		away, ok := l.Take(suspects.Prefix(c.address()), call.Deadline-now, now)
-		if !ok { // nothing has been sent, so it is harmless
-			c.answer(gateway.Answer{Kind: gateway.Refused, Await: away})
-			return
-		}
-		c.taken = now
-	}
 	call.Caller = c
 	c.call = call
-	c.server.desk.Submit(call)
-}
-
-// done tells the limiter, if there is one, that the open call has ended.
-func (c *conn) done(answered bool) {
-	if c.taken > 0 {
-		now := c.server.loop.Now()
-		c.server.cfg.Admission.Done(now-c.taken, now, answered)
-		c.taken = 0
+	if q := c.server.cfg.Admission; q != nil {
+		q.ask(c)
+		return
 	}
+	c.server.desk.Submit(call)
 }
 
 // Answer words and writes the final answer of the open call.
 func (c *conn) Answer(a gateway.Answer) {
-	c.done(a.Kind == gateway.Served || a.Kind == gateway.Current)
+	if c.ticket != nil {
+		c.server.cfg.Admission.done(c, a.Kind == gateway.Served || a.Kind == gateway.Current)
+	}
 	c.answer(a)
 }
 
@@ -527,8 +516,13 @@
 		c.server.account.Leave(c.prefix)
 	}
 	if c.call != nil {
-		c.done(false)
-		c.server.desk.Leave(c.call)
+		waits := c.ticket != nil && c.ticket.Waits()
+		if c.ticket != nil {
+			c.server.cfg.Admission.done(c, false)
+		}
+		if !waits {
+			c.server.desk.Leave(c.call)
+		}
 		c.call = nil
 	}
 	if c.x != nil {
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -66,7 +66,7 @@
 	dialed   bool
 	told     bool // the loop is about to look at what came
 	flushing bool // out waits
-	parked   bool // netpoll knows nothing of it
+	parked   bool // netpoll knows nothing of it any more
 	closed   bool // the poller has said its last word; the descriptor may be another's
 	shut     bool // told to end
 	discard  bool // what comes in is of no more use
@@ -184,11 +184,18 @@
 // receive takes over what the poller has read.
 func (c *Conn) receive() {
 	r := c.np.Reader()
-	p, err := r.Next(r.Len())
+	if p, err := r.Next(r.Len()); err == nil {
+		c.deliver(p)
+	}
+	_ = r.Release()
+}
+
+// deliver keeps what has come for the loop to look at.
+func (c *Conn) deliver(p []byte) {
 	c.mu.Lock()
 	tell := !c.told && !c.discard
 	c.came += int64(len(p))
-	if err == nil && !c.discard {
+	if !c.discard {
 		if len(c.in)+len(p) > c.limit {
 			c.flooded, c.discard = true, true
 		} else {
@@ -201,7 +208,6 @@
 	}
 	c.told = c.told || tell
 	c.mu.Unlock()
-	_ = r.Release()
 	if tell {
 		c.loop.Post(c.readable)
 	}
@@ -228,10 +234,17 @@
 // ended is the poller's last word on a connection; its descriptor is still open.
 func (c *Conn) ended(netpoll.Connection) error {
 	c.mu.Lock()
-	if c.parked { // netpoll has only let go of it
-		c.mu.Unlock()
-		return nil
+	parked := c.parked // netpoll has only let go of it
+	c.mu.Unlock()
+	if !parked {
+		c.over()
 	}
+	return nil
+}
+
+// over ends a connection whose descriptor is about to be closed.
+func (c *Conn) over() {
+	c.mu.Lock()
 	first := !c.closed
 	c.closed = true
 	if first {
@@ -248,7 +261,6 @@
 			c.mu.Unlock()
 		})
 	}
-	return nil
 }
 
 // drop lets go of what came in.
@@ -334,9 +346,16 @@
 
 func (c *Conn) drained() { c.handler.Drained(c) }
 
-// Park asks that as little as can be is held for a connection until it brings
-// something. One that is not idle is left as it is.
-func (c *Conn) Park() { watched.w.ask(c) }
+// Park asks that netpoll's part of a connection be given up, since it is worth less
+// than what it takes: the connection has long been idle.
+func (c *Conn) Park() {
+	c.mu.Lock()
+	parked := c.parked || c.closed
+	c.mu.Unlock()
+	if !parked {
+		watched.w.ask(c)
+	}
+}
 
 // Taken counts the bytes of what was sent that the other side has acknowledged,
 // and those that it has not: in the kernel, or waiting here. Where the kernel does
--- a/internal/transport/watch.go
+++ b/internal/transport/watch.go
@@ -1,8 +1,8 @@
 package transport
 
 import (
-	"context"
 	"encoding/binary"
+	"errors"
 	"fmt"
 	"net"
 	"sync"
@@ -16,15 +16,13 @@
 // Accept runs on the poller whenever something happens there, and never beside
 // what the poller does for a connection. Two kinds of descriptors stand in it:
 //
-//   - parked connections, those that have long been idle. netpoll's part of one,
-//     some 4 KB, is given up; only the descriptor stays. Its first byte, or its
-//     end, makes Accept hand the descriptor back to netpoll as if it were new.
+//   - parked connections. netpoll's part of one, some 4 KB, is given up for good;
+//     from then on the watch reads it, and ends it.
 //   - full sockets, until they take more. Nothing is started to wait for them.
 type watch struct {
 	fd, wake int // epoll instance; eventfd that has it look at what is to be parked
 	events   [128]syscall.EpollEvent
-	ready    []syscall.EpollEvent // of events, not looked at yet
-	thawed   *Conn                // handed back to netpoll at this moment
+	buf      [takeBuffer]byte
 
 	mu     sync.Mutex
 	serial int32
@@ -58,7 +56,7 @@
 	if err := syscall.EpollCtl(fd, syscall.EPOLL_CTL_ADD, w.wake, &syscall.EpollEvent{Events: syscall.EPOLLIN, Fd: int32(wake)}); err != nil {
 		return nil, fmt.Errorf("transport: epoll: %w", err)
 	}
-	events, err := netpoll.NewEventLoop(onRequest, netpoll.WithOnPrepare(w.thaw))
+	events, err := netpoll.NewEventLoop(onRequest) // it never has a connection of its own
 	if err != nil {
 		return nil, fmt.Errorf("transport: %w", err)
 	}
@@ -75,19 +73,11 @@
 // Close is part of net.Listener. The watch lives as long as the program.
 func (w *watch) Close() error { return nil }
 
-// Accept runs on the poller. It gives a connection that is no longer parked, or
-// nothing; while something is left the poller calls it again.
+// Accept runs on the poller and looks at what has happened. There is never a new
+// connection; while something is left the poller calls it again.
 func (w *watch) Accept() (net.Conn, error) {
-	if len(w.ready) == 0 {
-		n, err := syscall.EpollWait(w.fd, w.events[:], 0)
-		if err != nil || n <= 0 {
-			return nil, nil // EINTR: it is called again
-		}
-		w.ready = w.events[:n]
-	}
-	for len(w.ready) > 0 {
-		e := w.ready[0]
-		w.ready = w.ready[1:]
+	n, _ := syscall.EpollWait(w.fd, w.events[:], 0) // EINTR: it is called again
+	for _, e := range w.events[:max(0, n)] {
 		if int(e.Fd) == w.wake {
 			w.parkAll()
 			continue
@@ -98,40 +88,35 @@
 		if c == nil {
 			continue // it ended after the event
 		}
-		c.push()
-		if c.wakeUp() {
-			w.thawed = c
-			return thawedFD{c: c}, nil
+		if e.Events&syscall.EPOLLOUT != 0 {
+			c.push()
+		}
+		if e.Events&^syscall.EPOLLOUT != 0 {
+			c.read(w.buf[:])
 		}
 	}
 	return nil, nil
 }
 
-// thaw gives a connection that was parked its place in netpoll again.
-func (w *watch) thaw(np netpoll.Connection) context.Context {
-	c := w.thawed
-	w.thawed = nil
-	c.np = np
-	_ = np.AddCloseCallback(c.ended)
-	return context.WithValue(context.Background(), connKey{}, c)
-}
-
-// thawedFD is what netpoll takes over of a connection: its descriptor and its
-// addresses. The rest of a net.Conn netpoll brings itself, so there is none here.
-type thawedFD struct {
-	net.Conn
-	c *Conn
+// read takes in what has come on a parked connection, or its end. Of one that is
+// not parked, netpoll sees the same.
+func (c *Conn) read(buf []byte) {
+	c.mu.Lock()
+	parked := c.parked && !c.closed
+	c.mu.Unlock()
+	if !parked {
+		return
+	}
+	switch n, err := syscall.Read(c.fd, buf); {
+	case n > 0:
+		c.deliver(buf[:n])
+	case errors.Is(err, syscall.EAGAIN), errors.Is(err, syscall.EINTR):
+	default:
+		c.over()
+		_ = syscall.Close(c.fd)
+	}
 }
 
-// Fd is part of netpoll.Conn.
-func (t thawedFD) Fd() int { return t.c.fd }
-
-// RemoteAddr is part of net.Conn.
-func (t thawedFD) RemoteAddr() net.Addr { return net.TCPAddrFromAddrPort(t.c.peer) }
-
-// LocalAddr is part of net.Conn.
-func (t thawedFD) LocalAddr() net.Addr { return &net.TCPAddr{} }
-
 // set has a descriptor watched for events; none takes it out.
 func (w *watch) set(c *Conn, events uint32) {
 	if events == c.events {
@@ -187,12 +172,8 @@
 func (c *Conn) park(w *watch) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.parked || c.closed || c.shut || c.ending || c.discard || c.flushing || c.told || len(c.in) > 0 ||
-		c.np == nil || c.np.Reader().Len() > 0 {
-		return // it is no longer idle
-	}
 	np, ok := c.np.(interface{ Detach() error })
-	if !ok {
+	if !ok || c.parked || c.closed || c.np.Reader().Len() > 0 {
 		return
 	}
 	c.parked, c.np = true, nil
@@ -213,16 +194,6 @@
 	return events
 }
 
-// wakeUp ends a connection's being parked, and tells whether it was.
-func (c *Conn) wakeUp() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	was := c.parked
-	c.parked = false
-	watched.w.set(c, c.wants())
-	return was
-}
-
 // push sends what waited for a full socket. Drained follows when all is out. What
 // can't be sent ends the connection.
 func (c *Conn) push() {
