Silent connections yield sooner when they are a crowd

Change: resources.Patience takes that time away as silent ones fill more than a quarter of the places.

--- a/internal/decide/resources/resources.go
+++ b/internal/decide/resources/resources.go
@@ -18,6 +18,9 @@
 const (
 	tightFrom = 0.5
 	leastIdle = 1.0 / 16
+	// silentFew is the share of places that clients who come and are about to ask
+	// may well fill.
+	silentFew = 0.25
 )
 
 // Limits bound what is held.
@@ -44,6 +47,15 @@
 	return &Account{limits: l, bytes: bytes, byPrefix: map[netip.Prefix]int32{}}
 }
 
+// Patience is for how long one that has said nothing yet is left alone when others
+// need its place, of what is set: all of it while few are silent, and nothing when
+// all are, since a crowd of them is no crowd of clients whose first request is
+// under way.
+func (a *Account) Patience(most Micros, silent int) Micros {
+	share := float64(silent) / float64(max(1, a.places()))
+	return Micros(float64(most) * max(0, 1-2*max(0, share-silentFew)))
+}
+
 // Rebound sets other limits. Who is over them is not turned out by that.
 func (a *Account) Rebound(l Limits) { a.limits = l }
 
--- a/internal/decide/resources/resources_test.go
+++ b/internal/decide/resources/resources_test.go
@@ -142,6 +142,18 @@
 
 var prefixes = []netip.Prefix{netip.MustParsePrefix("10.0.0.0/24")}
 
+// A crowd of silent ones has less patience than a few have.
+func TestSilentYield(t *testing.T) {
+	a, last := New(Limits{Places: 100}, nil), Micros(400)
+	for n := range 100 {
+		got := a.Patience(400, n)
+		if got > last || n <= 25 && got != 400 || n >= 75 && got != 0 {
+			t.Fatalf("%d for %d silent ones, %d for one less", got, n, last)
+		}
+		last = got
+	}
+}
+
 // Clients yield to nodes where descriptors run short, and bytes shrink idle times
 // as places do.
 func TestPressureOfOthers(t *testing.T) {
--- a/internal/front/session/session.go
+++ b/internal/front/session/session.go
@@ -222,7 +222,7 @@
 	for _, x := range []struct {
 		state state
 		limit loop.Micros
-	}{{silent, yieldSilent}, {parked, yieldIdle}, {idle, yieldIdle}, {reading, yieldIdle}} {
+	}{{silent, s.account.Patience(yieldSilent, s.lists[silent].count)}, {parked, yieldIdle}, {idle, yieldIdle}, {reading, yieldIdle}} {
 		if c := s.lists[x.state].least(now - x.limit); c != nil {
 			c.quit()
 			return
