Upstream on a network that is handed in; the gateway's order hangs on no map

Two loops of the gateway went over maps: the end of a program and a whole list.

Change: upstream.Network with TCP as it was behind it; sorted keys.

--- a/cmd/cherryramp/balance.go
+++ b/cmd/cherryramp/balance.go
@@ -30,6 +30,7 @@
 	budget *resources.Budget
 	pace   *pace.Pacer
 	nodes  *upstream.Pools
+	tcp    *upstream.TCP
 	next   loop.Micros
 	mark   resources.Mark
 }
@@ -68,7 +69,7 @@
 	}
 	b.next = now + balanceEvery
 	var held [resources.Parts]int64
-	files, records := 0, 0
+	files, records := b.nodes.Held(), 0
 	for _, f := range p.fronts {
 		in, out, n := f.Held()
 		held[resources.In] += in
@@ -78,7 +79,7 @@
 	// The pacer counts the kernel's part too, which is most of it.
 	held[resources.Out] = max(held[resources.Out], b.pace.Left())
 	held[resources.Records] = int64(records) * recordBytes
-	files, held[resources.Nodes] = b.nodes.Held()
+	held[resources.Nodes] = b.tcp.Held()
 	held[resources.Copies] = int64(p.gate.Kept())
 	give := b.budget.Observe(held)
 	if mark := b.budget.Mark(); mark != b.mark {
--- a/cmd/cherryramp/serve.go
+++ b/cmd/cherryramp/serve.go
@@ -127,13 +127,14 @@
 	for _, c := range cfg.Settings.Classes {
 		alone = append(alone, c.Effect == rules.Unsafe)
 	}
+	tcp := upstream.NewTCP(p.loop)
 	pools := upstream.New(upstream.Config{Lanes: cfg.Lanes, Alone: alone, Streams: cfg.Streams,
 		Connections: max(1, min(poolMost, int(poolShare*float64(cfg.Sockets))/nodes)),
 		ConnectTime: cfg.ConnectTime, IdleTime: int64(idleShare * float64(cfg.ConnIdle))},
-		p.loop, p.gate, log)
+		tcp, p.loop, p.gate, log)
 	p.gate.Use(pools)
 	if p.held != nil {
-		p.held.nodes = pools
+		p.held.nodes, p.held.tcp = pools, tcp
 	}
 	var sink board.Sink = p.gate
 	if e := operator.Ephemeral; e != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -9,6 +9,8 @@
 	"fmt"
 	"hash/fnv"
 	"log/slog"
+	"maps"
+	"slices"
 	"strings"
 
 	"cherryramp/internal/loop"
@@ -182,7 +184,7 @@
 
 // Abandon fails every open call, for a program that has to end.
 func (g *Gateway) Abandon() {
-	for id := range g.calls {
+	for _, id := range slices.Sorted(maps.Keys(g.calls)) { // like events have like effects
 		g.events = append(g.events, rules.Expired{ID: id})
 		g.finish(id, Answer{Kind: Failed})
 	}
@@ -269,8 +271,8 @@
 		g.follow(id, m)
 	}
 	if full {
-		for id, s := range g.servers {
-			if !seen[id] {
+		for _, id := range slices.Sorted(maps.Keys(g.servers)) {
+			if s := g.servers[id]; !seen[id] {
 				s.State = rules.Gone
 				g.log.Info("server changed", "server", s.Name, "state", stateName(s.State))
 				g.nodes.Follow(s)
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -10,7 +10,6 @@
 
 	"cherryramp/internal/gateway"
 	"cherryramp/internal/loop"
-	"cherryramp/internal/transport"
 	"cherryramp/rules"
 )
 
@@ -45,29 +44,29 @@
 // Pools holds the connections to all servers.
 type Pools struct {
 	cfg   Config
+	net   Network
 	loop  *loop.Loop
 	gate  Clearer
 	log   *slog.Logger
 	pools map[rules.ServerID]*pool
 	where map[*gateway.Attempt]*conn // attempts that were given to a connection
-	held  transport.Gauge
 	buf   []byte
 }
 
 var _ gateway.Nodes = (*Pools)(nil)
 
 // New makes pools without connections.
-func New(cfg Config, l *loop.Loop, gate Clearer, log *slog.Logger) *Pools {
-	return &Pools{cfg: cfg, loop: l, gate: gate, log: log, pools: map[rules.ServerID]*pool{},
+func New(cfg Config, n Network, l *loop.Loop, gate Clearer, log *slog.Logger) *Pools {
+	return &Pools{cfg: cfg, net: n, loop: l, gate: gate, log: log, pools: map[rules.ServerID]*pool{},
 		where: map[*gateway.Attempt]*conn{}}
 }
 
-// Held is the connections to all servers, and the bytes that they hold.
-func (p *Pools) Held() (connections int, bytes int64) {
+// Held counts the connections to all servers.
+func (p *Pools) Held() (n int) {
 	for _, x := range p.pools {
-		connections += len(x.conns) + x.dialing
+		n += len(x.conns) + x.dialing
 	}
-	return connections, p.held.In.Load() + p.held.Out.Load()
+	return n
 }
 
 // pool is one server's connections and what waits for them.
@@ -85,7 +84,7 @@
 // conn is one connection to a cache node.
 type conn struct {
 	pool    *pool
-	tc      *transport.Conn
+	tc      Conn
 	open    map[string]*gateway.Attempt
 	past    map[string]struct{} // ids given up, whose answers may still cross
 	partial *gateway.Attempt    // what a full socket has not taken whole
@@ -287,8 +286,8 @@
 	p := x.all
 	c := &conn{pool: x, open: map[string]*gateway.Attempt{}, past: map[string]struct{}{}}
 	addr, born := x.addr, x.born
-	transport.Dial(p.loop, addr, inputLimit, &p.held, c, p.loop.Now()+p.cfg.ConnectTime,
-		func(tc *transport.Conn, err error) {
+	p.net.Dial(addr, inputLimit, c, p.loop.Now()+p.cfg.ConnectTime,
+		func(tc Conn, err error) {
 			x.dialing--
 			if x.denied = err != nil; err == nil {
 				c.tc = tc
@@ -353,18 +352,18 @@
 
 // Readable takes the answers that have come. Those under ids that are not open
 // (a second copy, one that was given up) are passed over.
-func (c *conn) Readable(tc *transport.Conn) {
+func (c *conn) Readable() {
 	c.mute, c.since = 0, c.pool.all.loop.Now()
 	for {
 		var ans answer
 		var used, have int
 		var err error
-		tc.Consume(func(b []byte) int {
+		c.tc.Consume(func(b []byte) int {
 			have = len(b)
 			ans, used, err = parseAnswer(b)
 			return used
 		})
-		if err == nil && used == 0 && tc.Flooded() {
+		if err == nil && used == 0 && c.tc.Flooded() {
 			err = errFlood
 		}
 		if err != nil {
@@ -408,7 +407,7 @@
 }
 
 // Drained goes on with what waited for a full socket.
-func (c *conn) Drained(*transport.Conn) {
+func (c *conn) Drained() {
 	c.partial = nil
 	c.pool.flush()
 }
@@ -416,7 +415,7 @@
 // Closed ends what was open: what had not left whole never ran. It is one event
 // and counts once against its server's health, and not at all where an answer
 // broke off.
-func (c *conn) Closed(*transport.Conn) {
+func (c *conn) Closed() {
 	x := c.pool
 	c.retired = true
 	x.all.loop.Stop(c.idle)
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -61,7 +61,7 @@
 	}
 	r := &rig{t: t, loop: loop.New(func() {}), gate: &gate{clear: true, ended: make(chan ended, 1000)}, ln: ln}
 	r.pools = New(Config{Lanes: []string{"pay"}, Streams: 1000, Connections: connections, ConnectTime: 1_000_000,
-		IdleTime: 60_000_000}, r.loop, r.gate, slog.New(slog.NewTextHandler(io.Discard, nil)))
+		IdleTime: 60_000_000}, NewTCP(r.loop), r.loop, r.gate, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	r.srv = &gateway.Server{ID: 1, Name: "s-1", Addr: ln.Addr().String(), State: rules.Ready}
 	done := make(chan struct{})
 	go func() { r.loop.Run(); close(done) }()
