Laboratory: a world in virtual time round the product's own gateway, pools and rules

Change: lab/world. Branches, district caches, the store, a late register and clients that come back, on one loop whose clock only moves when all is done; links that divide among transfers (a heap, one figure moves all), stores by rank, cold starts, falling over, joins, purges, 19 troubles that may overlap. Nine promises with checkers that know only what happened and what was told, and ten mutations, each of which its checker sees.

--- a/cmd/cherryramp/serve.go
+++ b/cmd/cherryramp/serve.go
@@ -156,7 +156,7 @@
 	p.held.apply(&limits, cfg.Sockets)
 	p.queue = limiter(p.loop, cfg, operator.Clients)
 	limits.Admission = p.queue
-	p.fronts = append(p.fronts, session.New(limits, p.loop, platform.New(classes, p.loop.Now, log), p.gate, log))
+	p.fronts = append(p.fronts, session.New(limits, p.loop, platform.New(classes, log), p.gate, log))
 	if operator.Signed != nil {
 		o := operator.Signed
 		p.signed, err = signed.New(signed.Config{Queue: o.Pool.Queue, Rates: o.Tables.Rates, Uses: o.Tables.Uses,
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -30,21 +30,20 @@
 // Front reads the platform's requests and words its answers.
 type Front struct {
 	classes []Class
-	now     func() gateway.Micros
 	log     *slog.Logger
 }
 
 // New makes a front for the classes, which calls name by their place.
-func New(classes []Class, now func() gateway.Micros, log *slog.Logger) *Front {
-	return &Front{classes: classes, now: now, log: log}
+func New(classes []Class, log *slog.Logger) *Front {
+	return &Front{classes: classes, log: log}
 }
 
 // Take answers a health check, and turns any other request into a call.
-func (f *Front) Take(r *httpwire.Request, _ *session.Exchange) (*gateway.Call, *httpwire.Response) {
+func (f *Front) Take(r *httpwire.Request, x *session.Exchange) (*gateway.Call, *httpwire.Response) {
 	if r.Target == health && r.Method == "GET" {
 		return nil, &httpwire.Response{Status: 200}
 	}
-	call, wrong := f.read(r)
+	call, wrong := f.read(r, x.Came())
 	if wrong != nil {
 		f.log.Info("request rejected", "status", wrong.Status, "reason", wrong.Reason)
 		return nil, &httpwire.Response{Status: wrong.Status, Body: []byte(wrong.Reason + "\n"), Close: true}
@@ -54,7 +53,7 @@
 
 func bad(reason string) *httpwire.Error { return &httpwire.Error{Status: 400, Reason: reason} }
 
-func (f *Front) read(r *httpwire.Request) (*gateway.Call, *httpwire.Error) {
+func (f *Front) read(r *httpwire.Request, came gateway.Micros) (*gateway.Call, *httpwire.Error) {
 	target, query, _ := strings.Cut(r.Target, "?")
 	rest, ok := strings.CutPrefix(target, path)
 	if !ok {
@@ -83,7 +82,7 @@
 	if err != nil || wait == 0 || wait > longestWait {
 		return nil, bad("Req-Wait-Ms is not 1 to 60000")
 	}
-	c.Deadline = f.now() + int64(wait)*1000
+	c.Deadline = came + int64(wait)*1000
 	if fault := session.ReadCopy(c, query, r.Header.Get("X-Bucket")); fault != "" {
 		return nil, bad(fault)
 	}
--- a/internal/front/session/session.go
+++ b/internal/front/session/session.go
@@ -88,6 +88,11 @@
 
 func (c *conn) address() netip.Addr { return c.tc.Peer().Addr() }
 
+// Came is when the request's last byte was read. Where requests come faster than
+// they can be looked at, that is long before the App sees them, and their clients
+// wait since then.
+func (x *Exchange) Came() gateway.Micros { return min(x.conn.tc.Last(), x.conn.server.loop.Now()) }
+
 // Submit hands over the call that a kept request has become.
 func (x *Exchange) Submit(call *gateway.Call) {
 	if x.open {
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -57,12 +57,13 @@
 	limit   int
 
 	mu       sync.Mutex
-	in       []byte // what came and is not consumed
-	out      []byte // what a full socket did not take
-	sent     int64  // bytes that the socket has taken
-	came     int64  // bytes that have come
-	serial   int32  // in the watch
-	events   uint32 // that the watch looks for
+	in       []byte      // what came and is not consumed
+	out      []byte      // what a full socket did not take
+	sent     int64       // bytes that the socket has taken
+	came     int64       // bytes that have come
+	last     loop.Micros // when the last of them did
+	serial   int32       // in the watch
+	events   uint32      // that the watch looks for
 	dialed   bool
 	told     bool // the loop is about to look at what came
 	flushing bool // out waits
@@ -195,6 +196,7 @@
 	c.mu.Lock()
 	tell := !c.told && !c.discard
 	c.came += int64(len(p))
+	c.last = c.loop.Now()
 	if !c.discard {
 		if len(c.in)+len(p) > c.limit {
 			c.flooded, c.discard = true, true
@@ -387,6 +389,13 @@
 	return c.came
 }
 
+// Last is when the last bytes came, which may be long before the loop looks at them.
+func (c *Conn) Last() loop.Micros {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.last
+}
+
 // Close ends a connection now. Closed follows. It only shuts the socket, which
 // the poller then takes for an end by the other side: netpoll's own Close waits
 // for the poller to leave the connection, and so for ever where the poller is
--- /dev/null
+++ b/lab/world/check.go
@@ -0,0 +1,89 @@
+package world
+
+import "fmt"
+
+// Promise is what a front must keep, whatever happens.
+type Promise string
+
+// The promises. Their checkers know what happened in the world and what each front
+// was told and when, and nothing of how fronts decide.
+const (
+	Answer  Promise = "one whole final answer in time"
+	Once    Promise = "what must not run twice runs once"
+	Refusal Promise = "what is refused has surely not run"
+	Drain   Promise = "nothing new to a server told of as draining or gone"
+	Cold    Promise = "no cold server is pushed over"
+	Purge   Promise = "no copy from before a purge"
+	Content Promise = "what is answered is what was asked for, and not too old"
+	Form    Promise = "commands that servers can take"
+	Bounded Promise = "what a front holds is bounded"
+)
+
+// Promises are all of them.
+var Promises = []Promise{Answer, Once, Refusal, Drain, Cold, Purge, Content, Form, Bounded}
+
+// Mutation is a front, or what stands round it, broken on purpose: each shows that
+// a checker sees what it is there for.
+type Mutation string
+
+// The mutations, and the promise that each breaks.
+const (
+	None         Mutation = ""
+	NoAnswer     Mutation = "no answer to what is refused"
+	LateAnswer   Mutation = "no answer to what failed"
+	TwoAnswers   Mutation = "two answers"
+	TwiceWritten Mutation = "payouts are sent twice"
+	RefusesAll   Mutation = "what failed is called refused"
+	DeafToDrains Mutation = "drains and departures are not heard"
+	DeafToPurges Mutation = "purges are not heard"
+	WarmStart    Mutation = "cold servers are taken for warm"
+	WrongBody    Mutation = "bodies are mixed up"
+	Hoards       Mutation = "calls are held without a bound"
+)
+
+// Mutations tells which promise each mutation breaks.
+var Mutations = map[Mutation]Promise{NoAnswer: Answer, LateAnswer: Answer, TwoAnswers: Answer, TwiceWritten: Once, RefusesAll: Refusal,
+	DeafToDrains: Drain, DeafToPurges: Purge, WarmStart: Cold, WrongBody: Content, Hoards: Bounded}
+
+// Violation is a promise that was not kept.
+type Violation struct {
+	Promise Promise
+	At      Micros // of the day
+	Front   string
+	Text    string
+}
+
+func (v Violation) String() string {
+	return fmt.Sprintf("%8.3f s  %s: %s: %s", float64(v.At)/1e6, v.Front, v.Promise, v.Text)
+}
+
+// mostViolations is what is kept of them; the rest is counted.
+const mostViolations = 100
+
+func (w *World) broken(p Promise, f *Front, text string) {
+	w.stats.Broken[p]++
+	if len(w.violations) < mostViolations {
+		w.violations = append(w.violations, Violation{p, w.loop.Now() - w.began, f.name, text})
+	}
+}
+
+// bounds looks now and then at what fronts hold.
+func (w *World) bounds() {
+	for _, f := range w.fronts {
+		if f.dead {
+			continue
+		}
+		held := f.gate.Open()
+		if w.Mutation == Hoards {
+			held += 10 * w.spec.Held
+		}
+		// Calls that came and are to be refused in the same moment count as held.
+		if held > w.spec.Held+64 {
+			w.broken(Bounded, f, fmt.Sprintf("%d calls, of %d that it may hold", held, w.spec.Held))
+		}
+		w.stats.MostHeld = max(w.stats.MostHeld, held)
+	}
+	if w.loop.Now() < w.ends {
+		w.after(250*milli, w.bounds)
+	}
+}
--- /dev/null
+++ b/lab/world/clients.go
@@ -0,0 +1,278 @@
+package world
+
+import (
+	"fmt"
+	"math"
+
+	"cherryramp/internal/gateway"
+)
+
+// op is what a client wants once, with all its tries.
+type op struct {
+	class, branch int
+	object        uint32
+	part          int
+	began         Micros
+	tries         int
+	ran           int // executions, of a write
+	over          bool
+}
+
+// ask is one try at a front.
+type ask struct {
+	w       *World
+	op      *op
+	front   *Front
+	call    *gateway.Call
+	id      string
+	until   Micros
+	left    int // attempts that left the front
+	proven  int // of them, those that the front knows not to have run
+	over    bool
+	answers int
+}
+
+// of gives the counts that an op belongs to: the day's, or those of the warm-up.
+func (w *World) of(o *op) *Stats {
+	if o.began < w.began {
+		return &w.warmUp
+	}
+	return &w.stats
+}
+
+// arrivals has clients come at a branch, as a Poisson process at the rate of now.
+func (w *World) arrivals(branch int) {
+	rate := w.rate(w.loop.Now()-w.began) * w.weight[branch] // requests a second
+	gap := 100 * milli
+	if rate > 0 {
+		gap = min(Micros(w.rand.ExpFloat64()/(rate/w.perVisit)*1e6), second)
+	}
+	w.after(gap, func() {
+		if w.loop.Now() >= w.ends {
+			return
+		}
+		if rate > 0 && gap < second {
+			w.visit(branch)
+		}
+		w.arrivals(branch)
+	})
+}
+
+// visit is a client that wants an object, its parts one after another.
+func (w *World) visit(branch int) {
+	x, class := w.rand.Float64()*w.shares[len(w.shares)-1], 0
+	for w.shares[class] < x {
+		class++
+	}
+	object := w.catalog.draw(class, branch, w.loop.Now()-day, w.rand)
+	w.read(class, branch, object, 0)
+}
+
+// stay is the chance that a client who has had a part wants the next.
+const stay = 0.96
+
+func (w *World) read(class, branch int, object uint32, part int) {
+	w.ask(&op{class: class, branch: branch, object: object, part: part, began: w.loop.Now()})
+	if part+1 < w.catalog.objects[object].parts && w.rand.Float64() < stay {
+		w.after(between(w.rand, w.spec.Classes[class].Gap), func() {
+			if w.loop.Now() < w.ends {
+				w.read(class, branch, object, part+1)
+			}
+		})
+	}
+}
+
+// ask sends an op's next try to a front of its branch.
+func (w *World) ask(o *op) {
+	spec := &w.spec.Classes[o.class]
+	if o.tries == 0 {
+		w.of(o).Asked[o.class]++
+		w.of(o).Worth += spec.Worth
+		if o.began >= w.began {
+			w.perSecond(o.began, 0, spec.Worth)
+		}
+	}
+	o.tries++
+	w.of(o).Tries++
+	var up []*Front
+	for _, f := range w.fronts {
+		if f.branch == o.branch && !f.dead {
+			up = append(up, f)
+		}
+	}
+	if len(up) == 0 { // refused connect: surely nothing ran
+		w.again(o, 0)
+		return
+	}
+	f := up[w.rand.IntN(len(up))]
+	patience := Micros(float64(spec.GiveUp) * (0.5 + 0.5*w.rand.Float64()))
+	w.lastID++
+	a := &ask{w: w, op: o, front: f, id: id(w.lastID), until: w.loop.Now() + patience}
+	object := &w.catalog.objects[o.object]
+	a.call = &gateway.Call{ID: a.id, Class: o.class, Object: name(o.object), Part: o.part, HasPart: object.parts > 1, Group: int(object.group),
+		Repeat: o.tries > 1, Deadline: a.until, Caller: a}
+	if spec.Write {
+		a.call.Body = []byte("pay")
+	}
+	w.asks[a.id] = a
+	f.open[a.call] = a
+	w.loop.At(a.until+w.spec.Grace+w.spec.Slack, a.expire)
+	f.gate.Submit(a.call)
+}
+
+// expire finds out whether a try has had its answer.
+func (a *ask) expire() {
+	if a.over {
+		return
+	}
+	a.w.broken(Answer, a.front, fmt.Sprintf("%s of %s has no answer %d ms after its client gave up", a.id, a.w.spec.Classes[a.op.class].Name,
+		(a.w.loop.Now()-a.until)/milli))
+	a.front.gate.Leave(a.call)
+	a.end()
+	a.w.of(a.op).Lost[a.op.class]++
+}
+
+func (a *ask) end() {
+	a.over = true
+	delete(a.front.open, a.call)
+	// What a write did may still come to light.
+	a.w.after(2*second, func() { delete(a.w.asks, a.id) })
+}
+
+// reset is the end of a try whose front died. Whether it ran is not known.
+func (a *ask) reset() {
+	if a.over {
+		return
+	}
+	a.end()
+	a.w.of(a.op).Reset++
+	if !a.w.spec.Classes[a.op.class].Write {
+		a.w.again(a.op, 0)
+	}
+}
+
+// Answer is part of gateway.Caller.
+func (a *ask) Answer(x gateway.Answer) {
+	w := a.w
+	if w.Mutation == LateAnswer && x.Kind == gateway.Failed || w.Mutation == NoAnswer && x.Kind == gateway.Refused {
+		return // a broken front
+	}
+	if w.Mutation == RefusesAll && x.Kind == gateway.Failed {
+		x.Kind = gateway.Refused
+	}
+	a.answer(x)
+	if w.Mutation == TwoAnswers && x.Kind == gateway.Served && w.faults.IntN(100) == 0 {
+		a.answer(x)
+	}
+}
+
+func (a *ask) answer(x gateway.Answer) {
+	w, o, now := a.w, a.op, a.w.loop.Now()
+	spec := &w.spec.Classes[o.class]
+	if a.answers++; a.answers > 1 {
+		w.broken(Answer, a.front, fmt.Sprintf("%s has %d answers", a.id, a.answers))
+		return
+	}
+	if a.over {
+		return
+	}
+	a.end()
+	if now > a.until+w.spec.Grace+w.spec.Slack {
+		w.broken(Answer, a.front, fmt.Sprintf("%s was answered %d ms after its client gave up", a.id, (now-a.until)/milli))
+	}
+	w.note(a, x)
+	switch x.Kind {
+	case gateway.Served, gateway.Current:
+		o.over = true
+		w.of(o).Served[o.class]++
+		if want := content(item{o.object, uint16(o.part)}, x.Born); !spec.Write && string(x.Body) != want {
+			w.broken(Content, a.front, fmt.Sprintf("%s: got %q, want %q", a.id, x.Body, want))
+		}
+		if spec.Fresh > 0 && now-x.Born > spec.Fresh+spec.Grace+a.until-o.began {
+			w.broken(Content, a.front, fmt.Sprintf("%s: a copy of %d ms", a.id, (now-x.Born)/milli))
+		}
+		w.earn(o, now, x.Born)
+	case gateway.Refused:
+		w.of(o).Refused[o.class]++
+		if spec.Write && a.left > a.proven {
+			w.broken(Refusal, a.front, fmt.Sprintf("%s was refused, and may have run", a.id))
+		}
+		w.again(o, x.Await)
+	default:
+		w.of(o).Failed[o.class]++
+		if !spec.Write {
+			w.again(o, 0)
+		}
+	}
+}
+
+// earn counts what an answer is worth: all of it in time, counted from the first
+// try, less when it is late or the copy is old.
+func (w *World) earn(o *op, now, born Micros) {
+	spec := &w.spec.Classes[o.class]
+	worth := spec.Worth
+	send := Micros(float64(spec.Send) * w.catalog.objects[o.object].scale)
+	took := now - o.began
+	if took > spec.Aim+Micros(spec.Stretch*float64(send)) {
+		worth *= spec.LateWorth
+		w.of(o).Late++
+	} else {
+		w.of(o).InTime++
+	}
+	if spec.Fresh > 0 && now-born > spec.Fresh {
+		worth *= spec.OldWorth
+	}
+	w.of(o).Earned += worth
+	if o.began < w.began {
+		return
+	}
+	_ = w.times[o.class].RecordValue(max(1, min(took, 60*second)))
+	w.perSecond(o.began, worth, 0)
+}
+
+// again has a client come back, if it does.
+func (w *World) again(o *op, away Micros) {
+	if o.over || o.tries > w.spec.Repeats.Most {
+		w.of(o).GaveUp[o.class]++
+		return
+	}
+	wait := between(w.rand, w.spec.Repeats.Wait)
+	if w.spec.Repeats.Obey {
+		wait = max(wait, away)
+	}
+	w.after(wait, func() { w.ask(o) })
+}
+
+// ran is told of every execution of a write.
+func (w *World) ran(j *job) {
+	id := j.id
+	if a := w.asks[id]; a != nil {
+		a.op.ran++
+		if a.op.ran > 1 {
+			w.broken(Once, a.front, fmt.Sprintf("%s ran %d times", id, a.op.ran))
+		}
+		return
+	}
+	if w.Mutation == TwiceWritten { // the copy's id differs in its first digit
+		if a := w.asks["0"+id[1:]]; a != nil {
+			a.op.ran++
+			w.broken(Once, a.front, fmt.Sprintf("%s ran %d times", id, a.op.ran))
+		}
+	}
+}
+
+// rate is the requests a second at a moment of the day.
+func (w *World) rate(at Micros) float64 {
+	rate := w.spec.Rate
+	for i, p := range w.curve {
+		if at < p.At {
+			break
+		}
+		rate = p.Rate
+		if i+1 < len(w.curve) && p.Ramp {
+			next := w.curve[i+1]
+			rate += (next.Rate - p.Rate) * float64(at-p.At) / math.Max(1, float64(next.At-p.At))
+		}
+	}
+	return rate * w.surge
+}
--- /dev/null
+++ b/lab/world/trouble.go
@@ -0,0 +1,295 @@
+package world
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+
+	"cherryramp/rules"
+)
+
+// Kind says what goes wrong.
+type Kind string
+
+// The troubles. Those with a length end after it.
+const (
+	LoseBranch    Kind = "lose branch"  // its cache nodes, which come back cold and empty; Silent: nobody hears of it at once
+	LoseParents   Kind = "lose parents" // a hub's district caches, as above
+	LoseServer    Kind = "lose server"
+	DrainServer   Kind = "drain"         // it finishes what it has, is gone after the length, and comes back cold after as long again
+	OriginSlow    Kind = "origin slower" // X times
+	OriginStops   Kind = "origin stops"
+	PurgeGroups   Kind = "purge groups" // a share X of them at once
+	PurgeHot      Kind = "purge hot"    // so many (X) of the most popular objects, one a tenth of a second
+	Scan          Kind = "scan"         // a share X of the requests is for what is wanted once
+	Surge         Kind = "surge"        // X times the rate
+	Storm         Kind = "storm"        // clients come back at once, whatever they are told
+	CutBranch     Kind = "cut branch"   // nothing crosses between fronts and the cache nodes there, unheard
+	Resets        Kind = "reset"        // every connection between fronts and servers, once
+	SpoiltAnswers Kind = "spoil"        // a share X of the answers
+	LostAnswers   Kind = "lose answers" // a share X never comes
+	Deaf          Kind = "register unreachable"
+	TellsLate     Kind = "register late" // by X seconds
+	KillFront     Kind = "kill"          // a front, which starts again after the length
+	Flap          Kind = "flap"          // a server is told as gone and back, X times, while it runs
+)
+
+// Trouble is something that goes wrong.
+type Trouble struct {
+	Kind   Kind
+	At     Micros // of the day
+	For    Micros
+	Target string // a branch, a hub, a server or a front
+	X      float64
+	Silent bool
+}
+
+func (t Trouble) String() string {
+	text := string(t.Kind)
+	if t.Target != "" {
+		text += fmt.Sprintf(" %q", t.Target)
+	}
+	if t.X != 0 {
+		text += fmt.Sprintf(" %g", t.X)
+	}
+	if t.Silent {
+		text += " silently"
+	}
+	return fmt.Sprintf("at %gs %s for %gs", float64(t.At)/1e6, text, float64(t.For)/1e6)
+}
+
+// plan has a trouble happen.
+func (w *World) plan(t *Trouble) error {
+	at, end := w.began+t.At, w.began+t.At+t.For
+	during := func(begin, over func()) {
+		w.loop.At(at, begin)
+		w.loop.At(end, over)
+	}
+	if t.At < 0 || t.For < 0 {
+		return errors.New("it begins or lasts less than nothing")
+	}
+	switch t.Kind {
+	case LoseBranch, LoseParents, LoseServer:
+		list, err := w.targets(t)
+		if err != nil {
+			return err
+		}
+		during(func() { w.lose(list, t.Silent) }, func() { w.restore(list) })
+	case DrainServer:
+		s := w.by[t.Target]
+		if s == nil || s.kind == originKind {
+			return fmt.Errorf("%q is no cache", t.Target)
+		}
+		w.loop.At(at, func() { w.tell(s, rules.Draining) })
+		w.loop.At(end, func() { w.lose([]*server{s}, false) })
+		w.loop.At(end+t.For, func() { w.restore([]*server{s}) })
+	case OriginSlow:
+		during(func() { w.originSlow *= t.X }, func() { w.originSlow /= t.X })
+	case OriginStops:
+		during(func() { w.origin.die() }, func() { w.origin.start(0) })
+	case PurgeGroups:
+		w.loop.At(at, func() {
+			for g := range groups {
+				if w.faults.Float64() < t.X {
+					w.purge(purge{object: -1, group: uint8(g)})
+				}
+			}
+		})
+	case PurgeHot:
+		for i := range int(t.X) {
+			w.loop.At(at+Micros(i)*100*milli, func() {
+				class := 0
+				for w.spec.Classes[class].Write {
+					class++
+				}
+				r := &w.catalog.classes[class].all
+				o := r.first + uint32(r.order[i%len(r.order)])
+				w.purge(purge{object: int64(o), group: w.catalog.objects[o].group})
+			})
+		}
+	case Scan:
+		during(func() { w.scan += t.X }, func() { w.scan -= t.X })
+	case Surge:
+		during(func() { w.surge *= t.X }, func() { w.surge /= t.X })
+	case Storm:
+		before := w.spec.Repeats
+		during(func() { w.spec.Repeats = Repeats{Most: before.Most} }, func() { w.spec.Repeats = before })
+	case CutBranch:
+		zone, err := w.branch(t.Target)
+		if err != nil {
+			return err
+		}
+		during(func() { w.cuts[zone] = true }, func() { delete(w.cuts, zone) })
+	case Resets:
+		w.loop.At(at, func() {
+			for _, s := range w.servers {
+				for _, c := range w.wiresOf(s) {
+					c.reset()
+				}
+			}
+		})
+	case SpoiltAnswers:
+		during(func() { w.spoilt += t.X }, func() { w.spoilt -= t.X })
+	case LostAnswers:
+		during(func() { w.lost += t.X }, func() { w.lost -= t.X })
+	case Deaf:
+		during(func() { w.each(func(f *Front) { f.mute = true }) }, func() { w.each(func(f *Front) { f.mute = false }) })
+	case TellsLate:
+		late := Micros(t.X * float64(second))
+		shift := func(by Micros) func() {
+			return func() {
+				for _, x := range []*[2]Micros{&w.spec.TellMembers, &w.spec.TellPurges} {
+					x[0], x[1] = x[0]+by, x[1]+by
+				}
+			}
+		}
+		during(shift(late), shift(-late))
+	case KillFront:
+		i := slices.IndexFunc(w.fronts, func(f *Front) bool { return f.name == t.Target })
+		if i < 0 {
+			return fmt.Errorf("no front is called %q", t.Target)
+		}
+		during(w.fronts[i].kill, w.fronts[i].revive)
+	case Flap:
+		s := w.by[t.Target]
+		if s == nil {
+			return fmt.Errorf("no server is called %q", t.Target)
+		}
+		for i := range int(t.X) {
+			step := t.For / Micros(2*max(1, int(t.X)))
+			w.loop.At(at+Micros(2*i)*step, func() { w.tell(s, rules.Gone) })
+			w.loop.At(at+Micros(2*i+1)*step, func() {
+				if s.up {
+					w.tell(s, rules.Ready)
+				}
+			})
+		}
+	default:
+		return errors.New("this kind of trouble is not known")
+	}
+	return nil
+}
+
+func (w *World) each(do func(f *Front)) {
+	for _, f := range w.fronts {
+		do(f)
+	}
+}
+
+func (w *World) branch(name string) (zone int, err error) {
+	i := slices.IndexFunc(w.spec.Branches, func(b Branch) bool { return b.Name == name })
+	if i < 0 {
+		return 0, fmt.Errorf("no branch is called %q", name)
+	}
+	return len(w.spec.Hubs) + i, nil
+}
+
+// targets are the servers that a loss takes.
+func (w *World) targets(t *Trouble) (list []*server, err error) {
+	zone, kind := 0, boxKind
+	switch t.Kind {
+	case LoseServer:
+		if s := w.by[t.Target]; s != nil && s.kind != originKind {
+			return []*server{s}, nil
+		}
+		return nil, fmt.Errorf("%q is no cache", t.Target)
+	case LoseParents:
+		if zone = slices.Index(w.spec.Hubs, t.Target); zone < 0 {
+			return nil, fmt.Errorf("no hub is called %q", t.Target)
+		}
+		kind = parentKind
+	default:
+		if zone, err = w.branch(t.Target); err != nil {
+			return nil, err
+		}
+	}
+	for _, s := range w.servers {
+		if s.zone == zone && s.kind == kind {
+			list = append(list, s)
+		}
+	}
+	if len(list) == 0 {
+		return nil, fmt.Errorf("nothing stands at %q", t.Target)
+	}
+	return list, nil
+}
+
+// lose takes servers away; the register tells of it, late.
+func (w *World) lose(list []*server, silent bool) {
+	for _, s := range list {
+		if silent {
+			s.vanish()
+		} else {
+			s.die()
+		}
+		w.tell(s, rules.Gone)
+	}
+}
+
+// restore has servers start again, cold and empty.
+func (w *World) restore(list []*server) {
+	for _, s := range list {
+		if s.up {
+			continue // another trouble has brought it back
+		}
+		s.start(w.loop.Now())
+		w.tell(s, rules.Ready)
+	}
+}
+
+// tell has the register tell all fronts of a server, each in its own time.
+func (w *World) tell(s *server, state State) {
+	s.state = state
+	born := s.born
+	for _, f := range w.fronts {
+		if !f.dead {
+			f.later(between(w.faults, w.spec.TellMembers), func() { f.hearMember(s, state, born) })
+		}
+	}
+}
+
+// purge has all copies of an object or a group go, at each server in its own time.
+func (w *World) purge(p purge) {
+	p.at = w.loop.Now() / milli * milli
+	w.purges = append(w.purges, p)
+	for _, s := range w.servers {
+		if s.kind != originKind {
+			w.after(w.faults.Int64N(w.spec.PurgeDone), func() { s.keep.purge(p) })
+		}
+	}
+	for _, f := range w.fronts {
+		if !f.dead {
+			f.later(between(w.faults, w.spec.TellPurges), func() { f.hearPurge(p) })
+		}
+	}
+}
+
+// revive starts a front that was killed.
+func (f *Front) revive() {
+	if f.dead {
+		f.start()
+	}
+}
+
+// Names are what troubles may name in a world: branches, hubs, caches and fronts.
+func (w *World) Names() (branches, hubs, caches, fronts []string) {
+	for _, b := range w.spec.Branches {
+		branches = append(branches, b.Name)
+	}
+	for _, s := range w.servers {
+		if s.kind != originKind {
+			caches = append(caches, s.name)
+		}
+		if s.kind == parentKind {
+			hub, _, _ := strings.Cut(s.name, ".")
+			if !slices.Contains(hubs, hub) {
+				hubs = append(hubs, hub)
+			}
+		}
+	}
+	for _, f := range w.fronts {
+		fronts = append(fronts, f.name)
+	}
+	return branches, hubs, caches, fronts
+}
