--- a/lab/world/trouble.go
+++ b/lab/world/trouble.go
@@ -171,6 +171,9 @@
 	return nil
 }
 
+// Check tells what is wrong with a trouble, in a world that is not to be run.
+func (w *World) Check(t *Trouble) error { return w.plan(t) }
+
 func (w *World) each(do func(f *Front)) {
 	for _, f := range w.fronts {
 		do(f)
