--- a/internal/decide/pace/pace.go
+++ b/internal/decide/pace/pace.go
@@ -41,8 +41,8 @@
 type Meter struct {
 	at     Micros
 	moved  int64
-	left   int64 // of what waits, as counted for its prefix
-	credit float32
+	left   int64   // of what waits, as counted for its prefix
+	credit float32 // s
 	rate   float32 // bytes a second, of the last windows
 	known  bool    // it counts in its prefix
 }
@@ -92,7 +92,7 @@
 		c.left += left
 	}
 	p.left += left
-	return Meter{at: now, left: left, moved: moved, credit: float32(p.most()), rate: float32(16 * p.ranks), known: c != nil}
+	return Meter{at: now, left: left, moved: moved, credit: p.most(), rate: float32(16 * p.ranks), known: c != nil}
 }
 
 // End takes a transfer off its prefix's account.
@@ -106,7 +106,9 @@
 	*m = Meter{}
 }
 
-func (p *Pacer) most() float64 { return p.cfg.Least * float64(p.cfg.Credit) / 1e6 }
+// most is the credit that a transfer has at most, in seconds at the least pace that
+// holds for it.
+func (p *Pacer) most() float32 { return float32(float64(p.cfg.Credit) / 1e6) }
 
 // Look judges a transfer that has moved so much in all and has so much left. Over
 // tells that it is to be ended.
@@ -136,7 +138,10 @@
 			}
 		}
 	}
-	m.credit = min(float32(p.most()), m.credit+float32((rate-least)*spent))
+	if least == 0 {
+		return p.rank(m), false
+	}
+	m.credit = min(p.most(), m.credit+float32((rate/least-1)*spent))
 	return p.rank(m), m.credit < 0
 }
 
