A connection that makes room gives its place back within 60 ms, not 500

A silent connection that is ended to make room held its place until its client had ended its side too, or for 500 ms; with a crowd of such clients nobody got in meanwhile.

Change: transport.Finish takes the moment by which it ends; where a place is wanted that is 60 ms, more than the 50 ms in which a request may cross the end.

--- a/internal/front/session/session.go
+++ b/internal/front/session/session.go
@@ -36,6 +36,14 @@
 // the other side's window at once.
 const pacedFrom = 16 << 10
 
+// How long a half-closed connection may take to end, in us; the short time is for
+// one without an answer on its way, and still longer than the 50 ms in which a
+// request may cross its end.
+const (
+	linger      = 500_000
+	lingerShort = 60_000
+)
+
 const (
 	yieldSilent  = 400_000   // us after which one that has said nothing whole yet may have to make room
 	yieldIdle    = 50_000    // us after which an idle one may
@@ -194,7 +202,7 @@
 			c.prefix = netip.Prefix{}
 			c.enter(ending)
 			c.last = true
-			tc.Finish()
+			tc.Finish(s.loop.Now() + lingerShort)
 			return
 		}
 		c.counted = true
@@ -229,7 +237,7 @@
 		limit loop.Micros
 	}{{silent, s.account.Patience(yieldSilent, s.lists[silent].count)}, {parked, yieldIdle}, {idle, yieldIdle}, {reading, yieldIdle}} {
 		if c := s.lists[x.state].least(now - x.limit); c != nil {
-			c.quit()
+			c.quitBy(now + lingerShort)
 			return
 		}
 	}
@@ -463,14 +471,18 @@
 }
 
 // quit ends a connection without an open request. Half a request is answered.
-func (c *conn) quit() {
+func (c *conn) quit() { c.quitBy(c.server.loop.Now() + linger) }
+
+// quitBy is quit for one whose place is wanted, and whose client may never end its
+// side.
+func (c *conn) quitBy(by loop.Micros) {
 	if c.begun {
 		c.write(&httpwire.Response{Status: 408, Close: true})
 		return
 	}
 	c.last = true
 	c.enter(ending)
-	c.tc.Finish()
+	c.tc.Finish(by)
 }
 
 func (c *conn) take(r *httpwire.Request) {
@@ -550,7 +562,7 @@
 	}
 	if c.last {
 		c.enter(ending)
-		c.tc.Finish()
+		c.tc.Finish(s.loop.Now() + linger)
 	}
 }
 
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -30,7 +30,6 @@
 	sendBuffer = 416 << 10 // asked of the kernel for clients, so that one answer fits whole
 	takeBuffer = 64 << 10  // and for what they send; the poller reads as much at once
 	peerBuffer = 256 << 10 // and for what those that we dial send
-	lingerSpan = 500_000   // us that a half-closed connection may take to end
 )
 
 // Handler is told what happens on a connection, always on the loop.
@@ -426,9 +425,10 @@
 	c.close()
 }
 
-// Finish ends a connection once all is out and the other side has seen it: what
+// Finish ends a connection once all is out and the other side has seen it, or at a
+// moment: what
 // still comes in is dropped, so that no reset overtakes the last answer.
-func (c *Conn) Finish() {
+func (c *Conn) Finish(by loop.Micros) {
 	c.mu.Lock()
 	if c.closed || c.shut || c.ending {
 		c.mu.Unlock()
@@ -440,7 +440,7 @@
 		_ = syscall.Shutdown(c.fd, syscall.SHUT_WR)
 	}
 	c.mu.Unlock()
-	c.loop.At(c.loop.Now()+lingerSpan, c.Close)
+	c.loop.At(by, c.Close)
 }
 
 // Peer is the other side's address.
