--- a/cmd/ramplab/main.go
+++ b/cmd/ramplab/main.go
@@ -6,6 +6,8 @@
 //	ramplab world         the suite's operator's file and keys, for another server
 //	ramplab flood         forged links beside good ones
 //	ramplab idle          many idle connections, requests beside them, and all waking
+//	ramplab sim           scenarios in virtual time
+//	ramplab chaos         random days in virtual time
 //	ramplab slow          slow readers or senders, and requests beside them
 //
 // It exits with 0 where all is well, 1 where something failed, 2 where it was
@@ -33,6 +35,8 @@
 	Conformance conformanceCommand `cmd:"" help:"Run the suite of the signed front."`
 	World       worldCommand       `cmd:"" help:"Write the suite's operator's file and keys, for a server to be tested by address."`
 	Idle        idleCommand        `cmd:"" help:"Hold idle connections open, measure requests beside them, and wake them."`
+	Sim         simCommand         `cmd:"" help:"Play scenarios in virtual time, and check every promise."`
+	Chaos       chaosCommand       `cmd:"" help:"Play random days in virtual time, and find the shortest that breaks a promise."`
 	Slow        slowCommand        `cmd:"" help:"Let slow readers or senders come, and measure requests beside them."`
 	IdleWorker  workerCommand      `cmd:"" hidden:"" help:"Hold connections for another ramplab."`
 	Flood       floodCommand       `cmd:"" help:"Send forged links beside good ones and measure both."`
--- /dev/null
+++ b/cmd/ramplab/sim.go
@@ -0,0 +1,185 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"runtime"
+	"sync"
+	"time"
+
+	"github.com/schollz/progressbar/v3"
+
+	"cherryramp/lab/scenario"
+	"cherryramp/lab/world"
+)
+
+type simCommand struct {
+	Files  []string `arg:"" type:"existingfile" help:"Scenarios, as those in lab/scenarios."`
+	Seeds  int      `default:"1" help:"Seeds to play each with, from the scenario's own on."`
+	JSON   string   `help:"A file for all results."`
+	Second bool     `help:"Print the worth asked for and earned, second by second."`
+}
+
+// played is one day.
+type played struct {
+	File   string
+	Seed   uint64
+	Took   time.Duration
+	Result *world.Result
+}
+
+// Run plays scenarios in virtual time.
+func (c *simCommand) Run() error {
+	var days []*scenario.Scenario
+	var files []string
+	for _, path := range c.Files {
+		text, err := os.ReadFile(path)
+		if err != nil {
+			return err
+		}
+		for i := range c.Seeds {
+			s, err := scenario.Parse(path, string(text))
+			if err != nil {
+				return err
+			}
+			s.Spec.Seed += uint64(i)
+			days, files = append(days, s), append(files, path)
+		}
+	}
+	out, bad := make([]played, len(days)), false
+	errs := each(len(days), nil, func(i int) error {
+		start := time.Now()
+		r, err := days[i].Play(world.None)
+		out[i] = played{files[i], days[i].Spec.Seed, time.Since(start), r}
+		return err
+	})
+	for i, s := range days {
+		if errs[i] != nil {
+			return errs[i]
+		}
+		r := out[i].Result
+		fmt.Printf("%s (seed %d, %.2f s)\n%s", s.Name, s.Spec.Seed, out[i].Took.Seconds(), r)
+		for _, v := range r.Violations {
+			fmt.Printf("  %s\n", v)
+			bad = true
+		}
+		for _, e := range s.Expects {
+			if is, ok := e.Met(r); !ok {
+				fmt.Printf("  EXPECTED %s, it is %.3f\n", e, is)
+				bad = true
+			}
+		}
+		if c.Second {
+			for n, x := range r.Seconds {
+				fmt.Printf("  %3d s  asked %7.1f  earned %7.1f\n", n, x.Asked, x.Earned)
+			}
+		}
+	}
+	if err := writeJSON(c.JSON, out); err != nil {
+		return err
+	}
+	if bad {
+		return errNotMet
+	}
+	return nil
+}
+
+type chaosCommand struct {
+	Seed   uint64 `arg:"" optional:"" default:"1" help:"The first seed."`
+	Days   int    `default:"1000" help:"Random days to play, one a seed."`
+	Mutate string `help:"Something to break on purpose, as --list names it."`
+	List   bool   `help:"List what can be broken on purpose."`
+	Shrink int    `default:"300" help:"Days to play at most to find a shorter one that still breaks the promise."`
+	Keep   int    `default:"3" help:"Broken days to shrink and print."`
+}
+
+// Run plays random days and prints the shortest that breaks a promise.
+func (c *chaosCommand) Run() error {
+	if c.List {
+		for _, m := range sortedMutations() {
+			fmt.Printf("%-45s breaks: %s\n", m, world.Mutations[m])
+		}
+		return nil
+	}
+	m := world.Mutation(c.Mutate)
+	if _, ok := world.Mutations[m]; m != world.None && !ok {
+		return fmt.Errorf("%q can't be broken; see --list", c.Mutate)
+	}
+	bar := progressbar.NewOptions(c.Days, progressbar.OptionSetWriter(os.Stderr), progressbar.OptionSetDescription("days"),
+		progressbar.OptionShowIts(), progressbar.OptionThrottle(200*time.Millisecond), progressbar.OptionClearOnFinish())
+	results := make([]*world.Result, c.Days)
+	start := time.Now()
+	errs := each(c.Days, bar, func(i int) (err error) {
+		results[i], err = scenario.Random(c.Seed + uint64(i)).Play(m)
+		return err
+	})
+	tries, requests, broken, service := 0, 0, 0, 0.0
+	for i, r := range results {
+		if errs[i] != nil {
+			return fmt.Errorf("seed %d: %w", c.Seed+uint64(i), errs[i])
+		}
+		tries, requests, service = tries+r.Tries, requests+r.Requests(), service+r.Service
+		if len(r.Violations) == 0 {
+			continue
+		}
+		if broken++; broken > c.Keep {
+			continue
+		}
+		v := r.Violations[0]
+		fmt.Printf("seed %d: %s\n", c.Seed+uint64(i), v)
+		small := scenario.Random(c.Seed+uint64(i)).Shrink(v.Promise, m, c.Shrink)
+		again, err := small.Play(m)
+		if err != nil {
+			return err
+		}
+		fmt.Printf("shortest found:\n%s\n", small)
+		for n, v := range again.Violations {
+			if n == 5 {
+				break
+			}
+			fmt.Printf("  %s\n", v)
+		}
+	}
+	took := time.Since(start)
+	fmt.Printf("%d days, %d requests, %d tries in %.1f s (%.0f a second); service %.3f on average; a promise broken on %d days\n", c.Days, requests,
+		tries, took.Seconds(), float64(tries)/took.Seconds(), service/float64(c.Days), broken)
+	if broken > 0 {
+		return errNotMet
+	}
+	return nil
+}
+
+func sortedMutations() (out []world.Mutation) {
+	for _, p := range world.Promises {
+		for m, breaks := range world.Mutations {
+			if breaks == p {
+				out = append(out, m)
+			}
+		}
+	}
+	return out
+}
+
+// each does so many jobs on all cores.
+func each(n int, bar *progressbar.ProgressBar, do func(i int) error) []error {
+	errs, next := make([]error, n), make(chan int)
+	var wg sync.WaitGroup
+	for range min(n, runtime.GOMAXPROCS(0)) {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for i := range next {
+				errs[i] = do(i)
+				if bar != nil {
+					_ = bar.Add(1)
+				}
+			}
+		}()
+	}
+	for i := range n {
+		next <- i
+	}
+	close(next)
+	wg.Wait()
+	return errs
+}
--- /dev/null
+++ b/lab/scenario/chaos.go
@@ -0,0 +1,207 @@
+package scenario
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+
+	"cherryramp/lab/world"
+)
+
+// Random makes a day from a seed: a small site, a load, and troubles of all kinds
+// that overlap as they fall.
+func Random(seed uint64) *Scenario {
+	r := rand.New(rand.NewPCG(seed, 3))
+	s := &Scenario{Name: fmt.Sprint("chaos ", seed), Spec: world.Default(), Plan: world.Plan{Warm: 10 * 1_000_000, For: 30 * 1_000_000}}
+	s.Spec.Seed = seed
+	s.Spec.Rate = 60 + 240*r.Float64()
+	s.Spec.Branches = nil
+	for i := range 1 + r.IntN(4) {
+		s.Spec.Branches = append(s.Spec.Branches, world.Branch{Name: fmt.Sprint("edge-", i+1), Hub: s.Spec.Hubs[r.IntN(len(s.Spec.Hubs))],
+			Boxes: 1 + r.IntN(5), Fronts: 1 + r.IntN(2)})
+	}
+	s.Spec.Parents = 1 + r.IntN(4)
+	s.Spec.Repeats = world.Repeats{Most: r.IntN(4), Obey: r.IntN(2) == 0}
+	if r.IntN(3) > 0 {
+		s.Spec.Repeats.Wait = [2]world.Micros{r.Int64N(300_000), 300_000 + r.Int64N(500_000)}
+	}
+	w, err := world.New(s.Spec)
+	if err != nil {
+		panic(err) // it is made from good values only
+	}
+	branches, hubs, caches, fronts := w.Names()
+	pick := func(list []string) string { return list[r.IntN(len(list))] }
+	for range r.IntN(9) {
+		t := world.Trouble{At: r.Int64N(int64(s.Plan.For)), For: 500_000 + r.Int64N(12_000_000), Silent: r.IntN(3) == 0}
+		switch r.IntN(18) {
+		case 0, 1:
+			t.Kind, t.Target = world.LoseBranch, pick(branches)
+		case 2, 3:
+			t.Kind, t.Target = world.LoseParents, pick(hubs)
+		case 4:
+			t.Kind, t.Target = world.LoseServer, pick(caches)
+		case 5:
+			t.Kind, t.Target = world.DrainServer, pick(caches)
+		case 6:
+			t.Kind, t.X = world.OriginSlow, 1.5+4*r.Float64()
+		case 7:
+			t.Kind = world.OriginStops
+		case 8:
+			t.Kind, t.X, t.For = world.PurgeGroups, 0.2+0.8*r.Float64(), 0
+		case 9:
+			t.Kind, t.X, t.For = world.PurgeHot, float64(1+r.IntN(60)), 0
+		case 10:
+			t.Kind, t.X = world.Scan, 0.3*r.Float64()
+		case 11:
+			t.Kind, t.X = world.Surge, 1+2*r.Float64()
+		case 12:
+			t.Kind = world.Storm
+		case 13:
+			t.Kind, t.Target = world.CutBranch, pick(branches)
+		case 14:
+			t.Kind, t.For = world.Resets, 0
+		case 15:
+			t.Kind, t.X = world.SpoiltAnswers, 0.05*r.Float64()
+		case 16:
+			t.Kind, t.X = world.LostAnswers, 0.05*r.Float64()
+		default:
+			switch r.IntN(4) {
+			case 0:
+				t.Kind = world.Deaf
+			case 1:
+				t.Kind, t.X = world.TellsLate, 5*r.Float64()
+			case 2:
+				t.Kind, t.Target = world.KillFront, pick(fronts)
+			default:
+				t.Kind, t.Target, t.X = world.Flap, pick(caches), float64(1+r.IntN(6))
+			}
+		}
+		if t.Kind != world.LoseBranch && t.Kind != world.LoseParents && t.Kind != world.LoseServer {
+			t.Silent = false
+		}
+		s.Plan.Troubles = append(s.Plan.Troubles, t)
+	}
+	return s
+}
+
+// Play plays a scenario, with something broken on purpose or nothing.
+func (s *Scenario) Play(m world.Mutation) (*world.Result, error) {
+	w, err := world.New(s.Spec)
+	if err != nil {
+		return nil, err
+	}
+	w.Mutation = m
+	return w.Run(s.Plan)
+}
+
+// Shrink finds a shorter day on which a promise is still broken: without troubles
+// that are not needed, with the rest shorter, less load and an earlier end. It
+// plays so many days at most.
+func (s *Scenario) Shrink(p world.Promise, m world.Mutation, plays int) *Scenario {
+	best := *s
+	try := func(change func(s *Scenario) bool) bool {
+		next := best
+		next.Plan.Troubles = slices.Clone(best.Plan.Troubles)
+		if plays <= 0 || !change(&next) {
+			return false
+		}
+		plays--
+		r, err := next.Play(m)
+		if err != nil || r.Broken[p] == 0 {
+			return false
+		}
+		best = next
+		return true
+	}
+	for again := true; again && plays > 0; {
+		again = false
+		// Halves of the troubles first, then one by one (Zeller and Hildebrandt, 2002).
+		for size := max(1, len(best.Plan.Troubles)/2); size >= 1; size /= 2 {
+			for i := 0; i+size <= len(best.Plan.Troubles); {
+				if try(func(s *Scenario) bool { s.Plan.Troubles = slices.Delete(s.Plan.Troubles, i, i+size); return true }) {
+					again = true
+				} else {
+					i += size
+				}
+			}
+		}
+		for i := range best.Plan.Troubles {
+			for try(func(s *Scenario) bool {
+				t := &s.Plan.Troubles[i]
+				t.For /= 2
+				return t.For >= 250_000
+			}) {
+				again = true
+			}
+		}
+		for try(func(s *Scenario) bool { s.Plan.For = s.Plan.For * 3 / 4; return s.Plan.For > 1_000_000 }) {
+			again = true
+		}
+		for try(func(s *Scenario) bool { s.Plan.Warm /= 2; return s.Plan.Warm > 100_000 }) {
+			again = true
+		}
+		for try(func(s *Scenario) bool { s.Spec.Rate *= 0.6; return s.Spec.Rate > 2 }) {
+			again = true
+		}
+	}
+	return &best
+}
+
+// String writes a scenario in its language, as far as that goes.
+func (s *Scenario) String() string {
+	text := fmt.Sprintf("name %q\nseed %d\nsite {\n", s.Name, s.Spec.Seed)
+	for _, b := range s.Spec.Branches {
+		text += fmt.Sprintf("  branch %q at %q %d boxes %d fronts\n", b.Name, b.Hub, b.Boxes, b.Fronts)
+	}
+	text += fmt.Sprintf("  parents %d\n}\n", s.Spec.Parents)
+	x := s.Spec.Repeats
+	text += fmt.Sprintf("clients retry %d times after %s to %s", x.Most, seconds(x.Wait[0]), seconds(x.Wait[1]))
+	if x.Obey {
+		text += " obeying"
+	}
+	text += fmt.Sprintf("\nload %s/s\nwarm %s\nrun %s\n", number(s.Spec.Rate), seconds(s.Plan.Warm), seconds(s.Plan.For))
+	for _, t := range s.Plan.Troubles {
+		text += "at " + seconds(t.At) + " " + phrase(t)
+		if t.For > 0 {
+			text += " for " + seconds(t.For)
+		}
+		if t.Silent {
+			text += " silently"
+		}
+		text += "\n"
+	}
+	return text
+}
+
+func seconds(m world.Micros) string { return number(float64(m)/1000) + "ms" }
+
+// number writes a figure without an exponent, which the language does not have.
+func number(x float64) string { return fmt.Sprintf("%.6f", x) }
+
+// phrase is a trouble in the language's words.
+func phrase(t world.Trouble) string {
+	switch t.Kind {
+	case world.OriginSlow, world.Surge:
+		return fmt.Sprintf("%s %sx", t.Kind, number(t.X))
+	case world.PurgeGroups:
+		return fmt.Sprintf("purge %s%% of groups", number(100*t.X))
+	case world.PurgeHot:
+		return fmt.Sprintf("purge %d hot objects", int(t.X))
+	case world.Scan, world.SpoiltAnswers:
+		return fmt.Sprintf("%s %s%%", t.Kind, number(100*t.X))
+	case world.LostAnswers:
+		return fmt.Sprintf("lose %s%% of answers", number(100*t.X))
+	case world.Resets:
+		return "reset connections"
+	case world.TellsLate:
+		return "register late " + seconds(world.Micros(t.X*1e6))
+	case world.KillFront:
+		return fmt.Sprintf("kill front %q", t.Target)
+	case world.Flap:
+		return fmt.Sprintf("flap %q %d times", t.Target, int(t.X))
+	}
+	if t.Target != "" {
+		return fmt.Sprintf("%s %q", t.Kind, t.Target)
+	}
+	return string(t.Kind)
+}
--- a/lab/scenario/scenario_test.go
+++ b/lab/scenario/scenario_test.go
@@ -1,6 +1,7 @@
 package scenario
 
 import (
+	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
@@ -53,6 +54,65 @@
 	}
 }
 
+// Random days keep every promise; a day that is written down and read again is the
+// same day.
+func TestChaos(t *testing.T) {
+	const each = 15
+	for group := range uint64(8) {
+		t.Run(fmt.Sprint("from ", group*each), func(t *testing.T) {
+			t.Parallel()
+			for seed := group * each; seed < (group+1)*each; seed++ {
+				chaosDay(t, seed, seed%each == 0)
+			}
+		})
+	}
+}
+
+func chaosDay(t *testing.T, seed uint64, reread bool) {
+	s := Random(seed)
+	r, err := s.Play(world.None)
+	if err != nil {
+		t.Fatal(seed, err)
+	}
+	for _, v := range r.Violations {
+		t.Errorf("seed %d: %v", seed, v)
+	}
+	if !reread {
+		return
+	}
+	again, err := Parse("x", s.String())
+	if err != nil {
+		t.Fatalf("%v\n%s", err, s)
+	}
+	if r2, err := again.Play(world.None); err != nil || len(again.Plan.Troubles) != len(s.Plan.Troubles) || r2.Requests() == 0 {
+		t.Fatalf("seed %d reads otherwise: %v\n%s", seed, err, s)
+	}
+}
+
+// A broken day shrinks to one that is shorter and still broken in the same way.
+func TestShrink(t *testing.T) {
+	for seed := uint64(1); ; seed++ {
+		s := Random(seed)
+		r, err := s.Play(world.DeafToDrains)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if r.Broken[world.Drain] == 0 || len(s.Plan.Troubles) < 4 {
+			continue
+		}
+		small := s.Shrink(world.Drain, world.DeafToDrains, 80)
+		r, err = small.Play(world.DeafToDrains)
+		if err != nil || r.Broken[world.Drain] == 0 {
+			t.Fatal("it is no longer broken", err)
+		}
+		t.Logf("from %d troubles to %d:\n%s", len(s.Plan.Troubles), len(small.Plan.Troubles), small)
+		if len(small.Plan.Troubles) > 2 || small.Plan.For > s.Plan.For {
+			t.Errorf("still %d troubles:\n%s", len(small.Plan.Troubles), small)
+		}
+		return
+	}
+}
+
 // Faults are told with line and column, and what is wrong.
 func TestErrorsNameThePlace(t *testing.T) {
 	for text, want := range map[string]string{
