Cold budgets count a request at no less than its class's prior work

The budget of a cold member counts a request at its class's mean, which is learnt from hits alone; in a rush large requests are refused and the small ones hit, so the mean fell to a fraction and the budget let several times too much by.

--- a/lab/scenario/scenario_test.go
+++ b/lab/scenario/scenario_test.go
@@ -68,6 +68,13 @@
 	}
 }
 
+// Days on which the product once broke a promise.
+func TestOldFaults(t *testing.T) {
+	for _, seed := range []uint64{511, 2095} { // cold servers pushed over, as means were learnt from small hits alone
+		chaosDay(t, seed, false)
+	}
+}
+
 func chaosDay(t *testing.T, seed uint64, reread bool) {
 	s := Random(seed)
 	r, err := s.Play(world.None)
--- a/rules/guards_test.go
+++ b/rules/guards_test.go
@@ -250,6 +250,50 @@
 	}
 }
 
+// Guards against means that were learnt from small hits alone, as in a rush where the
+// large ones are refused: a cold member is still not sent more than fits what its
+// class's requests may well take. Found by random days of the laboratory (chaos 511,
+// 2095), where boxes alone in their branch were pushed over.
+func TestSmallHitsDoNotPushColdMembersOver(t *testing.T) {
+	g := newRig(t, nil)
+	for i := range 400 { // answered in 10 ms each
+		get, _ := g.ask(Request{Object: uint64(1000 + i)})
+		g.answer(get, 0, OK, NoteHit)
+		g.now += 5 * milli
+	}
+	s, born := g.r.cfg, g.now
+	prior := workPriorShare * float64(s.Classes[0].Aim)
+	if g.r.mean[0] > prior/2 {
+		t.Fatalf("the mean is %.0f of %.0f: nothing is tested", g.r.mean[0], prior)
+	}
+	g.step(Members{List: []Member{{ID: 2, State: Ready, Zone: 1, Weight: 8, Born: born}}})
+	var sent []Micros
+	for g.now < born+2*second {
+		get, _ := g.ask(Request{Object: mix(uint64(g.now))})
+		if get.Server == 2 {
+			sent = append(sent, g.now)
+		}
+		g.answer(get, 0, OK, NoteHit)
+		g.now += 2 * milli
+	}
+	able := s.ColdFrom + (1-s.ColdFrom)*float64(2*second)/float64(s.WarmUp)
+	most := s.FallMultiple * able * 8 * float64(s.FallTime) / prior
+	for i, from := range sent {
+		n := 0
+		for _, at := range sent[i:] {
+			if at-from <= s.FallTime {
+				n++
+			}
+		}
+		if float64(n) > most {
+			t.Fatalf("%d sent within a second, %.1f fit", n, most)
+		}
+	}
+	if len(sent) == 0 {
+		t.Error("a cold member got nothing")
+	}
+}
+
 // Incident i1f4f17: many caches that break a third of their work each.
 func TestPartialFailureIsRetriedNotEjected(t *testing.T) {
 	g := newRig(t, nil)
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -932,10 +932,12 @@
 
 // weigh is what a request counts for at a member.
 func (r *Router) weigh(m *member, q *request) float64 {
+	// Means are learnt from hits alone, and in a rush the small ones are those that hit.
+	mean := max(r.mean[q.Class], workPriorShare*float64(q.class.Aim))
 	if m.tier == tierCache {
-		return r.mean[q.Class]
+		return mean
 	}
-	return max(q.work, r.mean[q.Class])
+	return max(q.work, mean)
 }
 
 // size is a member's capacity in transfers at full pace.
