--- a/cmd/ramplab/main.go
+++ b/cmd/ramplab/main.go
@@ -7,6 +7,7 @@
 //	ramplab flood         forged links beside good ones
 //	ramplab idle          many idle connections, requests beside them, and all waking
 //	ramplab sim           scenarios in virtual time
+//	ramplab compare       what two builds made of the same scenarios
 //	ramplab chaos         random days in virtual time
 //	ramplab slow          slow readers or senders, and requests beside them
 //
@@ -36,6 +37,7 @@
 	World       worldCommand       `cmd:"" help:"Write the suite's operator's file and keys, for a server to be tested by address."`
 	Idle        idleCommand        `cmd:"" help:"Hold idle connections open, measure requests beside them, and wake them."`
 	Sim         simCommand         `cmd:"" help:"Play scenarios in virtual time, and check every promise."`
+	Compare     compareCommand     `cmd:"" help:"Compare the days of two builds or settings, pair by pair."`
 	Chaos       chaosCommand       `cmd:"" help:"Play random days in virtual time, and find the shortest that breaks a promise."`
 	Slow        slowCommand        `cmd:"" help:"Let slow readers or senders come, and measure requests beside them."`
 	IdleWorker  workerCommand      `cmd:"" hidden:"" help:"Hold connections for another ramplab."`
--- a/cmd/ramplab/sim.go
+++ b/cmd/ramplab/sim.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"encoding/json"
 	"fmt"
 	"os"
 	"runtime"
@@ -9,6 +10,7 @@
 
 	"github.com/schollz/progressbar/v3"
 
+	"cherryramp/lab/experiment"
 	"cherryramp/lab/scenario"
 	"cherryramp/lab/world"
 )
@@ -84,6 +86,39 @@
 	return nil
 }
 
+type compareCommand struct {
+	A string `arg:"" type:"existingfile" help:"What sim --json wrote with one build or setting."`
+	B string `arg:"" type:"existingfile" help:"The same with another."`
+}
+
+// Run compares two sets of days, pair by pair.
+func (c *compareCommand) Run() error {
+	var sets [2][]experiment.Day
+	for i, path := range []string{c.A, c.B} {
+		text, err := os.ReadFile(path)
+		if err == nil {
+			err = json.Unmarshal(text, &sets[i])
+		}
+		if err != nil {
+			return fmt.Errorf("%s: %w", path, err)
+		}
+		for _, d := range sets[i] {
+			if d.Result == nil {
+				return fmt.Errorf("%s: a day without a result: sim --json writes them", path)
+			}
+		}
+	}
+	effects, alone, err := experiment.Compare(sets[0], sets[1])
+	if err != nil {
+		return err
+	}
+	fmt.Printf("%d pairs, %d days in one file only\n%-26s %8s %8s  B less A (95%%)\n", effects[0].Pairs, alone, "", "A", "B")
+	for _, e := range effects {
+		fmt.Println(e)
+	}
+	return nil
+}
+
 type chaosCommand struct {
 	Seed   uint64 `arg:"" optional:"" default:"1" help:"The first seed."`
 	Days   int    `default:"1000" help:"Random days to play, one a seed."`
