--- a/cmd/ramplab/idle.go
+++ b/cmd/ramplab/idle.go
@@ -297,7 +297,7 @@
 	order := idle.Order{Do: "drip", Class: "guide-video", Object: site.Large, Address: c.sites[0].Listen, Count: c.Clients, Patience: 4 * time.Second,
 		Pace: c.Pace, Read: !c.Senders, For: c.For}
 	if c.Spread {
-		order.First = 1 << 20 // not used by others; a prefix each needs the third byte to move
+		order.Stride = 256
 	}
 	w, err := idle.NewWorker("idle-worker")
 	if err != nil {
--- a/lab/idle/slow.go
+++ b/lab/idle/slow.go
@@ -65,7 +65,7 @@
 }
 
 func (o *Order) slowConn(i int) (net.Conn, error) {
-	d := net.Dialer{Timeout: o.Patience, LocalAddr: source(o.First + i), Control: func(_, _ string, c syscall.RawConn) error {
+	d := net.Dialer{Timeout: o.Patience, LocalAddr: source(o.First + i*max(1, o.Stride)), Control: func(_, _ string, c syscall.RawConn) error {
 		var err error
 		if e := c.Control(func(fd uintptr) {
 			err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, smallWindow)
--- a/lab/idle/worker.go
+++ b/lab/idle/worker.go
@@ -21,6 +21,7 @@
 	Object   string
 	First    int // number of the first connection, which gives its source address
 	Count    int
+	Stride   int // drip: between the numbers of two connections; 256 gives each a /24 of its own
 	Patience time.Duration
 	Within   time.Duration // wake
 	Start    time.Time     // wake
