--- a/cmd/ramplab/idle.go
+++ b/cmd/ramplab/idle.go
@@ -33,12 +33,15 @@
 	Rate      int           `default:"200" help:"Requests a second in all."`
 	For       time.Duration `default:"10s" help:"How long the fronts are watched idle, and then under requests."`
 	JSON      string        `help:"A file for the figures."`
-	Admission string        `help:"The fronts' clients.admission: aimd, gradient or nothing."`
+	Admission string        `default:"" enum:",aimd,gradient" help:"The fronts' clients.admission: aimd, gradient or nothing."`
 	sites     []*site.Site
 }
 
 // start starts the fronts, each with room for so many connections.
 func (f *fronts) start(front string, connections int, clients string) error {
+	if err := errors.Join(positive("memory-mb", f.MemoryMB), positive("rate", f.Rate), positive("for", int(f.For))); err != nil {
+		return err
+	}
 	for range f.Fronts {
 		o := site.Options{Front: front, Sockets: min(20_000, connections+2000), MemoryMB: f.MemoryMB, Env: []string{"GOMAXPROCS=1"},
 			Operator: func(string) []byte {
@@ -156,6 +159,9 @@
 
 // Run measures fronts without idle connections, then with them, then wakes them.
 func (c *idleCommand) Run() (err error) {
+	if err := errors.Join(positive("fronts", c.Fronts), positive("connections", c.Connections)); err != nil {
+		return err
+	}
 	front, err := c.path()
 	if err != nil {
 		return err
@@ -280,6 +286,9 @@
 
 // Run measures requests with and without slow clients beside them.
 func (c *slowCommand) Run() (err error) {
+	if err := errors.Join(positive("fronts", c.Fronts), positive("clients", c.Clients), positive("pace", c.Pace)); err != nil {
+		return err
+	}
 	front, err := c.path()
 	if err != nil {
 		return err
@@ -333,6 +342,14 @@
 	return writeJSON(c.JSON, out)
 }
 
+// positive tells of a flag that is not above 0.
+func positive(flag string, n int) error {
+	if n < 1 {
+		return fmt.Errorf("--%s: %d is not above 0", flag, n)
+	}
+	return nil
+}
+
 func writeJSON(path string, v any) error {
 	if path == "" {
 		return nil
--- a/cmd/ramplab/sim.go
+++ b/cmd/ramplab/sim.go
@@ -32,6 +32,9 @@
 
 // Run plays scenarios in virtual time.
 func (c *simCommand) Run() error {
+	if err := positive("seeds", c.Seeds); err != nil {
+		return err
+	}
 	var days []*scenario.Scenario
 	var files []string
 	for _, path := range c.Files {
@@ -136,6 +139,9 @@
 		}
 		return nil
 	}
+	if err := positive("days", c.Days); err != nil {
+		return err
+	}
 	m := world.Mutation(c.Mutate)
 	if _, ok := world.Mutations[m]; m != world.None && !ok {
 		return fmt.Errorf("%q can't be broken; see --list", c.Mutate)
--- a/lab/world/link.go
+++ b/lab/world/link.go
@@ -65,12 +65,6 @@
 	}
 }
 
-// left is what a transfer has still to move, in bytes.
-func (t *transfer) left() float64 {
-	t.link.catchUp()
-	return t.end - t.link.moved
-}
-
 func (l *link) pass() {
 	l.catchUp()
 	for len(l.heap) > 0 && l.heap[0].end <= l.moved+1e-6 {
--- a/lab/world/wire.go
+++ b/lab/world/wire.go
@@ -41,7 +41,7 @@
 func (n *network) Dial(address string, limit int, h upstream.Handler, by Micros, ready func(upstream.Conn, error)) {
 	w, s := n.front.w, n.front.w.at[address]
 	way := w.way(n.front.zone, s)
-	if s == nil || s.up && !s.silent && !w.cut(n.front, s) {
+	if s == nil || s.up && !s.silent && !w.cut(s) {
 		w.after(2*way, func() {
 			switch {
 			case n.front.dead:
@@ -86,7 +86,7 @@
 
 // dead tells whether nothing crosses any more, unheard.
 func (c *wire) dead() bool {
-	return c.to.silent || c.to.born != c.born || !c.to.up || c.front.dead || c.front.w.cut(c.front, c.to)
+	return c.to.silent || c.to.born != c.born || !c.to.up || c.front.dead || c.front.w.cut(c.to)
 }
 
 // Consume is part of upstream.Conn.
--- a/lab/world/world.go
+++ b/lab/world/world.go
@@ -212,8 +212,8 @@
 	return w.ways[zone][s.zone]
 }
 
-// cut tells whether nothing crosses between a front and a server.
-func (w *World) cut(f *Front, s *server) bool { return len(w.cuts) > 0 && w.cuts[s.zone] }
+// cut tells whether nothing crosses between any front and a server.
+func (w *World) cut(s *server) bool { return len(w.cuts) > 0 && w.cuts[s.zone] }
 
 func (w *World) after(in Micros, do func()) { w.loop.At(w.loop.Now()+in, do) }
 
