Laboratory: what fronts are, split from what servers are

Need: the same world has to run before built fronts on sockets too. Until now a connection knew that its front was a gateway in the same process.

Change: a front has a program (begin, submit, leave, news, end); the one in this process moves to inside.go, and a connection's server side no longer knows what stands at its other end. Starting, awaiting and ending the built front moves to lab/process.

--- a/cmd/ramplab/idle.go
+++ b/cmd/ramplab/idle.go
@@ -13,6 +13,7 @@
 
 	"cherryramp/lab/flood"
 	"cherryramp/lab/idle"
+	"cherryramp/lab/process"
 	"cherryramp/lab/site"
 )
 
@@ -69,7 +70,7 @@
 // resident is what all fronts hold, in KB, and spent the time on cores.
 func (f *fronts) resident() (kb int) {
 	for _, s := range f.sites {
-		kb += resident(s.Pid())
+		kb += process.Resident(s.Pid())
 	}
 	return kb
 }
--- a/cmd/ramplab/proc.go
+++ b/cmd/ramplab/proc.go
@@ -30,18 +30,3 @@
 	}
 	return time.Duration(sum) * time.Second / ticks, nil
 }
-
-// resident is a process's resident size in KB; 0: not known.
-func resident(pid int) int {
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
-	if err != nil {
-		return 0
-	}
-	for line := range strings.SplitSeq(string(text), "\n") {
-		if rest, ok := strings.CutPrefix(line, "VmRSS:"); ok {
-			n, _ := strconv.Atoi(strings.Fields(rest)[0])
-			return n
-		}
-	}
-	return 0
-}
--- a/lab/site/site.go
+++ b/lab/site/site.go
@@ -15,17 +15,13 @@
 	"net"
 	"net/http"
 	"os"
-	"os/exec"
 	"path/filepath"
-	"runtime"
 	"strconv"
 	"strings"
-	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
+	"cherryramp/lab/process"
 )
 
 // settings are those of a site with two classes of reads and one of payouts.
@@ -33,9 +29,6 @@
 //go:embed settings.json
 var settings string
 
-// Patience is how long a front may take to start and to end.
-const Patience = 10 * time.Second
-
 // Tag names the copy that nodes answer with.
 const Tag = "t1"
 
@@ -133,9 +126,7 @@
 
 	dir   string
 	board *http.Server
-	cmd   *exec.Cmd
-	ended chan error
-	log   *awaited
+	front *process.Process
 }
 
 // Options set a site up.
@@ -169,7 +160,7 @@
 	if err != nil {
 		return s, err
 	}
-	s.board = &http.Server{Handler: http.HandlerFunc(poll), ReadHeaderTimeout: Patience}
+	s.board = &http.Server{Handler: http.HandlerFunc(poll), ReadHeaderTimeout: process.Patience}
 	go func() { _ = s.board.Serve(ln) }()
 	if s.Listen, err = free(); err != nil {
 		return s, err
@@ -194,7 +185,7 @@
 	if err = os.WriteFile(path, []byte(config), 0o600); err != nil {
 		return s, err
 	}
-	env := append([]string{"ROUTER_CONFIG=" + path, "PATH=" + os.Getenv("PATH")}, o.Env...)
+	env := append([]string{"ROUTER_CONFIG=" + path}, o.Env...)
 	if o.Operator != nil {
 		if s.Signed, err = free(); err != nil {
 			return s, err
@@ -205,58 +196,19 @@
 		}
 		env = append(env, "CHERRYRAMP_OPERATOR="+s.Operator)
 	}
-	s.log = &awaited{text: "msg=serving", seen: make(chan struct{}), to: o.Log}
-	s.cmd = exec.Command(o.Front)
-	s.cmd.Env, s.cmd.Stderr = env, s.log
-	if err = s.start(o.Core); err != nil {
-		s.cmd = nil
+	if s.front, err = process.Start(process.Options{Path: o.Front, Env: env, Log: o.Log, Core: o.Core}); err != nil {
 		return s, err
 	}
-	s.ended = make(chan error, 1)
-	go func() { s.ended <- s.cmd.Wait() }()
-	select {
-	case <-s.log.seen:
-		return s, nil
-	case err := <-s.ended:
-		s.cmd = nil
-		return s, fmt.Errorf("the front ended at its start: %w: %s", err, s.log.head())
-	case <-time.After(Patience):
-		return s, errors.New("the front does not start")
-	}
-}
-
-// start starts the front, pinned to a core if there is one.
-func (s *Site) start(core *int) error {
-	if core == nil {
-		return s.cmd.Start()
-	}
-	// A process inherits the cores of the thread that starts it.
-	runtime.LockOSThread()
-	defer runtime.UnlockOSThread()
-	var before, only unix.CPUSet
-	if err := unix.SchedGetaffinity(0, &before); err != nil {
-		return err
-	}
-	only.Set(*core)
-	if err := unix.SchedSetaffinity(0, &only); err != nil {
-		return fmt.Errorf("core %d: %w", *core, err)
-	}
-	return errors.Join(s.cmd.Start(), unix.SchedSetaffinity(0, &before))
+	return s, s.front.Await()
 }
 
 // Pid is the front's process.
-func (s *Site) Pid() int { return s.cmd.Process.Pid }
+func (s *Site) Pid() int { return s.front.Pid() }
 
 // Stop ends all that the site started.
 func (s *Site) Stop() (err error) {
-	if s.cmd != nil {
-		_ = s.cmd.Process.Signal(syscall.SIGTERM)
-		select {
-		case err = <-s.ended:
-		case <-time.After(Patience):
-			_ = s.cmd.Process.Kill()
-			err = errors.New("site: the front did not end by itself")
-		}
+	if s.front != nil {
+		err = s.front.Stop()
 	}
 	for _, n := range []*Node{s.Box, s.Parent, s.Origin} {
 		if n != nil {
@@ -288,38 +240,3 @@
 	}
 	return ln.Addr().String(), ln.Close()
 }
-
-// awaited passes a log on and tells when a text has come.
-type awaited struct {
-	mu    sync.Mutex
-	text  string
-	start []byte
-	done  bool
-	seen  chan struct{}
-	to    io.Writer
-}
-
-// mostHead is what is kept of a log while its text has not come, in bytes.
-const mostHead = 64 << 10
-
-// Write is part of io.Writer.
-func (a *awaited) Write(p []byte) (int, error) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if !a.done && len(a.start) < mostHead {
-		a.start = append(a.start, p...)
-		if a.done = bytes.Contains(a.start, []byte(a.text)); a.done {
-			close(a.seen)
-		}
-	}
-	if a.to != nil {
-		return a.to.Write(p)
-	}
-	return len(p), nil
-}
-
-func (a *awaited) head() string {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return string(a.start)
-}
--- a/lab/world/catalog.go
+++ b/lab/world/catalog.go
@@ -53,7 +53,7 @@
 	r := ranking{first: uint32(len(c.objects)), sums: make([]float64, n), order: make([]int32, n)}
 	sum := 0.0
 	for i := range n {
-		c.add(class)
+		c.add(class, c.w.rand)
 		sum += math.Pow(float64(i+1), -c.w.spec.Classes[class].Zipf)
 		r.sums[i], r.order[i] = sum, int32(i)
 	}
@@ -62,12 +62,12 @@
 }
 
 // add makes a new object.
-func (c *catalog) add(class int) uint32 {
+func (c *catalog) add(class int, r *rand.Rand) uint32 {
 	spec := &c.w.spec.Classes[class]
-	o := object{class: class, group: uint8(c.w.rand.IntN(groups)), parts: 1,
-		scale: math.Exp(spec.Sigma*c.w.rand.NormFloat64() - spec.Sigma*spec.Sigma/2)}
+	o := object{class: class, group: uint8(r.IntN(groups)), parts: 1,
+		scale: math.Exp(spec.Sigma*r.NormFloat64() - spec.Sigma*spec.Sigma/2)}
 	if spec.Parts[1] > spec.Parts[0] {
-		o.parts = spec.Parts[0] + c.w.rand.IntN(spec.Parts[1]-spec.Parts[0]+1)
+		o.parts = spec.Parts[0] + r.IntN(spec.Parts[1]-spec.Parts[0]+1)
 	}
 	c.objects = append(c.objects, o)
 	return uint32(len(c.objects) - 1)
@@ -77,7 +77,7 @@
 func (c *catalog) draw(class, branch int, now Micros, r *rand.Rand) uint32 {
 	spec := &c.w.spec.Classes[class]
 	if spec.Write || r.Float64() < max(spec.Once, c.w.scan) {
-		return c.add(class)
+		return c.add(class, r)
 	}
 	x := &c.classes[class].all
 	if r.Float64() < spec.Local {
--- a/lab/world/check.go
+++ b/lab/world/check.go
@@ -70,13 +70,16 @@
 // bounds looks now and then at what fronts hold.
 func (w *World) bounds() {
 	for _, f := range w.fronts {
-		if f.dead {
+		if !f.serves {
 			continue
 		}
-		held := f.gate.Open()
+		held, tooMuch := f.prog.held()
 		if w.Mutation == Hoards {
 			held += 10 * w.spec.Held
 		}
+		if tooMuch != "" {
+			w.broken(Bounded, f, tooMuch)
+		}
 		// Calls that came and are to be refused in the same moment count as held.
 		if held > w.spec.Held+64 {
 			w.broken(Bounded, f, fmt.Sprintf("%d calls, of %d that it may hold", held, w.spec.Held))
--- a/lab/world/clients.go
+++ b/lab/world/clients.go
@@ -1,12 +1,17 @@
 package world
 
 import (
+	"context"
 	"fmt"
 	"math"
+	"math/rand/v2"
 
 	"cherryramp/internal/gateway"
 )
 
+// payment is what a write carries.
+const payment = "pay"
+
 // op is what a client wants once, with all its tries.
 type op struct {
 	class, branch int
@@ -23,7 +28,8 @@
 	w       *World
 	op      *op
 	front   *Front
-	call    *gateway.Call
+	call    *gateway.Call      // in this process
+	cancel  context.CancelFunc // on sockets
 	id      string
 	until   Micros
 	left    int // attempts that left the front
@@ -40,43 +46,48 @@
 	return &w.stats
 }
 
-// arrivals has clients come at a branch, as a Poisson process at the rate of now.
-func (w *World) arrivals(branch int) {
-	rate := w.rate(w.loop.Now()-w.began) * w.weight[branch] // requests a second
+// arrivals has clients come at a branch, as a Poisson process at the rate of the
+// moment. What they want and when is drawn from a stream of the branch's own, by
+// the planned moments: so all who play a day with the same seed, in virtual time or
+// not, meet the same clients.
+func (w *World) arrivals(branch int, at Micros, r *rand.Rand) {
+	rate := w.rate(at-w.began) * w.weight[branch] // requests a second
 	gap := 100 * milli
 	if rate > 0 {
-		gap = min(Micros(w.rand.ExpFloat64()/(rate/w.perVisit)*1e6), second)
+		gap = min(Micros(r.ExpFloat64()/(rate/w.perVisit)*1e6), second)
 	}
-	w.after(gap, func() {
-		if w.loop.Now() >= w.ends {
+	next := at + gap
+	w.loop.At(next, func() {
+		if next >= w.ends {
 			return
 		}
 		if rate > 0 && gap < second {
-			w.visit(branch)
+			w.visit(branch, next, r)
 		}
-		w.arrivals(branch)
+		w.arrivals(branch, next, r)
 	})
 }
 
+// stay is the chance that a client who has had a part wants the next.
+const stay = 0.96
+
 // visit is a client that wants an object, its parts one after another.
-func (w *World) visit(branch int) {
-	x, class := w.rand.Float64()*w.shares[len(w.shares)-1], 0
+func (w *World) visit(branch int, at Micros, r *rand.Rand) {
+	x, class := r.Float64()*w.shares[len(w.shares)-1], 0
 	for w.shares[class] < x {
 		class++
 	}
-	object := w.catalog.draw(class, branch, w.loop.Now()-day, w.rand)
-	w.read(class, branch, object, 0)
-}
-
-// stay is the chance that a client who has had a part wants the next.
-const stay = 0.96
-
-func (w *World) read(class, branch int, object uint32, part int) {
-	w.ask(&op{class: class, branch: branch, object: object, part: part, began: w.loop.Now()})
-	if part+1 < w.catalog.objects[object].parts && w.rand.Float64() < stay {
-		w.after(between(w.rand, w.spec.Classes[class].Gap), func() {
-			if w.loop.Now() < w.ends {
-				w.read(class, branch, object, part+1)
+	object := w.catalog.draw(class, branch, at-w.first, r)
+	for part := range w.catalog.objects[object].parts {
+		if part > 0 {
+			if r.Float64() >= stay {
+				return
+			}
+			at += between(r, w.spec.Classes[class].Gap)
+		}
+		w.loop.At(at, func() {
+			if at < w.ends {
+				w.ask(&op{class: class, branch: branch, object: object, part: part, began: w.loop.Now()})
 			}
 		})
 	}
@@ -96,7 +107,7 @@
 	w.of(o).Tries++
 	var up []*Front
 	for _, f := range w.fronts {
-		if f.branch == o.branch && !f.dead {
+		if f.branch == o.branch && f.serves {
 			up = append(up, f)
 		}
 	}
@@ -108,16 +119,10 @@
 	patience := Micros(float64(spec.GiveUp) * (0.5 + 0.5*w.rand.Float64()))
 	w.lastID++
 	a := &ask{w: w, op: o, front: f, id: id(w.lastID), until: w.loop.Now() + patience}
-	object := &w.catalog.objects[o.object]
-	a.call = &gateway.Call{ID: a.id, Class: o.class, Object: name(o.object), Part: o.part, HasPart: object.parts > 1, Group: int(object.group),
-		Repeat: o.tries > 1, Deadline: a.until, Caller: a}
-	if spec.Write {
-		a.call.Body = []byte("pay")
-	}
 	w.asks[a.id] = a
-	f.open[a.call] = a
+	f.open[a] = true
 	w.loop.At(a.until+w.spec.Grace+w.spec.Slack, a.expire)
-	f.gate.Submit(a.call)
+	f.prog.submit(a)
 }
 
 // expire finds out whether a try has had its answer.
@@ -127,14 +132,14 @@
 	}
 	a.w.broken(Answer, a.front, fmt.Sprintf("%s of %s has no answer %d ms after its client gave up", a.id, a.w.spec.Classes[a.op.class].Name,
 		(a.w.loop.Now()-a.until)/milli))
-	a.front.gate.Leave(a.call)
+	a.front.prog.leave(a)
 	a.end()
 	a.w.of(a.op).Lost[a.op.class]++
 }
 
 func (a *ask) end() {
 	a.over = true
-	delete(a.front.open, a.call)
+	delete(a.front.open, a)
 	// What a write did may still come to light.
 	a.w.after(2*second, func() { delete(a.w.asks, a.id) })
 }
@@ -230,6 +235,17 @@
 	w.perSecond(o.began, worth, 0)
 }
 
+// lost is the end of a try whose connection ended without a whole answer while its
+// front ran.
+func (a *ask) lost(err error) {
+	if a.over {
+		return
+	}
+	a.w.broken(Answer, a.front, fmt.Sprintf("%s has no whole answer: %v", a.id, err))
+	a.end()
+	a.w.of(a.op).Lost[a.op.class]++
+}
+
 // again has a client come back, if it does.
 func (w *World) again(o *op, away Micros) {
 	if o.over || o.tries > w.spec.Repeats.Most {
--- a/lab/world/front.go
+++ b/lab/world/front.go
@@ -1,15 +1,11 @@
 package world
 
 import (
-	"bytes"
 	"fmt"
-	"io"
-	"log/slog"
 	"strconv"
 	"strings"
 
 	"cherryramp/internal/gateway"
-	"cherryramp/internal/upstream"
 	"cherryramp/rules"
 )
 
@@ -22,16 +18,18 @@
 	name   string
 	zone   int
 	branch int
-	gate   *gateway.Gateway
+	make   func(f *Front) program
+	prog   program
 	wires  map[*wire]bool
 	dead   bool
+	serves bool
 	heard  Micros                   // up to when the register's news comes in order
 	mute   bool                     // the register can't be reached
 	told   map[*server]belief       // what it was told last
 	purges map[purgeKey][]toldPurge // lately
 	sends  map[sendKey]Micros       // when each attempt that is open left
 	starts int
-	open   map[*gateway.Call]*ask
+	open   map[*ask]bool
 }
 
 type belief struct {
@@ -60,28 +58,12 @@
 	id   string
 }
 
-// quiet is the log of all fronts: what they have to say is in the history.
-var quiet = slog.New(slog.NewTextHandler(io.Discard, &slog.HandlerOptions{Level: slog.LevelError + 1}))
-
 // start starts a front's program, with what the register holds at this moment.
 func (f *Front) start() {
 	w := f.w
 	f.starts++
-	f.dead, f.wires, f.open = false, map[*wire]bool{}, map[*gateway.Call]*ask{}
+	f.dead, f.serves, f.wires, f.open = false, false, map[*wire]bool{}, map[*ask]bool{}
 	f.told, f.purges, f.sends = map[*server]belief{}, map[purgeKey][]toldPurge{}, map[sendKey]Micros{}
-	cfg := gateway.Config{Settings: w.spec.settings(f.zone), Zones: w.spec.zones(), Kinds: kinds, Seed: w.spec.Seed ^ hash(f.name)<<8 ^ uint64(f.starts),
-		Copies: gateway.Copies{Bytes: w.copies, Flow: w.spec.Flow, Link: w.spec.Flow * 4}}
-	var err error
-	if f.gate, err = gateway.New(cfg, w.loop, quiet); err != nil {
-		panic(err) // the settings are the world's own, and New has tried them
-	}
-	var lanes []string
-	var alone []bool
-	for _, c := range w.spec.Classes {
-		lanes, alone = append(lanes, c.Name), append(alone, c.Write)
-	}
-	f.gate.Use(upstream.New(upstream.Config{Lanes: lanes, Alone: alone, Streams: 32, Connections: 8, ConnectTime: 400 * milli,
-		IdleTime: 12 * second}, &network{f}, w.loop, f.gate, quiet))
 	var list []gateway.Member
 	for _, s := range w.servers {
 		if s.state != rules.Gone {
@@ -89,22 +71,27 @@
 			f.told[s] = belief{s.state, s.born, w.loop.Now()}
 		}
 	}
-	f.gate.Members(true, list)
+	var purges []gateway.Purge
 	for _, p := range w.purges { // those that caches may not have heard of
 		if w.loop.Now()-p.at <= w.spec.PurgeDone {
-			f.hearPurge(p)
+			purges = append(purges, f.learn(p)...)
 		}
 	}
+	f.prog = f.make(f)
+	f.prog.begin(list, purges, func() { f.serves = true })
 	f.hear()
 }
 
+// seed is what a start of the front's program draws from.
+func (f *Front) seed() uint64 { return f.w.spec.Seed ^ hash(f.name)<<8 ^ uint64(f.starts) }
+
 // hear has the front know that the register answers, as its long poll does.
 func (f *Front) hear() {
 	if f.dead {
 		return
 	}
 	if !f.mute {
-		f.gate.Heard()
+		f.prog.heard()
 	}
 	starts := f.starts
 	f.w.after(100*milli, func() {
@@ -158,43 +145,47 @@
 	if m.Born != 0 {
 		m.Born = born
 	}
-	f.gate.Members(false, []gateway.Member{m})
+	f.prog.member(m)
 }
 
 func (f *Front) hearPurge(p purge) {
+	for _, x := range f.learn(p) {
+		f.prog.purge(x)
+	}
+}
+
+// learn notes that the front is told of a purge, and gives what it is told.
+func (f *Front) learn(p purge) []gateway.Purge {
 	f.purges[p.key()] = append(f.purges[p.key()], toldPurge{p.at, f.w.loop.Now()})
 	if f.w.Mutation == DeafToPurges {
-		return
-	}
-	x := gateway.Purge{Group: int(p.group), At: p.at}
-	if p.object >= 0 {
-		x.Object = name(uint32(p.object))
+		return nil
 	}
-	f.gate.Purge(x)
+	return []gateway.Purge{purgeOf(p)}
 }
 
-// left is told of every command that a front sends, when its first byte leaves:
-// what the rules say of sends is judged here.
-func (f *Front) left(c *wire, text []byte) {
+// left is told of every command that a front sends, when it leaves: what the rules
+// say of sends is judged here.
+func (f *Front) left(c *wire, x command) {
 	w, now := f.w, f.w.loop.Now()
-	words := strings.Fields(string(text[:max(0, bytes.IndexByte(text, '\r'))]))
-	if len(words) != 4 || words[0] != "serve" {
+	if x.words[0] != "serve" {
 		return
 	}
+	id, fields := x.words[1], x.words[2]
 	w.stats.Attempts++
-	f.sends[sendKey{c, words[1]}] = now
-	if a := w.asks[words[1]]; a != nil {
+	f.sends[sendKey{c, id}] = now
+	if a := w.asks[id]; a != nil {
 		a.left++
 	}
-	if w.Mutation == TwiceWritten && strings.Contains(words[2], "lane="+w.write) { // a broken front
+	if w.Mutation == TwiceWritten && strings.Contains(fields, "lane="+w.write) { // a broken front
+		again := command{words: []string{x.words[0], "f" + id[1:], fields, x.words[3]}}
 		w.after(1, func() {
 			if !c.closed && !c.dead() {
-				c.arrive(bytes.Replace(text, []byte(words[1]), []byte("f"+words[1][1:]), 1))
+				c.arrive(again)
 			}
 		})
 	}
 	f.away(c.to, "sent to")
-	for field := range strings.SplitSeq(words[2], ",") {
+	for field := range strings.SplitSeq(fields, ",") {
 		if source, ok := strings.CutPrefix(field, "next="); ok && w.by[source] != nil {
 			f.away(w.by[source], "named as source")
 		}
@@ -235,7 +226,8 @@
 	if f.dead {
 		return
 	}
-	f.dead = true
+	f.dead, f.serves = true, false
+	f.prog.end()
 	for _, c := range f.w.wiresBy(f) {
 		c.closed = true
 		c.front.w.after(f.w.way(f.zone, c.to), c.drop)
@@ -243,7 +235,7 @@
 	for _, a := range f.w.asksAt(f) {
 		a.reset()
 	}
-	f.open = map[*gateway.Call]*ask{}
+	f.open = map[*ask]bool{}
 }
 
 func hash(text string) (h uint64) {
--- a/lab/world/wire.go
+++ b/lab/world/wire.go
@@ -6,82 +6,37 @@
 	"fmt"
 	"strconv"
 	"strings"
-
-	"cherryramp/internal/transport"
-	"cherryramp/internal/upstream"
 )
 
-var errRefused = errors.New("connection refused")
-var errSilent = errors.New("no answer to the connection")
-
-// network is one front's connections. They carry the platform's own lines, byte
-// for byte, late by the way between both ends and in order.
-type network struct {
-	front *Front
+// farEnd is a connection's end at its front.
+type farEnd interface {
+	deliver(text []byte) // has come from the server
+	lost()               // the server has ended the connection
 }
 
-// wire is one connection.
+// wire is one connection as its server has it. It carries the platform's own
+// lines, byte for byte, late by the way between both ends and in order.
 type wire struct {
-	front   *Front
-	to      *server
-	born    Micros // of the server's process
-	h       upstream.Handler
-	in      []byte // at the front, not consumed
-	limit   int
-	flooded bool
-	part    []byte // at the server, of a command that is not whole
-	there   Micros // when what was sent last arrives
-	back    Micros
-	open    map[string]*job
-	closed  bool // for the front
-	told    bool // of it
-}
-
-// Dial is part of upstream.Network.
-func (n *network) Dial(address string, limit int, h upstream.Handler, by Micros, ready func(upstream.Conn, error)) {
-	w, s := n.front.w, n.front.w.at[address]
-	way := w.way(n.front.zone, s)
-	if s == nil || s.up && !s.silent && !w.cut(s) {
-		w.after(2*way, func() {
-			switch {
-			case n.front.dead:
-			case s == nil || !s.up:
-				ready(nil, errRefused)
-			default:
-				c := &wire{front: n.front, to: s, born: s.born, h: h, limit: limit, open: map[string]*job{}}
-				s.wires[c] = true
-				n.front.wires[c] = true
-				ready(c, nil)
-			}
-		})
-		return
-	}
-	if !s.up && !s.silent {
-		w.after(2*way, func() { n.answer(ready, errRefused) })
-		return
-	}
-	w.loop.At(by, func() { n.answer(ready, errSilent) })
+	front  *Front
+	to     *server
+	born   Micros // of the server's process
+	far    farEnd
+	part   []byte // of a command that is not whole
+	there  Micros // when what was sent last arrives
+	back   Micros
+	open   map[string]*job
+	closed bool // at the front
 }
 
-func (n *network) answer(ready func(upstream.Conn, error), err error) {
-	if !n.front.dead {
-		ready(nil, err)
-	}
-}
+// command is one that a front sends.
+type command struct{ words []string }
 
-// Send is part of upstream.Conn.
-func (c *wire) Send(p []byte) (whole bool, err error) {
-	if c.closed {
-		return false, transport.ErrClosed
-	}
-	w := c.front.w
-	text := bytes.Clone(p)
-	c.front.left(c, text)
-	if !c.dead() {
-		c.there = max(c.there, w.loop.Now()+w.way(c.front.zone, c.to))
-		w.loop.At(c.there, func() { c.arrive(text) })
-	}
-	return true, nil
+// connect makes a connection between a front and a server that is up.
+func (w *World) connect(f *Front, s *server, far farEnd) *wire {
+	c := &wire{front: f, to: s, born: s.born, far: far, open: map[string]*job{}}
+	s.wires[c] = true
+	f.wires[c] = true
+	return c
 }
 
 // dead tells whether nothing crosses any more, unheard.
@@ -89,42 +44,65 @@
 	return c.to.silent || c.to.born != c.born || !c.to.up || c.front.dead || c.front.w.cut(c.to)
 }
 
-// Consume is part of upstream.Conn.
-func (c *wire) Consume(parse func(b []byte) (used int)) {
-	n := parse(c.in)
-	c.in = c.in[:copy(c.in, c.in[n:])]
+// sent takes bytes in as they leave the front.
+func (c *wire) sent(text []byte) {
+	c.part = append(c.part, text...)
+	for !c.closed {
+		x, used, err := cutCommand(c.part)
+		if err != nil {
+			c.void("%v", err)
+			return
+		}
+		if used == 0 {
+			return
+		}
+		c.part = c.part[:copy(c.part, c.part[used:])]
+		c.front.left(c, x)
+		if !c.dead() {
+			w := c.front.w
+			c.there = max(c.there, w.loop.Now()+w.way(c.front.zone, c.to))
+			w.loop.At(c.there, func() { c.arrive(x) })
+		}
+	}
 }
 
-// Flooded is part of upstream.Conn.
-func (c *wire) Flooded() bool { return c.flooded }
-
-// Blocked is part of upstream.Conn: a link takes all that it is given.
-func (c *wire) Blocked() bool { return false }
+// cutCommand reads one command from the front of b; 0 are used while it is not
+// whole.
+func cutCommand(b []byte) (x command, used int, err error) {
+	line, _, ok := bytes.Cut(b, []byte("\r\n"))
+	if !ok {
+		return x, 0, nil
+	}
+	x.words, used = strings.Fields(string(line)), len(line)+2
+	switch {
+	case len(x.words) == 2 && x.words[0] == "cancel":
+	case len(x.words) == 4 && x.words[0] == "serve":
+		size, err := strconv.Atoi(x.words[3])
+		if err != nil || size < 0 {
+			return x, 0, fmt.Errorf("length of %q", line)
+		}
+		if used += size + 2; len(b) < used {
+			return x, 0, nil
+		}
+	default:
+		return x, 0, fmt.Errorf("%q is no command", line)
+	}
+	return x, used, nil
+}
 
-// Close is part of upstream.Conn.
-func (c *wire) Close() {
+// shut is the front's end of the connection.
+func (c *wire) shut() {
 	if c.closed {
 		return
 	}
-	c.end()
-	w := c.front.w
+	c.closed = true
+	delete(c.front.wires, c)
 	if !c.dead() {
+		w := c.front.w
 		w.after(w.way(c.front.zone, c.to), c.drop)
 	}
 }
 
-// end has the front told that its connection is over.
-func (c *wire) end() {
-	c.closed = true
-	delete(c.front.wires, c)
-	c.front.w.after(0, func() {
-		if !c.told && !c.front.dead {
-			c.told = true
-			c.h.Closed()
-		}
-	})
-}
-
 // drop ends the connection at the server; all that is open on it is given up.
 func (c *wire) drop() {
 	delete(c.to.wires, c)
@@ -136,50 +114,27 @@
 // reset is an end that the server's side brings.
 func (c *wire) reset() {
 	c.drop()
-	if !c.closed && !c.front.dead {
-		c.front.w.after(c.front.w.way(c.front.zone, c.to), func() {
-			if !c.closed {
-				c.end()
-			}
-		})
+	if c.closed || c.front.dead {
+		return
 	}
+	c.front.w.after(c.front.w.way(c.front.zone, c.to), func() {
+		if !c.closed {
+			c.closed = true
+			delete(c.front.wires, c)
+			c.far.lost()
+		}
+	})
 }
 
-// arrive takes in what has come to the server.
-func (c *wire) arrive(text []byte) {
+// arrive takes in a command that has come to the server.
+func (c *wire) arrive(x command) {
 	if c.dead() || !c.to.wires[c] {
 		return
 	}
-	c.part = append(c.part, text...)
-	for {
-		line, rest, ok := bytes.Cut(c.part, []byte("\r\n"))
-		if !ok {
-			return
-		}
-		words := strings.Fields(string(line))
-		switch {
-		case len(words) == 2 && words[0] == "cancel":
-			if j := c.open[words[1]]; j != nil {
-				j.giveUp()
-			}
-		case len(words) == 4 && words[0] == "serve":
-			size, err := strconv.Atoi(words[3])
-			if err != nil || size < 0 {
-				c.void("length of %q", line)
-				return
-			}
-			if len(rest) < size+2 {
-				return
-			}
-			rest = rest[size+2:]
-			c.part = c.part[:copy(c.part, rest)]
-			c.serve(words[1], words[2])
-			continue
-		default:
-			c.void("%q is no command", line)
-			return
-		}
-		c.part = c.part[:copy(c.part, rest)]
+	if x.words[0] == "serve" {
+		c.serve(x.words[1], x.words[2])
+	} else if j := c.open[x.words[1]]; j != nil {
+		j.giveUp()
 	}
 }
 
@@ -282,13 +237,7 @@
 }
 
 func (c *wire) deliver(text []byte) {
-	if c.closed || c.dead() {
-		return
-	}
-	if len(c.in)+len(text) > c.limit {
-		c.flooded = true
-	} else {
-		c.in = append(c.in, text...)
+	if !c.closed && !c.dead() {
+		c.far.deliver(text)
 	}
-	c.h.Readable()
 }
--- a/lab/world/world.go
+++ b/lab/world/world.go
@@ -33,6 +33,7 @@
 	loop    *loop.Loop
 	rand    *rand.Rand // of clients, sizes and waits
 	faults  *rand.Rand // of what goes wrong, so that the rest stays as it is without
+	first   Micros     // of the warm-up
 	began   Micros
 	ends    Micros
 	catalog *catalog
@@ -54,7 +55,6 @@
 	spoilt     float64
 	lost       float64
 	originSlow float64
-	copies     int
 	cuts       map[int]bool // zones whose servers no front reaches
 	purges     []purge
 
@@ -91,15 +91,15 @@
 	if err := spec.check(); err != nil {
 		return nil, fmt.Errorf("world: %w", err)
 	}
-	w := &World{spec: spec, rand: rand.New(rand.NewPCG(spec.Seed, 1)), faults: rand.New(rand.NewPCG(spec.Seed, 2)), began: day,
+	w := &World{spec: spec, rand: rand.New(rand.NewPCG(spec.Seed, 1)), faults: rand.New(rand.NewPCG(spec.Seed, 2)), first: day, began: day,
 		by: map[string]*server{}, at: map[string]*server{}, asks: map[string]*ask{}, cuts: map[int]bool{}, surge: 1, originSlow: 1,
-		copies: ownCopies, digest: xxhash.New()}
+		digest: xxhash.New()}
 	w.stats.init(len(spec.Classes))
 	w.warmUp.init(len(spec.Classes))
 	w.loop = loop.NewOn(loop.NewVirtual(day), func() {
 		for _, f := range w.fronts {
-			if !f.dead {
-				f.gate.Settle()
+			if f.serves {
+				f.prog.settle()
 			}
 		}
 	})
@@ -182,7 +182,7 @@
 	}
 	for i, b := range s.Branches {
 		for n := range b.Fronts {
-			w.fronts = append(w.fronts, &Front{w: w, name: fmt.Sprintf("%s.front-%d", b.Name, n+1), zone: hubs + i, branch: i})
+			w.fronts = append(w.fronts, &Front{w: w, name: fmt.Sprintf("%s.front-%d", b.Name, n+1), zone: hubs + i, branch: i, make: newInside, dead: true})
 		}
 	}
 }
@@ -246,7 +246,7 @@
 }
 
 func (w *World) asksAt(f *Front) (out []*ask) {
-	for _, a := range f.open {
+	for a := range f.open {
 		out = append(out, a)
 	}
 	slices.SortFunc(out, func(a, b *ask) int { return cmp.Compare(a.id, b.id) })
@@ -271,7 +271,7 @@
 	if w.ends != 0 {
 		return nil, errors.New("world: it has had its day")
 	}
-	w.began = day + p.Warm
+	w.began = w.first + p.Warm
 	w.curve, w.ends = p.Curve, w.began+p.For
 	w.loop.At(w.began, func() { // what servers did in the warm-up does not count
 		w.stats = Stats{}
@@ -286,7 +286,7 @@
 		f.start()
 	}
 	for i := range w.spec.Branches {
-		w.arrivals(i)
+		w.arrivals(i, w.first, rand.New(rand.NewPCG(w.spec.Seed, 100+uint64(i))))
 	}
 	w.bounds()
 	w.loop.At(w.ends+drained, w.loop.Quit)
