--- a/lab/scenario/chaos.go
+++ b/lab/scenario/chaos.go
@@ -94,6 +94,16 @@
 	return w.Run(s.Plan)
 }
 
+// PlayOnSockets plays a scenario before built fronts, in the system's time.
+func (s *Scenario) PlayOnSockets(m world.Mutation, o world.Sockets) (*world.Result, error) {
+	w, err := world.NewOnSockets(s.Spec, o)
+	if err != nil {
+		return nil, err
+	}
+	w.Mutation = m
+	return w.Run(s.Plan)
+}
+
 // Shrink finds a shorter day on which a promise is still broken: without troubles
 // that are not needed, with the rest shorter, less load and an earlier end. It
 // plays so many days at most.
--- a/lab/scenario/scenario.go
+++ b/lab/scenario/scenario.go
@@ -351,20 +351,41 @@
 	return nil
 }
 
-func (s *Scenario) load(list []*loadPoint) error {
-	s.Plan.Curve = nil
+func (s *Scenario) load(list []*loadPoint) (err error) {
+	if s.Plan.Curve, err = curve(list); err == nil {
+		s.Spec.Rate = s.Plan.Curve[0].Rate
+	}
+	return err
+}
+
+func curve(list []*loadPoint) (points []world.Point, err error) {
 	for i, x := range list {
 		p := world.Point{Rate: float64(x.Rate), Ramp: x.Ramp}
 		if x.At != nil {
 			p.At = int64(*x.At)
 		}
-		if i > 0 && p.At <= s.Plan.Curve[i-1].At {
-			return fmt.Errorf("%s: the load's moments must follow each other", x.Pos)
+		if i > 0 && p.At <= points[i-1].At {
+			return nil, fmt.Errorf("%s: the load's moments must follow each other", x.Pos)
 		}
-		s.Plan.Curve = append(s.Plan.Curve, p)
+		points = append(points, p)
 	}
-	s.Spec.Rate = s.Plan.Curve[0].Rate
-	return nil
+	return points, nil
+}
+
+// ParseLoad reads a load's curve alone, in the words that follow "load".
+func ParseLoad(text string) ([]world.Point, error) {
+	f, err := grammar.ParseString("load", "load "+text)
+	if err != nil {
+		return nil, fmt.Errorf("scenario: %w", err)
+	}
+	if len(f.Statements) != 1 {
+		return nil, fmt.Errorf("scenario: %s: more than a load", f.Statements[1].Pos)
+	}
+	points, err := curve(f.Statements[0].Load)
+	if err != nil {
+		return nil, fmt.Errorf("scenario: %w", err)
+	}
+	return points, nil
 }
 
 // make turns what was read into a trouble.
--- a/lab/world/check.go
+++ b/lab/world/check.go
@@ -73,18 +73,25 @@
 		if !f.serves {
 			continue
 		}
-		held, tooMuch := f.prog.held()
+		held, kb, open := f.prog.held()
 		if w.Mutation == Hoards {
 			held += 10 * w.spec.Held
 		}
-		if tooMuch != "" {
-			w.broken(Bounded, f, tooMuch)
+		if w.sockets != nil && kb > w.sockets.MemoryMB<<10 {
+			w.broken(Bounded, f, fmt.Sprintf("%d KB resident, of %d MB that it has", kb, w.sockets.MemoryMB))
+		}
+		if w.sockets != nil && open > descriptors {
+			w.broken(Bounded, f, fmt.Sprintf("%d descriptors, of %d that it has", open, descriptors))
 		}
 		// Calls that came and are to be refused in the same moment count as held.
 		if held > w.spec.Held+64 {
 			w.broken(Bounded, f, fmt.Sprintf("%d calls, of %d that it may hold", held, w.spec.Held))
 		}
 		w.stats.MostHeld = max(w.stats.MostHeld, held)
+		if now := w.loop.Now(); now < w.ends {
+			x := w.second(now)
+			x.Held, x.MemoryKB, x.Descriptors = max(x.Held, held), max(x.MemoryKB, kb), max(x.Descriptors, open)
+		}
 	}
 	if w.loop.Now() < w.ends {
 		w.after(250*milli, w.bounds)
--- a/lab/world/clients.go
+++ b/lab/world/clients.go
@@ -36,6 +36,19 @@
 	proven  int // of them, those that the front knows not to have run
 	over    bool
 	answers int
+	ended   int    // attempts that a server has answered
+	last    string // what it said
+}
+
+// reason is what led to an answer that is none, as far as the world sees it.
+func (a *ask) reason() string {
+	switch {
+	case a.left == 0:
+		return "not sent"
+	case a.left > a.ended:
+		return "an attempt open"
+	}
+	return a.last
 }
 
 // of gives the counts that an op belongs to: the day's, or those of the warm-up.
@@ -99,9 +112,7 @@
 	if o.tries == 0 {
 		w.of(o).Asked[o.class]++
 		w.of(o).Worth += spec.Worth
-		if o.began >= w.began {
-			w.perSecond(o.began, 0, spec.Worth)
-		}
+		w.second(o.began).Asked += spec.Worth
 	}
 	o.tries++
 	w.of(o).Tries++
@@ -199,12 +210,16 @@
 		w.earn(o, now, x.Born)
 	case gateway.Refused:
 		w.of(o).Refused[o.class]++
+		w.of(o).Reasons["refused: "+a.reason()]++
+		w.second(now).Refused++
 		if spec.Write && a.left > a.proven {
 			w.broken(Refusal, a.front, fmt.Sprintf("%s was refused, and may have run", a.id))
 		}
 		w.again(o, x.Await)
 	default:
 		w.of(o).Failed[o.class]++
+		w.of(o).Reasons["failed: "+a.reason()]++
+		w.second(now).Failed++
 		if !spec.Write {
 			w.again(o, 0)
 		}
@@ -232,7 +247,7 @@
 		return
 	}
 	_ = w.times[o.class].RecordValue(max(1, min(took, 60*second)))
-	w.perSecond(o.began, worth, 0)
+	w.second(o.began).Earned += worth
 }
 
 // lost is the end of a try whose connection ended without a whole answer while its
@@ -279,16 +294,23 @@
 
 // rate is the requests a second at a moment of the day.
 func (w *World) rate(at Micros) float64 {
-	rate := w.spec.Rate
-	for i, p := range w.curve {
+	if len(w.curve) == 0 || at < w.curve[0].At {
+		return w.spec.Rate * w.surge
+	}
+	return Rate(w.curve, at) * w.surge
+}
+
+// Rate is what a curve has at a moment; before its first point, nothing.
+func Rate(curve []Point, at Micros) (rate float64) {
+	for i, p := range curve {
 		if at < p.At {
 			break
 		}
 		rate = p.Rate
-		if i+1 < len(w.curve) && p.Ramp {
-			next := w.curve[i+1]
+		if i+1 < len(curve) && p.Ramp {
+			next := curve[i+1]
 			rate += (next.Rate - p.Rate) * float64(at-p.At) / math.Max(1, float64(next.At-p.At))
 		}
 	}
-	return rate * w.surge
+	return rate
 }
--- a/lab/world/front.go
+++ b/lab/world/front.go
@@ -23,6 +23,8 @@
 	wires  map[*wire]bool
 	dead   bool
 	serves bool
+	ip     string // on sockets, as the doors
+	doors  map[*server]*door
 	heard  Micros                   // up to when the register's news comes in order
 	mute   bool                     // the register can't be reached
 	told   map[*server]belief       // what it was told last
@@ -172,6 +174,7 @@
 	}
 	id, fields := x.words[1], x.words[2]
 	w.stats.Attempts++
+	w.second(now).Attempts++
 	f.sends[sendKey{c, id}] = now
 	if a := w.asks[id]; a != nil {
 		a.left++
--- a/lab/world/inside.go
+++ b/lab/world/inside.go
@@ -21,8 +21,8 @@
 	purge(p gateway.Purge)
 	heard() // the register answers at this moment
 	settle()
-	held() (calls int, tooMuch string) // what it holds, and whether that is more than it may
-	end()                              // at once, as if killed
+	held() (calls, kb, descriptors int) // 0 where it has no process of its own
+	end()                               // at once, as if killed
 }
 
 // inside is a front's program in this process.
@@ -51,7 +51,7 @@
 		lanes, alone = append(lanes, c.Name), append(alone, c.Write)
 	}
 	x.gate.Use(upstream.New(upstream.Config{Lanes: lanes, Alone: alone, Streams: streams, Connections: 8, ConnectTime: connectTime,
-		IdleTime: 12 * second}, x, w.loop, x.gate, quiet))
+		IdleTime: connIdle}, x, w.loop, x.gate, quiet))
 	x.gate.Members(true, known)
 	for _, p := range purges {
 		x.gate.Purge(p)
@@ -74,7 +74,7 @@
 func (x *inside) purge(p gateway.Purge)   { x.gate.Purge(p) }
 func (x *inside) heard()                  { x.gate.Heard() }
 func (x *inside) settle()                 { x.gate.Settle() }
-func (x *inside) held() (int, string)     { return x.gate.Open(), "" }
+func (x *inside) held() (int, int, int)   { return x.gate.Open(), 0, 0 }
 func (x *inside) end()                    { x.ended = true }
 
 var errRefused = errors.New("connection refused")
--- a/lab/world/link.go
+++ b/lab/world/link.go
@@ -11,6 +11,7 @@
 	capacity func() float64 // bytes a microsecond, now
 	most     float64        // of one transfer
 	moved    float64        // bytes that a transfer of all this time would have moved
+	carried  float64        // bytes, of all
 	at       Micros
 	heap     []*transfer
 	due      loop.Deadline
@@ -41,7 +42,9 @@
 func (l *link) catchUp() {
 	now := l.w.loop.Now()
 	if len(l.heap) > 0 {
-		l.moved += float64(now-l.at) * l.pace()
+		by := float64(now-l.at) * l.pace()
+		l.moved += by
+		l.carried += by * float64(len(l.heap))
 	}
 	l.at = now
 }
--- a/lab/world/result.go
+++ b/lab/world/result.go
@@ -17,34 +17,72 @@
 	FillBytes, OriginBytes, SentBytes            float64
 	Words, Notes                                 map[string]int
 	Broken                                       map[Promise]int
+	Reasons                                      map[string]int // of tries refused and failed
 	Seconds                                      []Second
+	Nodes                                        []Node // none in large worlds
 }
 
-// Second is one second of the day, by when requests were first asked.
-type Second struct{ Asked, Earned float64 }
+// Second is one second of the day.
+type Second struct {
+	Asked, Earned               float64 // worth, by when requests were first asked
+	Refused, Failed, Attempts   int     // tries that ended so, and attempts that left
+	Origin, Denied              int     // calls that the store took and turned away
+	Held, MemoryKB, Descriptors int     // the most of one front
+}
+
+// Node is a server over the day.
+type Node struct {
+	Name string
+	Load []float64 // second by second, the share of its link that was used
+}
+
+// fewNodes is how many servers a world has at most whose loads are kept.
+const fewNodes = 64
 
 func (s *Stats) init(classes int) {
 	for _, x := range []*[]int{&s.Asked, &s.Served, &s.Refused, &s.Failed, &s.GaveUp, &s.Lost} {
 		*x = make([]int, classes)
 	}
-	s.Words, s.Notes, s.Broken = map[string]int{}, map[string]int{}, map[Promise]int{}
+	s.Words, s.Notes, s.Reasons, s.Broken = map[string]int{}, map[string]int{}, map[string]int{}, map[Promise]int{}
 }
 
-// perSecond counts worth earned by a request that was first asked at about now.
-func (w *World) perSecond(at Micros, earned, asked float64) {
+// second gives the second of the day that a moment lies in; what lies before the
+// day goes nowhere.
+func (w *World) second(at Micros) *Second {
+	if at < w.began {
+		return &Second{}
+	}
 	n := int((at - w.began) / second)
 	for len(w.stats.Seconds) <= n {
 		w.stats.Seconds = append(w.stats.Seconds, Second{})
 	}
-	w.stats.Seconds[n].Earned += earned
-	w.stats.Seconds[n].Asked += asked
+	return &w.stats.Seconds[n]
+}
+
+// sample notes how much the servers' links carried in the last second.
+func (w *World) sample() {
+	if len(w.servers) > fewNodes || w.loop.Now() >= w.ends {
+		return
+	}
+	for i, s := range w.servers {
+		s.out.catchUp()
+		if len(w.stats.Nodes) <= i {
+			w.stats.Nodes = append(w.stats.Nodes, Node{Name: s.name})
+			s.out.carried = 0
+			continue
+		}
+		w.stats.Nodes[i].Load = append(w.stats.Nodes[i].Load, math.Round(1000*s.out.carried/(s.size*w.spec.Flow))/1000)
+		s.out.carried = 0
+	}
+	w.after(second, w.sample)
 }
 
 // Result is what came of a day.
 type Result struct {
 	Stats
 	Classes    []string
-	P50, P99   []Micros // of served requests, from their first try
+	P50, P99   []Micros   // of served requests, from their first try
+	Times      [][]Micros // by class, at the Quantiles
 	Violations []Violation
 	Digest     uint64 // of all answers; alike days have like ones
 	Service    float64
@@ -53,6 +91,9 @@
 	G          float64 // as the operators score a day, but for what the model does not have
 }
 
+// Quantiles are those that a result has of the times of each class, in percent.
+var Quantiles = []float64{1, 5, 10, 20, 30, 40, 50, 60, 70, 75, 80, 85, 90, 92, 94, 96, 97, 98, 99, 99.5, 99.9, 100}
+
 // Weights of G, from the operators' page.
 const (
 	wholeWeight, tenWeight, classWeight = 0.6, 0.2, 0.2
@@ -66,6 +107,11 @@
 		r.Classes = append(r.Classes, c.Name)
 		r.P50 = append(r.P50, w.times[i].ValueAtQuantile(50))
 		r.P99 = append(r.P99, w.times[i].ValueAtQuantile(99))
+		var times []Micros
+		for _, q := range Quantiles {
+			times = append(times, w.times[i].ValueAtQuantile(q))
+		}
+		r.Times = append(r.Times, times)
 		if r.Asked[i] > 50 {
 			r.WorstClass = min(r.WorstClass, float64(r.Served[i])/float64(r.Asked[i]))
 		}
--- a/lab/world/server.go
+++ b/lab/world/server.go
@@ -193,6 +193,7 @@
 		if j.w.Mutation == WrongBody && j.w.faults.IntN(50) == 0 {
 			body = content(item{j.item.object, j.item.part + 1}, born)
 		}
+		body = j.w.stretchBody(body)
 	}
 	if note != "" {
 		add("why=" + note)
@@ -499,9 +500,11 @@
 	}
 	if load > w.spec.OriginDeny*w.originSlow {
 		w.stats.Denied++
+		w.second(now).Denied++
 		return false
 	}
 	w.stats.Origin++
+	w.second(now).Origin++
 	return true
 }
 
@@ -520,6 +523,7 @@
 	}
 	s.keep.clear()
 	s.cold = window{}
+	s.w.doorsOf(s)
 }
 
 // start starts a server's process anew, cold and empty.
@@ -527,6 +531,7 @@
 	s.up, s.silent, s.born = true, false, born
 	s.keep.clear()
 	s.under, s.fills, s.cold = map[item]*fill{}, 0, window{}
+	s.w.doorsOf(s)
 }
 
 // vanish cuts a machine off: nobody hears of it.
@@ -537,6 +542,7 @@
 	}
 	s.up = false
 	s.keep.clear()
+	s.w.doorsOf(s)
 }
 
 func between(r *rand.Rand, x [2]Micros) Micros {
--- /dev/null
+++ b/lab/world/sockets.go
@@ -0,0 +1,479 @@
+package world
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"cherryramp/internal/gateway"
+	"cherryramp/internal/loop"
+	"cherryramp/lab/process"
+)
+
+// Sockets has the fronts of a world be the built program, as it is shipped. The
+// world's servers then speak their protocol on loopback, to each front at addresses
+// of its own; the register is a notice board a front; clients speak HTTP by the
+// standard library. Time is the system's.
+type Sockets struct {
+	Front    string    // path of the built program
+	Log      io.Writer // of the fronts; nil: nowhere
+	MemoryMB int       // the fronts' limit; 0: 32
+}
+
+// What the fronts are told of their machine.
+const (
+	memoryMB    = 32
+	descriptors = 1400
+)
+
+// ownShare is the part of its memory in which the front keeps copies of its own
+// (cmd/cherryramp).
+const ownShare = 4
+
+// NewOnSockets makes a world whose fronts are the built program.
+func NewOnSockets(spec Spec, o Sockets) (*World, error) {
+	w, err := New(spec)
+	if err != nil {
+		return nil, err
+	}
+	if o.MemoryMB == 0 {
+		o.MemoryMB = memoryMB
+	}
+	if spec.Held > descriptors/3 {
+		return nil, fmt.Errorf("world: %d calls held, on sockets %d at most", spec.Held, descriptors/3)
+	}
+	if len(w.fronts) > 250 {
+		return nil, fmt.Errorf("world: %d fronts, on sockets 250 at most", len(w.fronts))
+	}
+	w.loop = loop.New(w.settle)
+	w.sockets = &o
+	// Bodies are as much longer than in virtual time as the memory for copies is, so
+	// that fronts keep as many.
+	w.stretch = o.MemoryMB << 20 / ownShare / ownCopies
+	block := uint32(os.Getpid())<<4 + blocks.Add(1)
+	for i, f := range w.fronts {
+		f.ip = net.IPv4(127, byte(64+block>>8&127), byte(block), byte(i+1)).String()
+		f.make = newOutside
+	}
+	return w, nil
+}
+
+// blocks counts the worlds on sockets that this process has had: each has a block
+// of loopback addresses.
+var blocks atomic.Uint32
+
+// startFronts brings up all fronts before the first moment of a day on sockets.
+func (w *World) startFronts() error {
+	if w.sockets == nil {
+		w.eachFront((*Front).start)
+		return nil
+	}
+	w.eachFront(func(f *Front) {
+		f.doors = map[*server]*door{}
+		for _, s := range w.servers {
+			f.doors[s] = newDoor(f, s)
+		}
+	})
+	var errs []error
+	w.eachFront(func(f *Front) {
+		for _, s := range w.servers {
+			errs = append(errs, f.doors[s].apply(doorOpen))
+		}
+	})
+	if err := errors.Join(errs...); err != nil {
+		return err
+	}
+	w.eachFront((*Front).start)
+	for _, f := range w.fronts {
+		x := f.prog.(*outside)
+		if x.failed != nil {
+			return x.failed
+		}
+		if err := x.process.Await(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// stopFronts ends what a day on sockets has started.
+func (w *World) stopFronts() error {
+	if w.sockets == nil {
+		return nil
+	}
+	var errs []error
+	for _, f := range w.fronts {
+		if x, ok := f.prog.(*outside); ok && !f.dead {
+			errs = append(errs, x.close())
+		}
+		for _, d := range f.doors {
+			errs = append(errs, d.apply(doorShut))
+		}
+		for c := range f.wires {
+			c.far.(*socket).stop()
+		}
+	}
+	return errors.Join(errs...)
+}
+
+func (w *World) eachFront(do func(f *Front)) {
+	for _, f := range w.fronts {
+		do(f)
+	}
+}
+
+// doorsOf has what a server is now show to those who connect to it.
+func (w *World) doorsOf(s *server) {
+	if w.sockets == nil {
+		return
+	}
+	state := doorOpen
+	switch {
+	case s.silent || w.cut(s):
+		state = doorMute
+	case !s.up:
+		state = doorShut
+	}
+	for _, f := range w.fronts {
+		f.doors[s].set(state)
+	}
+}
+
+// doorsIn does so for all servers of a place.
+func (w *World) doorsIn(zone int) {
+	for _, s := range w.servers {
+		if s.zone == zone {
+			w.doorsOf(s)
+		}
+	}
+}
+
+// outside is a front's program in a process of its own, with its notice board and
+// its clients' connections.
+type outside struct {
+	f       *Front
+	process *process.Process
+	failed  error
+	dir     string
+	listen  string
+	board   *http.Server
+	client  *http.Client
+	rev     int64
+	notices []json.RawMessage // from 2 on; the first is in the configuration
+	polls   []*poll
+	over    bool
+}
+
+// poll is one of the front's, held until there is something to tell.
+type poll struct {
+	after int64
+	reply chan []byte
+}
+
+func newOutside(f *Front) program { return &outside{f: f} }
+
+// wireMember is a member as the board tells of it.
+type wireMember struct {
+	ID       string  `json:"id"`
+	HostPort string  `json:"host_port"`
+	Locality string  `json:"locality"`
+	Flavor   string  `json:"flavor"`
+	Cell     int     `json:"cell"`
+	Phase    string  `json:"phase"`
+	Size     float64 `json:"size"`
+	UpSince  int64   `json:"up_since_ms"`
+}
+
+type wirePool struct {
+	Revision int64        `json:"revision"`
+	Complete bool         `json:"complete"`
+	Members  []wireMember `json:"members"`
+}
+
+type wireFlush struct {
+	Asset      string `json:"asset,omitempty"`
+	Collection *int   `json:"collection,omitempty"`
+	MS         int64  `json:"ms"`
+}
+
+type wireNotice struct {
+	Rev   int64      `json:"rev"`
+	Pool  *wirePool  `json:"pool,omitempty"`
+	Flush *wireFlush `json:"flush,omitempty"`
+}
+
+var phases = [...]string{"DELETED", "SERVING", "DRAINING"}
+
+func (x *outside) wireMember(m gateway.Member) wireMember {
+	s := x.f.w.by[m.Name]
+	return wireMember{ID: m.Name, HostPort: x.f.doors[s].address, Locality: m.Zone, Flavor: m.Kind, Phase: phases[m.State], Size: m.Weight,
+		UpSince: m.Born / milli}
+}
+
+func (x *outside) notice(n wireNotice) json.RawMessage {
+	x.rev++
+	n.Rev = x.rev
+	text, err := json.Marshal(n)
+	if err != nil {
+		panic(err) // it has no values that JSON does not
+	}
+	return text
+}
+
+func flush(p gateway.Purge) *wireFlush {
+	if p.Object != "" {
+		return &wireFlush{Asset: p.Object, MS: p.At / milli}
+	}
+	return &wireFlush{Collection: &p.Group, MS: p.At / milli}
+}
+
+func (x *outside) begin(known []gateway.Member, purges []gateway.Purge, serving func()) {
+	if x.failed = x.launch(known, purges); x.failed != nil {
+		x.f.w.broken(Answer, x.f, fmt.Sprintf("it does not start: %v", x.failed))
+		return
+	}
+	go func() {
+		err := x.process.Await()
+		x.f.w.loop.Post(func() {
+			if err == nil && !x.over {
+				serving()
+			} else if !x.over {
+				x.f.w.broken(Answer, x.f, err.Error())
+			}
+		})
+		<-x.process.Ended()
+		x.f.w.loop.Post(func() {
+			if !x.over {
+				x.f.w.broken(Answer, x.f, fmt.Sprintf("the program ended by itself: %v", x.process.Err()))
+				x.f.kill()
+			}
+		})
+	}()
+}
+
+func (x *outside) launch(known []gateway.Member, purges []gateway.Purge) (err error) {
+	w, f := x.f.w, x.f
+	if x.dir, err = os.MkdirTemp("", "ramplab"); err != nil {
+		return err
+	}
+	pool := &wirePool{Complete: true}
+	for _, m := range known {
+		pool.Members = append(pool.Members, x.wireMember(m))
+	}
+	notices := []json.RawMessage{x.notice(wireNotice{Pool: pool})}
+	for _, p := range purges {
+		notices = append(notices, x.notice(wireNotice{Flush: flush(p)}))
+	}
+	board, err := net.Listen("tcp", f.ip+":0")
+	if err != nil {
+		return err
+	}
+	ln, err := net.Listen("tcp", f.ip+":0")
+	if err != nil {
+		return err
+	}
+	if x.listen = ln.Addr().String(); ln.Close() != nil {
+		return errors.New("the front's address can't be given back")
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /board/poll", x.serveBoard)
+	x.board = &http.Server{Handler: mux, ReadHeaderTimeout: process.Patience}
+	go func() { _ = x.board.Serve(board) }()
+	x.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1000, IdleConnTimeout: 4 * time.Second, DisableCompression: true},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
+	flow := w.spec.Flow * float64(w.stretch)
+	text, err := json.Marshal(map[string]any{"name": f.name, "listen": x.listen, "seed": strconv.FormatUint(f.seed(), 16),
+		"limits": map[string]any{"cores": 1, "memory_mb": w.sockets.MemoryMB, "sockets": descriptors}, "board": board.Addr().String(),
+		"flow_bytes_per_s": flow, "link_bytes_per_s": flow * 4,
+		"known": map[string]any{"rev": x.rev, "notices": notices}, "settings": w.spec.document(f.zone)})
+	if err != nil {
+		return err
+	}
+	path := filepath.Join(x.dir, "config.json")
+	if err = os.WriteFile(path, text, 0o600); err != nil {
+		return err
+	}
+	x.process, err = process.Start(process.Options{Path: w.sockets.Front, Env: []string{"ROUTER_CONFIG=" + path}, Log: w.sockets.Log})
+	return err
+}
+
+// serveBoard answers the front's long poll.
+func (x *outside) serveBoard(rw http.ResponseWriter, r *http.Request) {
+	after, err := strconv.ParseInt(r.FormValue("watch"), 10, 64)
+	linger, err2 := strconv.ParseInt(r.FormValue("linger"), 10, 64)
+	if err := errors.Join(err, err2); err != nil {
+		http.Error(rw, err.Error(), http.StatusBadRequest)
+		return
+	}
+	p := &poll{after: after, reply: make(chan []byte, 1)}
+	w := x.f.w
+	w.loop.Post(func() {
+		x.polls = append(x.polls, p)
+		w.after(min(linger, 5000)*milli, func() { x.tell(p, true) })
+		x.tell(p, false)
+	})
+	select {
+	case text := <-p.reply:
+		_, _ = rw.Write(text)
+	case <-r.Context().Done():
+		w.loop.Post(func() { x.drop(p) })
+	}
+}
+
+// tell answers a poll, if there is something to tell or its time has come. A
+// register that can't be reached says nothing.
+func (x *outside) tell(p *poll, late bool) {
+	if !slices.Contains(x.polls, p) || x.f.mute || !late && x.rev <= p.after {
+		return
+	}
+	x.drop(p)
+	first := x.rev - int64(len(x.notices)) // the last that the configuration has
+	p.reply <- fmt.Appendf(nil, `{"rev":%d,"notices":[%s]}`, x.rev, bytes.Join(raw(x.notices[max(0, min(p.after, x.rev)-first):]), []byte(",")))
+}
+
+func raw(list []json.RawMessage) (out [][]byte) {
+	for _, x := range list {
+		out = append(out, x)
+	}
+	return out
+}
+
+func (x *outside) drop(p *poll) {
+	x.polls = slices.DeleteFunc(x.polls, func(o *poll) bool { return o == p })
+}
+
+func (x *outside) publish(n wireNotice) {
+	x.notices = append(x.notices, x.notice(n))
+	for _, p := range slices.Clone(x.polls) {
+		x.tell(p, false)
+	}
+}
+
+func (x *outside) member(m gateway.Member) {
+	x.publish(wireNotice{Pool: &wirePool{Revision: x.rev, Members: []wireMember{x.wireMember(m)}}})
+}
+
+func (x *outside) purge(p gateway.Purge) { x.publish(wireNotice{Flush: flush(p)}) }
+
+// heard has nothing to do: the front hears by its own polls.
+func (x *outside) heard() {}
+
+func (x *outside) settle() {}
+
+func (x *outside) held() (calls, kb, open int) {
+	return len(x.f.open), process.Resident(x.process.Pid()), process.Descriptors(x.process.Pid())
+}
+
+func (x *outside) end() {
+	x.over = true
+	if x.process != nil {
+		go x.process.Kill()
+	}
+	x.clear()
+}
+
+// close ends the front as an operator does.
+func (x *outside) close() (err error) {
+	x.over = true
+	if x.process != nil {
+		err = x.process.Stop()
+	}
+	x.clear()
+	return err
+}
+
+func (x *outside) clear() {
+	if x.board != nil {
+		_ = x.board.Close()
+		x.client.CloseIdleConnections()
+	}
+	_ = os.RemoveAll(x.dir)
+}
+
+// submit sends a try as a client does.
+func (x *outside) submit(a *ask) {
+	w, o := x.f.w, a.op
+	object, spec := &w.catalog.objects[o.object], &w.spec.Classes[o.class]
+	target := fmt.Sprintf("http://%s/call/%s/%s", x.listen, spec.Name, name(o.object))
+	if object.parts > 1 {
+		target += fmt.Sprintf("?seg=%d", o.part)
+	}
+	method, body := http.MethodGet, io.Reader(nil)
+	if spec.Write {
+		method, body = http.MethodPut, strings.NewReader(payment)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	a.cancel = cancel
+	r, err := http.NewRequestWithContext(ctx, method, target, body)
+	if err != nil {
+		panic(err) // it is made of good words only
+	}
+	r.Header["Req-Id"] = []string{a.id}
+	r.Header["Req-Wait-Ms"] = []string{strconv.FormatInt(max(1, (a.until-w.loop.Now())/milli), 10)}
+	r.Header["X-Bucket"] = []string{strconv.Itoa(int(object.group))}
+	if o.tries > 1 {
+		r.Header["Req-Retry"] = []string{"1"}
+	}
+	go func() {
+		answer, err := x.ask(r)
+		cancel()
+		w.loop.Post(func() {
+			switch {
+			case x.over || errors.Is(err, context.Canceled): // it is known already
+			case err != nil:
+				a.lost(err)
+			default:
+				answer.Body, answer.Born = w.shrink(answer.Body)
+				a.Answer(answer)
+			}
+		})
+	}()
+}
+
+func (x *outside) ask(r *http.Request) (a gateway.Answer, err error) {
+	resp, err := x.client.Do(r)
+	if err != nil {
+		return a, err
+	}
+	body, err := io.ReadAll(resp.Body)
+	if err = errors.Join(err, resp.Body.Close()); err != nil {
+		return a, err
+	}
+	switch resp.StatusCode {
+	case http.StatusOK:
+		return gateway.Answer{Kind: gateway.Served, Body: body}, nil
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		away, _ := strconv.ParseInt(resp.Header.Get("Srv-Wait-Ms"), 10, 64)
+		return gateway.Answer{Kind: gateway.Refused, Await: away * milli}, nil
+	}
+	return gateway.Answer{Kind: gateway.Failed, Late: resp.StatusCode == http.StatusGatewayTimeout}, nil
+}
+
+func (x *outside) leave(a *ask) { a.cancel() }
+
+// stretchBody writes a body as often as the world on sockets has it.
+func (w *World) stretchBody(body string) string { return strings.Repeat(body, max(1, w.stretch)) }
+
+// shrink takes a body back to what it was before it was stretched, and reads when
+// the store gave it out. One that is not whole stays as it is.
+func (w *World) shrink(body []byte) ([]byte, Micros) {
+	once := body
+	if n := len(body) / w.stretch; n > 0 && len(body)%w.stretch == 0 && bytes.Equal(body, bytes.Repeat(body[:n], w.stretch)) {
+		once = body[:n]
+	}
+	_, at, _ := bytes.Cut(once, []byte("@"))
+	born, _ := strconv.ParseInt(string(at), 10, 64)
+	return once, born * milli
+}
--- a/lab/world/spec.go
+++ b/lab/world/spec.go
@@ -218,6 +218,7 @@
 const (
 	connectTime = 400 * milli
 	streams     = 32
+	connIdle    = 12 * second
 )
 
 // settings are what a front of a branch is told.
--- a/lab/world/trouble.go
+++ b/lab/world/trouble.go
@@ -46,6 +46,11 @@
 }
 
 func (t Trouble) String() string {
+	return fmt.Sprintf("at %gs %s for %gs", float64(t.At)/1e6, t.Label(), float64(t.For)/1e6)
+}
+
+// Label is what a trouble does, without when.
+func (t Trouble) Label() string {
 	text := string(t.Kind)
 	if t.Target != "" {
 		text += fmt.Sprintf(" %q", t.Target)
@@ -56,7 +61,7 @@
 	if t.Silent {
 		text += " silently"
 	}
-	return fmt.Sprintf("at %gs %s for %gs", float64(t.At)/1e6, text, float64(t.For)/1e6)
+	return text
 }
 
 // plan has a trouble happen.
@@ -120,7 +125,7 @@
 		if err != nil {
 			return err
 		}
-		during(func() { w.cuts[zone] = true }, func() { delete(w.cuts, zone) })
+		during(func() { w.cuts[zone] = true; w.doorsIn(zone) }, func() { delete(w.cuts, zone); w.doorsIn(zone) })
 	case Resets:
 		w.loop.At(at, func() {
 			for _, s := range w.servers {
@@ -134,7 +139,7 @@
 	case LostAnswers:
 		during(func() { w.lost += t.X }, func() { w.lost -= t.X })
 	case Deaf:
-		during(func() { w.each(func(f *Front) { f.mute = true }) }, func() { w.each(func(f *Front) { f.mute = false }) })
+		during(func() { w.eachFront(func(f *Front) { f.mute = true }) }, func() { w.eachFront(func(f *Front) { f.mute = false }) })
 	case TellsLate:
 		late := Micros(t.X * float64(second))
 		shift := func(by Micros) func() {
@@ -174,12 +179,6 @@
 // Check tells what is wrong with a trouble, in a world that is not to be run.
 func (w *World) Check(t *Trouble) error { return w.plan(t) }
 
-func (w *World) each(do func(f *Front)) {
-	for _, f := range w.fronts {
-		do(f)
-	}
-}
-
 func (w *World) branch(name string) (zone int, err error) {
 	i := slices.IndexFunc(w.spec.Branches, func(b Branch) bool { return b.Name == name })
 	if i < 0 {
--- a/lab/world/world.go
+++ b/lab/world/world.go
@@ -8,6 +8,7 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
+	"strings"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/cespare/xxhash/v2"
@@ -58,6 +59,9 @@
 	cuts       map[int]bool // zones whose servers no front reaches
 	purges     []purge
 
+	sockets *Sockets // nil: all in virtual time
+	stretch int      // times that a body is repeated, on sockets
+
 	asks       map[string]*ask
 	lastID     uint64
 	stats      Stats
@@ -96,13 +100,7 @@
 		digest: xxhash.New()}
 	w.stats.init(len(spec.Classes))
 	w.warmUp.init(len(spec.Classes))
-	w.loop = loop.NewOn(loop.NewVirtual(day), func() {
-		for _, f := range w.fronts {
-			if f.serves {
-				f.prog.settle()
-			}
-		}
-	})
+	w.loop = loop.NewOn(loop.NewVirtual(day), w.settle)
 	w.catalog = newCatalog(w)
 	w.build()
 	sum := 0.0
@@ -127,6 +125,15 @@
 	return w, nil
 }
 
+// settle has the fronts of this process carry out what they have decided.
+func (w *World) settle() {
+	for _, f := range w.fronts {
+		if f.serves {
+			f.prog.settle()
+		}
+	}
+}
+
 // build makes the servers, the links and the fronts.
 func (w *World) build() {
 	s := &w.spec
@@ -263,6 +270,9 @@
 	Troubles []Trouble
 }
 
+// forever is a moment that no day has.
+const forever Micros = 1 << 62
+
 // drained is how long after the day's end what is open may take.
 const drained = 12 * second
 
@@ -271,26 +281,34 @@
 	if w.ends != 0 {
 		return nil, errors.New("world: it has had its day")
 	}
+	w.ends, w.curve = forever, p.Curve // it has begun
+	if err := w.startFronts(); err != nil {
+		return nil, errors.Join(fmt.Errorf("world: %w", err), w.stopFronts())
+	}
+	if w.sockets != nil {
+		w.first = w.loop.Now()
+	}
 	w.began = w.first + p.Warm
-	w.curve, w.ends = p.Curve, w.began+p.For
+	w.ends = w.began + p.For
 	w.loop.At(w.began, func() { // what servers did in the warm-up does not count
 		w.stats = Stats{}
 		w.stats.init(len(w.spec.Classes))
+		w.sample()
 	})
 	for i := range p.Troubles {
 		if err := w.plan(&p.Troubles[i]); err != nil {
-			return nil, fmt.Errorf("world: %s: %w", p.Troubles[i], err)
+			return nil, errors.Join(fmt.Errorf("world: %s: %w", p.Troubles[i], err), w.stopFronts())
 		}
 	}
-	for _, f := range w.fronts {
-		f.start()
-	}
 	for i := range w.spec.Branches {
 		w.arrivals(i, w.first, rand.New(rand.NewPCG(w.spec.Seed, 100+uint64(i))))
 	}
 	w.bounds()
 	w.loop.At(w.ends+drained, w.loop.Quit)
 	w.loop.Run()
+	if err := w.stopFronts(); err != nil {
+		return nil, fmt.Errorf("world: %w", err)
+	}
 	return w.result(), nil
 }
 
@@ -307,6 +325,9 @@
 // answered is told of every answer of a server.
 func (w *World) answered(j *job, word, note string, born Micros) {
 	w.stats.Words[word]++
+	if a := w.asks[j.id]; a != nil {
+		a.ended, a.last = a.ended+1, strings.TrimSpace(word+" "+note)
+	}
 	if word != "ok" {
 		w.stats.Notes[word+" "+note]++
 	}
