ramplab run, tell, report and load

Need: experiments were one file of JSON a build; nothing could be stopped and gone on with, nothing drawn, no address but our own be loaded.

--- /dev/null
+++ b/cmd/ramplab/load.go
@@ -0,0 +1,190 @@
+package main
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"maps"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/schollz/progressbar/v3"
+
+	"cherryramp/internal/transport"
+	"cherryramp/lab/load"
+	"cherryramp/lab/scenario"
+)
+
+type loadCommand struct {
+	Address     string             `arg:"" help:"The server's address, as 127.0.0.1:8080."`
+	Rate        string             `default:"200/s" help:"Requests a second, as a scenario's load: '100/s, from 10s 100/s rising, from 40s 900/s'."`
+	For         time.Duration      `default:"30s" help:"How long."`
+	Even        bool               `help:"Evenly spaced; by default as a Poisson process."`
+	Connections int                `default:"256" help:"Connections at most; what finds none free waits, and its time counts."`
+	Threads     int                `default:"1" help:"Threads that send."`
+	Patience    time.Duration      `default:"3s" help:"How long clients wait, from when their request is due."`
+	Idle        time.Duration      `default:"4s" help:"How long connections are kept that are not used."`
+	Seed        uint64             `default:"1"`
+	Mix         map[string]float64 `default:"guide-video=54;page-asset=43" help:"Shares of the platform's classes."`
+	Writes      []string           `default:"payout-confirm" help:"Those of the classes that write."`
+	Parts       map[string]int     `default:"guide-video=14" help:"Parts of the objects of a class."`
+	Objects     int                `default:"2000" help:"Objects of each class."`
+	Zipf        float64            `default:"1.1" help:"How their popularity falls."`
+	Targets     string             `type:"existingfile" help:"Targets to GET in place of the platform's requests, one a line: signed links, or any server's."`
+	Host        string             `default:"load" help:"The Host of such requests."`
+	JSON        string             `help:"A file for the results."`
+	Times       string             `help:"A file for the percentiles of the times, as HdrHistogram writes them."`
+	Quiet       bool               `help:"No progress."`
+}
+
+// Run sends a load.
+func (c *loadCommand) Run() error {
+	curve, err := scenario.ParseLoad(c.Rate)
+	if err != nil {
+		return err
+	}
+	o := load.Options{Address: c.Address, Curve: curve, Even: c.Even, For: c.For, Patience: c.Patience, Idle: c.Idle, Connections: c.Connections,
+		Threads: c.Threads, Seed: c.Seed}
+	if c.Targets != "" {
+		list, err := targets(c.Targets)
+		if err != nil {
+			return err
+		}
+		t := &load.Targets{Host: c.Host, List: list}
+		o.Kinds, o.Maker = t.Kinds(), t.Maker
+	} else {
+		mix := &load.Mix{Objects: c.Objects, Zipf: c.Zipf, Body: 200}
+		for _, name := range slices.Sorted(maps.Keys(c.Mix)) {
+			mix.Classes = append(mix.Classes, load.Class{Name: name, Share: c.Mix[name], Write: slices.Contains(c.Writes, name), Parts: max(1, c.Parts[name])})
+		}
+		if err := mix.Check(); err != nil {
+			return err
+		}
+		o.Kinds, o.Maker = mix.Kinds(), mix.Maker
+	}
+	if err := transport.Setup(slog.New(slog.NewTextHandler(io.Discard, nil))); err != nil {
+		return err
+	}
+	var progress load.Progress
+	over := make(chan struct{})
+	if !c.Quiet {
+		go show(&progress, c.For, over)
+	}
+	r, err := load.Run(o, &progress)
+	close(over)
+	if err != nil {
+		return err
+	}
+	printLoad(r)
+	if c.Times != "" {
+		all := hdrhistogram.New(1, 60_000_000, 3)
+		for _, k := range r.Kinds {
+			all.Merge(k.Times)
+		}
+		f, err := os.Create(c.Times)
+		if err != nil {
+			return err
+		}
+		_, err = all.PercentilesPrint(f, 5, 1000)
+		if err := errors.Join(err, f.Close()); err != nil {
+			return err
+		}
+	}
+	return writeJSON(c.JSON, loadJSON(r))
+}
+
+// targets reads a list of them.
+func targets(path string) (list []string, err error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = f.Close() }()
+	lines := bufio.NewScanner(f)
+	lines.Buffer(nil, 64<<10)
+	for n := 1; lines.Scan(); n++ {
+		switch text := strings.TrimSpace(lines.Text()); {
+		case text == "":
+		case !strings.HasPrefix(text, "/") || strings.ContainsAny(text, " \t"):
+			return nil, fmt.Errorf("%s:%d: %q is no target, as /path?query", path, n, text)
+		default:
+			list = append(list, text)
+		}
+	}
+	if len(list) == 0 && lines.Err() == nil {
+		return nil, fmt.Errorf("%s: no targets", path)
+	}
+	return list, lines.Err()
+}
+
+// show draws a bar of the run's time with what has come of it so far.
+func show(p *load.Progress, span time.Duration, over <-chan struct{}) {
+	bar := progressbar.NewOptions(int(span.Milliseconds()), progressbar.OptionSetWriter(os.Stderr), progressbar.OptionSetPredictTime(false),
+		progressbar.OptionClearOnFinish())
+	start, tick := time.Now(), time.NewTicker(250*time.Millisecond)
+	defer tick.Stop()
+	for {
+		select {
+		case <-over:
+			_ = bar.Finish()
+			return
+		case <-tick.C:
+			bar.Describe(fmt.Sprintf("%d due, %d answered, %d lost", p.Due.Load(), p.Answered.Load(), p.Lost.Load()))
+			_ = bar.Set(int(min(time.Since(start), span).Milliseconds()))
+		}
+	}
+}
+
+func printLoad(r *load.Result) {
+	fmt.Printf("%d requests in %.1f s on %d connections, %.1f MB of answers\n", r.Due, r.Took.Seconds(), r.Connections, float64(r.Bytes)/1e6)
+	for _, k := range r.Kinds {
+		fmt.Printf("  %-16s %s", k.Name, quantiles(k.Times))
+		for _, end := range slices.Sorted(maps.Keys(k.Ends)) {
+			fmt.Printf("  %s: %d", end, k.Ends[end])
+		}
+		fmt.Println()
+	}
+	fmt.Printf("  this tool was late by  %s\n  a connection was free  %s\n", quantiles(r.Lag), quantiles(r.Queued))
+}
+
+// ladder are the percentiles that are told.
+var ladder = []float64{50, 90, 99, 99.9, 100}
+
+func quantiles(h *hdrhistogram.Histogram) string {
+	text := ""
+	for _, q := range ladder {
+		name := fmt.Sprintf("p%g", q)
+		if q == 100 {
+			name = "max"
+		}
+		text += fmt.Sprintf("%s %.2f  ", name, float64(h.ValueAtQuantile(q))/1000)
+	}
+	return text + "ms"
+}
+
+// loadJSON is a result for other programs: times in microseconds, by percentile.
+func loadJSON(r *load.Result) any {
+	times := func(h *hdrhistogram.Histogram) map[string]int64 {
+		out := map[string]int64{"count": h.TotalCount()}
+		for _, q := range ladder {
+			out[fmt.Sprintf("p%g", q)] = h.ValueAtQuantile(q)
+		}
+		return out
+	}
+	type kind struct {
+		Name  string
+		Ends  map[string]int
+		Times map[string]int64
+	}
+	var kinds []kind
+	for _, k := range r.Kinds {
+		kinds = append(kinds, kind{k.Name, k.Ends, times(k.Times)})
+	}
+	return map[string]any{"due": r.Due, "took_s": r.Took.Seconds(), "connections": r.Connections, "bytes": r.Bytes, "kinds": kinds,
+		"lag": times(r.Lag), "queued": times(r.Queued), "seconds": r.Ticks}
+}
--- a/cmd/ramplab/main.go
+++ b/cmd/ramplab/main.go
@@ -9,6 +9,10 @@
 //	ramplab sim           scenarios in virtual time
 //	ramplab compare       what two builds made of the same scenarios
 //	ramplab chaos         random days in virtual time
+//	ramplab load          open-loop load against any address
+//	ramplab run           an experiment: scenarios, seeds and builds, kept in a store
+//	ramplab tell          days of two builds until it can be told which is better
+//	ramplab report        an experiment as one page with pictures
 //	ramplab slow          slow readers or senders, and requests beside them
 //
 // It exits with 0 where all is well, 1 where something failed, 2 where it was
@@ -40,6 +44,11 @@
 	Sim         simCommand         `cmd:"" help:"Play scenarios in virtual time, and check every promise."`
 	Compare     compareCommand     `cmd:"" help:"Compare the days of two builds or settings, pair by pair."`
 	Chaos       chaosCommand       `cmd:"" help:"Play random days in virtual time, and find the shortest that breaks a promise."`
+	Load        loadCommand        `cmd:"" help:"Send an open-loop load to any address."`
+	Run         runCommand         `cmd:"" help:"Play an experiment's days into a store, and go on where it was stopped."`
+	Tell        tellCommand        `cmd:"" help:"Play days of two builds or settings until it can be told which is better."`
+	Report      reportCommand      `cmd:"" help:"Write an experiment as one page with pictures."`
+	Day         dayCommand         `cmd:"" hidden:"" help:"Play one day for another ramplab."`
 	Slow        slowCommand        `cmd:"" help:"Let slow readers or senders come, and measure requests beside them."`
 	IdleWorker  workerCommand      `cmd:"" hidden:"" help:"Hold connections for another ramplab."`
 	Flood       floodCommand       `cmd:"" help:"Send forged links beside good ones and measure both."`
--- a/cmd/ramplab/sim.go
+++ b/cmd/ramplab/sim.go
@@ -20,6 +20,9 @@
 	Seeds  int      `default:"1" help:"Seeds to play each with, from the scenario's own on."`
 	JSON   string   `help:"A file for all results."`
 	Second bool     `help:"Print the worth asked for and earned, second by second."`
+	frontPath
+	Sockets bool `help:"Play them before built fronts on loopback, in the system's time."`
+	Jobs    int  `default:"0" help:"Days at a time; 0: one a core in virtual time, one for every two cores on sockets."`
 }
 
 // played is one day.
@@ -52,9 +55,23 @@
 		}
 	}
 	out, bad := make([]played, len(days)), false
-	errs := each(len(days), nil, func(i int) error {
+	front, err := c.path()
+	if err != nil {
+		return err
+	}
+	jobs := c.Jobs
+	if jobs == 0 && c.Sockets {
+		jobs = max(1, runtime.GOMAXPROCS(0)/2)
+	}
+	errs := each(len(days), jobs, nil, func(i int) error {
 		start := time.Now()
-		r, err := days[i].Play(world.None)
+		var r *world.Result
+		var err error
+		if c.Sockets {
+			r, err = days[i].PlayOnSockets(world.None, world.Sockets{Front: front})
+		} else {
+			r, err = days[i].Play(world.None)
+		}
 		out[i] = played{files[i], days[i].Spec.Seed, time.Since(start), r}
 		return err
 	})
@@ -111,11 +128,15 @@
 			}
 		}
 	}
-	effects, alone, err := experiment.Compare(sets[0], sets[1])
+	pairs, alone, err := experiment.Pairs(sets[0], sets[1])
 	if err != nil {
 		return err
 	}
-	fmt.Printf("%d pairs, %d days in one file only\n%-26s %8s %8s  B less A (95%%)\n", effects[0].Pairs, alone, "", "A", "B")
+	effects, err := experiment.Compare(pairs)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("%d pairs, %d days in one file only\n%-26s %8s %8s  B less A (95%%)\n", len(pairs), alone, "", "A", "B")
 	for _, e := range effects {
 		fmt.Println(e)
 	}
@@ -150,7 +171,7 @@
 		progressbar.OptionShowIts(), progressbar.OptionThrottle(200*time.Millisecond), progressbar.OptionClearOnFinish())
 	results := make([]*world.Result, c.Days)
 	start := time.Now()
-	errs := each(c.Days, bar, func(i int) (err error) {
+	errs := each(c.Days, 0, bar, func(i int) (err error) {
 		results[i], err = scenario.Random(c.Seed + uint64(i)).Play(m)
 		return err
 	})
@@ -201,11 +222,14 @@
 	return out
 }
 
-// each does so many jobs on all cores.
-func each(n int, bar *progressbar.ProgressBar, do func(i int) error) []error {
+// each does n jobs, so many at a time; 0: as there are cores.
+func each(n, atATime int, bar *progressbar.ProgressBar, do func(i int) error) []error {
 	errs, next := make([]error, n), make(chan int)
 	var wg sync.WaitGroup
-	for range min(n, runtime.GOMAXPROCS(0)) {
+	if atATime <= 0 {
+		atATime = runtime.GOMAXPROCS(0)
+	}
+	for range min(n, atATime) {
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
--- a/lab/experiment/experiment.go
+++ b/lab/experiment/experiment.go
@@ -3,8 +3,8 @@
 package experiment
 
 import (
-	"errors"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 
@@ -13,13 +13,6 @@
 	"cherryramp/lab/world"
 )
 
-// Day is one day that was played.
-type Day struct {
-	File   string
-	Seed   uint64
-	Result *world.Result
-}
-
 // Measures are what days are compared by; more is better in all of them.
 var Measures = []struct {
 	Name string
@@ -48,6 +41,8 @@
 	switch {
 	case e.All == 0:
 		return "alike"
+	case e.Pairs < fewest:
+		return "too few"
 	case e.Low > 0:
 		return "better"
 	case e.High < 0:
@@ -66,9 +61,15 @@
 	fewest    = 5 // pairs, under which an interval means nothing
 )
 
-// Compare pairs the days of two builds and gives the effect on each measure. Days
-// that only one of them has are told.
-func Compare(a, b []Day) (effects []Effect, alone int, err error) {
+// Pair is a day that two arms have played.
+type Pair struct {
+	File string
+	Seed uint64
+	A, B *world.Result
+}
+
+// Pairs pairs the days of two arms. Days that only one of them has are counted.
+func Pairs(a, b []Day) (pairs []Pair, alone int, err error) {
 	type key struct {
 		file string
 		seed uint64
@@ -81,49 +82,102 @@
 		}
 		first[k] = d.Result
 	}
-	var pairs [][2]*world.Result
 	for _, d := range b {
 		if r := first[key{d.File, d.Seed}]; r != nil {
-			pairs = append(pairs, [2]*world.Result{r, d.Result})
+			pairs = append(pairs, Pair{d.File, d.Seed, r, d.Result})
 			delete(first, key{d.File, d.Seed})
 		} else {
 			alone++
 		}
 	}
-	alone += len(first)
+	return pairs, alone + len(first), nil
+}
+
+// Compare gives the effect on each measure, over all pairs.
+func Compare(pairs []Pair) (effects []Effect, err error) {
 	if len(pairs) < fewest {
-		return nil, alone, errors.New("experiment: fewer than 5 days are in both")
+		return nil, fmt.Errorf("experiment: %d days are in both, %d are needed", len(pairs), fewest)
 	}
 	for _, m := range Measures {
-		e := Effect{Measure: m.Name, Pairs: len(pairs)}
-		diffs := make([]float64, len(pairs))
-		for i, p := range pairs {
-			x, y := m.Of(p[0]), m.Of(p[1])
-			e.A, e.B, diffs[i] = e.A+x/float64(len(pairs)), e.B+y/float64(len(pairs)), y-x
-			if y != x {
-				e.All++
-			}
-			if y > x {
-				e.Better++
+		effects = append(effects, effect(m.Name, m.Of, pairs))
+	}
+	return effects, nil
+}
+
+// ByFile gives the effect on one measure for each scenario; where it has few pairs
+// its interval is empty.
+func ByFile(measure string, pairs []Pair) (files []string, effects []Effect) {
+	by := map[string][]Pair{}
+	for _, p := range pairs {
+		if by[p.File] == nil {
+			files = append(files, p.File)
+		}
+		by[p.File] = append(by[p.File], p)
+	}
+	slices.Sort(files)
+	for _, f := range files {
+		for _, m := range Measures {
+			if m.Name == measure {
+				effects = append(effects, effect(f, m.Of, by[f]))
 			}
 		}
-		e.Mean = stat.Mean(diffs, nil)
-		e.Low, e.High = bootstrap(diffs)
-		effects = append(effects, e)
 	}
-	return effects, alone, nil
+	return files, effects
+}
+
+func effect(name string, of func(r *world.Result) float64, pairs []Pair) Effect {
+	e := Effect{Measure: name, Pairs: len(pairs)}
+	strata, n := map[string]int{}, float64(len(pairs))
+	var diffs [][]float64
+	for _, p := range pairs {
+		x, y := of(p.A), of(p.B)
+		e.A, e.B = e.A+x/n, e.B+y/n
+		if y != x {
+			e.All++
+		}
+		if y > x {
+			e.Better++
+		}
+		i, ok := strata[p.File]
+		if !ok {
+			i = len(diffs)
+			strata[p.File], diffs = i, append(diffs, nil)
+		}
+		diffs[i] = append(diffs[i], y-x)
+	}
+	e.Mean = e.B - e.A
+	e.Low, e.High = bootstrap(diffs)
+	return e
 }
 
 // bootstrap gives the middle 95% of the means of resampled values (Efron, 1979),
-// the same for the same values.
-func bootstrap(values []float64) (low, high float64) {
-	r := rand.New(rand.NewPCG(1, uint64(len(values))))
-	means, sample := make([]float64, resamples), make([]float64, len(values))
+// the same for the same values. Where each scenario has several seeds, values are
+// drawn anew within each, as the scenarios are chosen and not a sample; else among
+// all, which can only be wider.
+func bootstrap(strata [][]float64) (low, high float64) {
+	n := 0
+	for _, s := range strata {
+		n += len(s)
+	}
+	if n < fewest {
+		return math.Inf(-1), math.Inf(1)
+	}
+	for _, s := range strata {
+		if len(s) < 2 {
+			strata = [][]float64{slices.Concat(strata...)}
+			break
+		}
+	}
+	r := rand.New(rand.NewPCG(1, uint64(n)))
+	means := make([]float64, resamples)
 	for i := range means {
-		for j := range sample {
-			sample[j] = values[r.IntN(len(values))]
+		sum := 0.0
+		for _, s := range strata {
+			for range s {
+				sum += s[r.IntN(len(s))]
+			}
 		}
-		means[i] = stat.Mean(sample, nil)
+		means[i] = sum / float64(n)
 	}
 	slices.Sort(means)
 	return stat.Quantile(0.025, stat.Empirical, means, nil), stat.Quantile(0.975, stat.Empirical, means, nil)
--- a/lab/experiment/experiment_test.go
+++ b/lab/experiment/experiment_test.go
@@ -1,7 +1,11 @@
 package experiment
 
 import (
+	"context"
+	"errors"
 	"math/rand/v2"
+	"path/filepath"
+	"strings"
 	"testing"
 
 	"cherryramp/lab/world"
@@ -13,15 +17,19 @@
 	r := rand.New(rand.NewPCG(seed, 1))
 	for i := range n {
 		base := 0.7 + 0.2*r.Float64() // days differ far more than builds
-		a = append(a, Day{"x", uint64(i), &world.Result{Service: base + noise*r.NormFloat64()}})
-		b = append(b, Day{"x", uint64(i), &world.Result{Service: base + effect + noise*r.NormFloat64()}})
+		a = append(a, Day{File: "x", Seed: uint64(i), Result: &world.Result{Service: base + noise*r.NormFloat64()}})
+		b = append(b, Day{File: "x", Seed: uint64(i), Result: &world.Result{Service: base + effect + noise*r.NormFloat64()}})
 	}
 	return a, b
 }
 
 func service(t *testing.T, a, b []Day) Effect {
 	t.Helper()
-	effects, _, err := Compare(a, b)
+	pairs, _, err := Pairs(a, b)
+	if err != nil {
+		t.Fatal(err)
+	}
+	effects, err := Compare(pairs)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -55,13 +63,141 @@
 // Days that are in one only are told, few days and doubled ones refused.
 func TestPairs(t *testing.T) {
 	a, b := days(10, 0, 0, 1)
-	if _, alone, err := Compare(a[:8], b[2:]); alone != 4 || err != nil {
+	if _, alone, err := Pairs(a[:8], b[2:]); alone != 4 || err != nil {
 		t.Error(alone, err)
 	}
-	if _, _, err := Compare(a[:4], b); err == nil {
+	few, _, _ := Pairs(a[:4], b)
+	if _, err := Compare(few); err == nil {
 		t.Error("four days are enough")
 	}
-	if _, _, err := Compare(append(a, a[0]), b); err == nil {
+	if _, _, err := Pairs(append(a, a[0]), b); err == nil {
 		t.Error("a day is there twice")
 	}
 }
+
+// duel plays a design to its end on made-up scenarios: effect and noise by file.
+func duel(t *testing.T, d *Design, effect float64, noise map[string]float64, seed uint64) (Step, int, map[string]int) {
+	t.Helper()
+	r := rand.New(rand.NewPCG(seed, 2))
+	var pairs []Pair
+	count := map[string]int{}
+	for look := 1; ; {
+		step := d.Next(pairs, look)
+		if step.Verdict != "" {
+			return step, len(pairs), count
+		}
+		for _, x := range step.Days {
+			base := r.Float64()
+			pairs = append(pairs, Pair{x.File, x.Seed, &world.Result{G: base}, &world.Result{G: base + effect + noise[x.File]*r.NormFloat64()}})
+			count[x.File]++
+		}
+		if len(pairs) > d.First*len(d.Files) {
+			look++
+		}
+	}
+}
+
+// A design that looks five times claims an effect where there is none no more often
+// than once in twenty; it finds one that is there, plays less where it is plain,
+// and gives noisy scenarios more days.
+func TestDesign(t *testing.T) {
+	d := &Design{Files: []string{"a", "b", "c", "d"}, Of: func(r *world.Result) float64 { return r.G }, Looks: 5, First: 4, Batch: 12}
+	if err := d.Check(); err != nil {
+		t.Fatal(err)
+	}
+	noise := map[string]float64{"a": 0.01, "b": 0.01, "c": 0.01, "d": 0.06}
+	wrong, found := 0, 0
+	const plays = 1000
+	for seed := range uint64(plays) {
+		if step, _, _ := duel(t, d, 0, noise, seed); step.Verdict != "can't tell" {
+			wrong++
+		}
+		if step, _, _ := duel(t, d, 0.02, noise, seed); step.Verdict == "better" {
+			found++
+		}
+	}
+	if wrong > plays/14 || found < plays*8/10 {
+		t.Errorf("of %d: claimed %d times where nothing is, found %d times", plays, wrong, found)
+	}
+	_, plain, _ := duel(t, d, 0.5, noise, 1)
+	_, hidden, count := duel(t, d, 0, noise, 1)
+	if plain != 16 || hidden <= 2*plain || count["d"] < 2*count["a"] {
+		t.Errorf("%d days for a plain effect, %d for none; by scenario %v", plain, hidden, count)
+	}
+	d.Least = 0.05
+	if step, n, _ := duel(t, d, 0, noise, 3); step.Verdict != "alike" || n >= hidden {
+		t.Errorf("%q after %d", step.Verdict, n)
+	}
+	for _, bad := range []Design{{}, {Files: d.Files, Looks: 11, First: 2, Batch: 1}, {Files: d.Files, Looks: 2, First: 1, Batch: 1},
+		{Files: d.Files, Looks: 2, First: 2, Batch: 1, Least: -1}} {
+		if bad.Check() == nil {
+			t.Errorf("%+v is taken", bad)
+		}
+	}
+}
+
+// An experiment that is stopped goes on where it was, plays anew what has changed,
+// keeps builds apart, and names the day that failed.
+func TestStoreGoesOn(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "days.db")
+	open := func() *Store {
+		s, err := OpenStore(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return s
+	}
+	s := open()
+	arm := Arm{Name: "today", Build: "1"}
+	if err := s.Begin(arm); err != nil {
+		t.Fatal(err)
+	}
+	const text = `name "small" site { branch "b" at "north-hub" 2 boxes 1 fronts parents 1 } warm 1s run 3s load 20/s at 1s storm for 1s`
+	var jobs []Job
+	for seed := range uint64(6) {
+		jobs = append(jobs, Job{"small.scn", text, seed})
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	played := 0
+	player := func(ctx context.Context, j Job) (Day, error) {
+		if played++; played == 2 {
+			stop()
+		}
+		return InVirtualTime(ctx, j)
+	}
+	run := func(ctx context.Context, s *Store) error {
+		return Run(ctx, s, "today", jobs, 1, player, func(int, int) {})
+	}
+	if err := run(ctx, s); !errors.Is(err, context.Canceled) || played > 3 {
+		t.Fatal(err, played)
+	}
+	before := played
+	if err := s.Close(); err != nil {
+		t.Fatal(err)
+	}
+	s = open()
+	if err := s.Begin(Arm{Name: "today", Build: "2"}); err == nil || !strings.Contains(err.Error(), "another build") {
+		t.Error(err)
+	}
+	if err := s.Begin(arm); err != nil {
+		t.Fatal(err)
+	}
+	if err := run(context.Background(), s); err != nil || played != 6 {
+		t.Fatalf("%v; %d played, %d of them before the stop", err, played, before)
+	}
+	days, err := s.Days("today")
+	if err != nil || len(days) != 6 || days[3].Seed != 3 || days[0].Result.Requests() == 0 || len(days[0].Marks) != 1 || days[0].Name != "small" {
+		t.Fatalf("%v %+v", err, days)
+	}
+	jobs[2].Text += " "
+	if err := run(context.Background(), s); err != nil || played != 7 {
+		t.Error(err, played)
+	}
+	jobs[5].Text = "at"
+	if err := run(context.Background(), s); err == nil || !strings.Contains(err.Error(), "small.scn, seed 5") {
+		t.Error(err)
+	}
+	if err := errors.Join(s.Drop("today"), s.Close()); err != nil {
+		t.Error(err)
+	}
+}
--- /dev/null
+++ b/lab/experiment/run.go
@@ -0,0 +1,100 @@
+package experiment
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"cherryramp/lab/scenario"
+	"cherryramp/lab/world"
+)
+
+// Job is a day to be played.
+type Job struct {
+	File string // without directories
+	Text string // of the scenario, with what the arm adds
+	Seed uint64 // added to the scenario's own
+}
+
+// Player plays a day. It is called from several goroutines.
+type Player func(ctx context.Context, j Job) (Day, error)
+
+// InVirtualTime plays a day in this process.
+func InVirtualTime(_ context.Context, j Job) (Day, error) {
+	return play(j, func(s *scenario.Scenario) (*world.Result, error) { return s.Play(world.None) })
+}
+
+// OnSockets plays days before a built front.
+func OnSockets(o world.Sockets) Player {
+	return func(_ context.Context, j Job) (Day, error) {
+		return play(j, func(s *scenario.Scenario) (*world.Result, error) { return s.PlayOnSockets(world.None, o) })
+	}
+}
+
+func play(j Job, do func(s *scenario.Scenario) (*world.Result, error)) (Day, error) {
+	s, err := scenario.Parse(j.File, j.Text)
+	if err != nil {
+		return Day{}, err
+	}
+	s.Spec.Seed += j.Seed
+	d := Day{File: j.File, Name: s.Name, Seed: j.Seed}
+	for _, t := range s.Plan.Troubles {
+		d.Marks = append(d.Marks, Mark{t.Label(), t.At, t.For})
+	}
+	start := time.Now()
+	d.Result, err = do(s)
+	d.Took = time.Since(start)
+	return d, err
+}
+
+// Run plays the days that an arm does not have yet, so many at a time, and keeps
+// each as it ends. When the context ends, no further day begins; those under way
+// are waited for and kept. Progress is told after each.
+func Run(ctx context.Context, s *Store, arm string, jobs []Job, atATime int, play Player, progress func(done, of int)) error {
+	var todo []Job
+	for _, j := range jobs {
+		has, err := s.Has(arm, j)
+		if err != nil {
+			return err
+		}
+		if !has {
+			todo = append(todo, j)
+		}
+	}
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	var errs []error
+	next, done := make(chan Job), 0
+	for range min(max(1, atATime), len(todo)) {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for j := range next {
+				d, err := play(ctx, j)
+				if err == nil {
+					err = s.Put(arm, j.Text, d)
+				}
+				mu.Lock()
+				done++
+				if err != nil {
+					errs = append(errs, fmt.Errorf("experiment: %s, seed %d: %w", j.File, j.Seed, err))
+				}
+				progress(len(jobs)-len(todo)+done, len(jobs))
+				mu.Unlock()
+			}
+		}()
+	}
+	for _, j := range todo {
+		select {
+		case next <- j:
+			continue
+		case <-ctx.Done():
+		}
+		break
+	}
+	close(next)
+	wg.Wait()
+	return errors.Join(errors.Join(errs...), ctx.Err())
+}
--- /dev/null
+++ b/lab/load/load_test.go
@@ -0,0 +1,240 @@
+package load
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"math"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"cherryramp/internal/httpwire"
+	"cherryramp/internal/loop"
+	"cherryramp/internal/transport"
+	"cherryramp/lab/world"
+)
+
+func TestMain(m *testing.M) {
+	if err := transport.Setup(slog.New(slog.NewTextHandler(io.Discard, nil))); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+func options(address string, rate float64) Options {
+	mix := &Mix{Classes: []Class{{Name: "guide-video", Share: 3, Parts: 8}, {Name: "payout-confirm", Share: 1, Write: true, Parts: 1}}, Objects: 100,
+		Zipf: 1.2, Body: 10}
+	return Options{Address: address, Curve: []world.Point{{Rate: rate}}, For: time.Second, Patience: 2 * time.Second, Idle: 4 * time.Second,
+		Connections: 64, Threads: 2, Seed: 1, Kinds: mix.Kinds(), Maker: mix.Maker}
+}
+
+func run(t *testing.T, o Options) *Result {
+	t.Helper()
+	r, err := Run(o, &Progress{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ended := 0
+	for _, k := range r.Kinds {
+		for _, n := range k.Ends {
+			ended += n
+		}
+	}
+	if ended != r.Due {
+		t.Fatalf("%d due, %d ended: %+v", r.Due, ended, r.Kinds)
+	}
+	return r
+}
+
+// Requests are as the standard library reads them, and each has one end by what
+// became of it, whatever a server does.
+func TestEnds(t *testing.T) {
+	var n, odd atomic.Int64
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		write := strings.HasPrefix(r.URL.Path, "/call/payout-confirm/")
+		if len(r.Header.Get("Req-Id")) != 16 || r.Header.Get("X-Bucket") == "" || write != (r.Method == "PUT") || write != (len(body) == 10) {
+			odd.Add(1)
+		}
+		switch n.Add(1) % 10 {
+		case 0:
+			w.WriteHeader(http.StatusServiceUnavailable)
+		case 1:
+			c, _, _ := http.NewResponseController(w).Hijack()
+			_ = c.Close()
+		case 2:
+			c, _, _ := http.NewResponseController(w).Hijack()
+			_, _ = io.WriteString(c, "what is this\r\n\r\n")
+			_ = c.Close()
+		case 3:
+			w.Header().Set("Connection", "close")
+			_, _ = io.WriteString(w, "last")
+		default:
+			_, _ = io.WriteString(w, "ok")
+		}
+	}))
+	defer s.Close()
+	r := run(t, options(s.Listener.Addr().String(), 500))
+	ends := map[string]int{}
+	for _, k := range r.Kinds {
+		add(ends, k.Ends)
+	}
+	if odd.Load() > 0 || r.Due < 350 || r.Due > 650 || ends["200"] == 0 || ends["503"] == 0 || ends[Broken] == 0 || ends[Garbled] == 0 ||
+		r.Kinds[0].Ends["200"] <= r.Kinds[1].Ends["200"] {
+		t.Errorf("%d due, %d odd, %v", r.Due, odd.Load(), ends)
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = ln.Close()
+	if r := run(t, options(ln.Addr().String(), 200)); r.Kinds[0].Ends[Refused]+r.Kinds[1].Ends[Refused] != r.Due {
+		t.Errorf("nobody listens: %+v", r.Kinds)
+	}
+}
+
+// A server that stands still is charged for all who would have come meanwhile, and
+// clients lose patience with one that says nothing.
+func TestStallsAreSeen(t *testing.T) {
+	var stalled atomic.Bool
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if stalled.CompareAndSwap(false, true) {
+			time.Sleep(400 * time.Millisecond)
+		}
+	}))
+	defer s.Close()
+	o := options(s.Listener.Addr().String(), 400)
+	o.Threads, o.Connections = 1, 1
+	r := run(t, o)
+	slow := 0.0
+	for _, k := range r.Kinds {
+		for _, b := range k.Times.Distribution() {
+			if b.From > 100_000 {
+				slow += float64(b.Count)
+			}
+		}
+	}
+	if slow < 60 { // of 400 a second, for 0.3 s
+		t.Errorf("%.0f were slow", slow)
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0") // accepts in its queue, and says nothing
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	o.Address, o.Patience = ln.Addr().String(), 300*time.Millisecond
+	if r := run(t, o); r.Kinds[0].Ends[Late]+r.Kinds[1].Ends[Late] != r.Due {
+		t.Errorf("nothing is said: %+v", r.Kinds)
+	}
+}
+
+// Arrivals follow the curve, rising or not, and are as irregular as a Poisson
+// process unless they are to be even.
+func TestArrivals(t *testing.T) {
+	curve := []world.Point{{Rate: 100}, {At: 10 * second, Rate: 0}, {At: 20 * second, Rate: 0, Ramp: true}, {At: 40 * second, Rate: 400}}
+	for _, even := range []bool{false, true} {
+		o := options("", 1)
+		o.Curve, o.Even, o.For, o.Threads, o.Connections = curve, even, 60*time.Second, 1, 1
+		x := newThread(&o, 0, 0, &Progress{})
+		var counts [6]float64
+		var gaps []float64
+		for before := Micros(0); x.step(); before = x.next {
+			counts[x.next/(10*second)]++
+			if x.next < 10*second {
+				gaps = append(gaps, float64(x.next-before))
+			}
+		}
+		for i, want := range []float64{1000, 0, 1000, 3000, 4000, 4000} {
+			if math.Abs(counts[i]-want) > 4*math.Sqrt(want)+40 {
+				t.Errorf("even %v: %v in 10 s from %d s on, want %.0f", even, counts[i], 10*i, want)
+			}
+		}
+		mean, square := 0.0, 0.0
+		for _, g := range gaps {
+			mean += g / float64(len(gaps))
+		}
+		for _, g := range gaps {
+			square += (g - mean) * (g - mean) / float64(len(gaps))
+		}
+		if spread := math.Sqrt(square) / mean; even && spread > 0.01 || !even && (spread < 0.85 || spread > 1.15) {
+			t.Errorf("even %v: gaps spread by %.2f of their mean", even, spread)
+		}
+	}
+}
+
+// What makes no load is refused by name.
+func TestOptionsAreChecked(t *testing.T) {
+	for _, change := range []func(o *Options){func(o *Options) { o.Curve = nil }, func(o *Options) { o.For = 0 }, func(o *Options) { o.Connections = 1 },
+		func(o *Options) { o.Kinds = nil }} {
+		o := options("", 1)
+		change(&o)
+		if _, err := Run(o, &Progress{}); err == nil {
+			t.Errorf("%+v is taken", o)
+		}
+	}
+	for _, m := range []Mix{{}, {Classes: []Class{{Name: "x", Share: 1, Parts: 1}}, Objects: 1, Zipf: 1}, {Classes: []Class{{Name: "x", Share: 1}}}} {
+		if m.Check() == nil {
+			t.Errorf("%+v is taken", m)
+		}
+	}
+}
+
+// echo answers every request at once, on a loop of its own.
+type echo struct{}
+
+func (echo) Readable(c *transport.Conn) {
+	n := 0
+	c.Consume(func(b []byte) (used int) {
+		for {
+			r, u, err := httpwire.ParseRequest(b[used:], httpwire.Limits{Head: 8 << 10, Body: 1 << 10})
+			if r == nil || err != nil {
+				return used
+			}
+			used += u
+			n++
+		}
+	})
+	for range n {
+		_, _ = c.Send([]byte("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"))
+	}
+}
+func (echo) Drained(*transport.Conn) {}
+func (echo) Closed(*transport.Conn)  {}
+
+// BenchmarkCeiling is how many requests a second one thread sends to servers that
+// answer at once, and how late it comes to them.
+func BenchmarkCeiling(b *testing.B) {
+	l := loop.New(func() {})
+	var held transport.Gauge
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	address := ln.Addr().String()
+	_ = ln.Close()
+	if err := transport.Listen(l, address, 64<<10, &held, func(*transport.Conn) transport.Handler { return echo{} }); err != nil {
+		b.Fatal(err)
+	}
+	go l.Run()
+	for _, rate := range []float64{1000, 10_000, 20_000, 40_000, 80_000} {
+		b.Run(fmt.Sprint(rate), func(b *testing.B) {
+			for range b.N {
+				o := options(address, rate)
+				o.Threads, o.For = 1, 3*time.Second
+				r, err := Run(o, &Progress{})
+				if err != nil {
+					b.Fatal(err)
+				}
+				b.ReportMetric(float64(r.Kinds[0].Ends["200"]+r.Kinds[1].Ends["200"])/r.Took.Seconds(), "requests/s")
+				b.ReportMetric(float64(r.Lag.ValueAtQuantile(50)), "lag-p50-us")
+				b.ReportMetric(float64(r.Lag.ValueAtQuantile(99)), "lag-p99-us")
+			}
+		})
+	}
+}
