A notice board's answer in chunks is taken

Cause: the parser refused every Transfer-Encoding, in answers too, which HTTP/1.1 lets no recipient do (RFC 9112, 7.1).

Change: answers in chunks are read, bounded in size, line and trailer. Requests in chunks stay refused, as the platform's clients send none.

--- a/internal/httpwire/httpwire.go
+++ b/internal/httpwire/httpwire.go
@@ -78,6 +78,8 @@
 	method, rest, ok := strings.Cut(head.start, " ")
 	target, version, ok2 := strings.Cut(rest, " ")
 	switch {
+	case head.chunked:
+		return nil, 0, bad("Transfer-Encoding is not taken")
 	case !ok || !ok2 || !isToken(method) || !isTarget(target):
 		return nil, 0, bad("request line is malformed")
 	case version != "HTTP/1.1" && version != "HTTP/1.0":
@@ -106,26 +108,83 @@
 	if !strings.HasPrefix(version, "HTTP/1.") || err != nil || len(code) != 3 || status < 100 {
 		return nil, 0, bad("status line is malformed")
 	}
+	r := &Response{Status: status, Header: head.fields, Close: head.close || version == "HTTP/1.0"}
 	if status == 204 || status == 304 {
-		head.body = 0
+		return r, head.size, nil
+	}
+	if head.chunked {
+		body, used, err := parseChunks(b[head.size:], limits)
+		if used == 0 || err != nil {
+			return nil, 0, err
+		}
+		r.Body = body
+		return r, head.size + used, nil
 	}
 	if len(b) < head.size+head.body {
 		return nil, 0, nil
 	}
-	r := &Response{Status: status, Header: head.fields, Close: head.close || version == "HTTP/1.0"}
 	if head.body > 0 {
 		r.Body = bytes.Clone(b[head.size : head.size+head.body])
 	}
 	return r, head.size + head.body, nil
 }
 
+// mostChunkLine bounds a chunk's line with its extensions, which are dropped.
+const mostChunkLine = 256
+
+// parseChunks puts a body together that came in chunks (RFC 9112, 7.1). It uses 0
+// bytes while that is not whole. Trailers are dropped.
+func parseChunks(b []byte, limits Limits) (body []byte, used int, err error) {
+	for {
+		line, _, ok := bytes.Cut(b[used:min(len(b), used+mostChunkLine)], []byte("\r\n"))
+		if !ok {
+			if len(b)-used >= mostChunkLine {
+				return nil, 0, bad("chunk's line is too long")
+			}
+			return nil, 0, nil
+		}
+		digits, _, _ := bytes.Cut(line, []byte(";"))
+		size, err := strconv.ParseUint(string(bytes.TrimRight(digits, " \t")), 16, 31)
+		if err != nil {
+			return nil, 0, bad("chunk's size is malformed")
+		}
+		used += len(line) + 2
+		if size == 0 {
+			break
+		}
+		if len(body)+int(size) > limits.Body {
+			return nil, 0, &Error{Status: 413, Reason: "body is too long"}
+		}
+		if len(b) < used+int(size)+2 {
+			return nil, 0, nil
+		}
+		body = append(body, b[used:used+int(size)]...)
+		if used += int(size) + 2; string(b[used-2:used]) != "\r\n" {
+			return nil, 0, bad("chunk is longer than its size")
+		}
+	}
+	for begin := used; ; {
+		line, _, ok := bytes.Cut(b[used:], []byte("\r\n"))
+		if used-begin+len(line) > limits.Head {
+			return nil, 0, &Error{Status: 431, Reason: "trailer is too long"}
+		}
+		if !ok {
+			return nil, 0, nil
+		}
+		if used += len(line) + 2; len(line) == 0 {
+			return body, used, nil
+		}
+	}
+}
+
 // head is what stands before a body.
 type head struct {
 	start  string
 	fields Header
 	size   int // bytes of it, with the blank line
 	body   int // bytes that follow
-	close  bool
+
+	chunked, close bool
 }
 
 // parseHead gives nil while the head is not whole.
@@ -161,13 +220,19 @@
 			}
 			h.body = int(n)
 		case strings.EqualFold(name, "Transfer-Encoding"):
-			return nil, bad("Transfer-Encoding is not taken")
+			if h.chunked || !strings.EqualFold(value, "chunked") {
+				return nil, bad("Transfer-Encoding is not taken")
+			}
+			h.chunked = true
 		case strings.EqualFold(name, "Connection"):
 			for _, option := range strings.Split(value, ",") {
 				h.close = h.close || strings.EqualFold(strings.TrimSpace(option), "close")
 			}
 		}
 	}
+	if h.chunked && lengths > 0 {
+		return nil, bad("Content-Length beside Transfer-Encoding")
+	}
 	if h.body > limits.Body {
 		return nil, &Error{Status: 413, Reason: "body is too long"}
 	}
--- a/internal/httpwire/httpwire_test.go
+++ b/internal/httpwire/httpwire_test.go
@@ -44,6 +44,45 @@
 	}
 }
 
+// A response in chunks is read wherever it is cut, and nothing behind it is touched;
+// what is no chunk, or too much, is refused.
+func TestChunks(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		text, want := "HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked\r\n\r\n", ""
+		for _, part := range rapid.SliceOfN(rapid.StringMatching(`[a-z\r\n0]{1,20}`), 0, 8).Draw(t, "parts") {
+			want += part
+			text += strconv.FormatInt(int64(len(part)), 16) + rapid.SampledFrom([]string{"", ";x=y", " "}).Draw(t, "extension") + "\r\n" + part + "\r\n"
+		}
+		text += "0\r\n" + rapid.SampledFrom([]string{"", "A: b\r\n"}).Draw(t, "trailer") + "\r\n"
+		for cut := range len(text) {
+			if r, n, err := ParseResponse([]byte(text[:cut]), limits); r != nil || n != 0 || err != nil {
+				t.Fatalf("cut at %d: %v, %d, %v", cut, r, n, err)
+			}
+		}
+		r, n, err := ParseResponse([]byte(text+"HTTP/1.1 503"), limits)
+		if err != nil || n != len(text) || string(r.Body) != want {
+			t.Fatalf("%q: %v, %d, %v", text, r, n, err)
+		}
+	})
+	const head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+	for text, status := range map[string]int{
+		head + "\r\nx\r\n":                                   400,
+		head + "\r\n-1\r\n":                                  400,
+		head + "\r\n1\r\nab\r\n":                             400,
+		head + "\r\n" + strings.Repeat("1", 300):             400,
+		head + "\r\n" + "ffff\r\n":                           413,
+		head + "\r\n0\r\n" + strings.Repeat("A: b\r\n", 99):  431,
+		head + "Content-Length: 3\r\n\r\n":                   400,
+		head + head[17:] + "\r\n":                            400,
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\n": 400,
+	} {
+		var wrong *Error
+		if r, n, err := ParseResponse([]byte(text), limits); !errors.As(err, &wrong) || wrong.Status != status || r != nil || n != 0 {
+			t.Errorf("%q: got %v, %d, %v; want %d", text, r, n, err, status)
+		}
+	}
+}
+
 // Guards against a message whose meaning depends on where the network cut it.
 func TestCutsChangeNothing(t *testing.T) {
 	word := rapid.StringMatching(`[A-Za-z0-9-]{1,12}`)
