ramplab up holds up a whole site with a live view; ephemeral nodes on sockets

Need: up had one cache node that broke nothing and no clients; the world on sockets told of members by the notice board only.

Change: up runs the world on sockets: all servers, clients, a front a branch, the first with signed links. In a terminal it shows servers, fronts, worth and broken promises (bubbletea), and keys bring troubles. What is asked for from outside is an object of the world from then on. With Sockets.Ephemeral, members are told by the stand-in ZooKeeper, which can now be frozen.

--- a/cmd/ramplab/main.go
+++ b/cmd/ramplab/main.go
@@ -23,9 +23,7 @@
 	"errors"
 	"fmt"
 	"os"
-	"os/signal"
 	"path/filepath"
-	"syscall"
 	"time"
 
 	"github.com/alecthomas/kong"
@@ -89,42 +87,6 @@
 	return filepath.Join(filepath.Dir(own), "cherryramp"), nil
 }
 
-type upCommand struct {
-	frontPath
-	For time.Duration `help:"How long; by default until interrupted."`
-}
-
-// Run holds a site up.
-func (c upCommand) Run() error {
-	front, err := c.path()
-	if err != nil {
-		return err
-	}
-	w, err := conformance.New(time.Now())
-	if err != nil {
-		return err
-	}
-	s, err := site.Start(site.Options{Front: front, Operator: w.Operator, Log: os.Stderr})
-	if err != nil {
-		return err
-	}
-	fmt.Printf("platform  curl -i -H 'Req-Id: 9b1f03aa5c7e2d41' -H 'Req-Wait-Ms: 1500' -H 'X-Bucket: 17' 'http://%s/call/guide-video/9f3a?seg=3'\n", s.Listen)
-	fmt.Printf("signed    curl -i 'http://%s%s'\n", s.Signed, w.Good("edgeauth", "query", time.Hour))
-	fmt.Printf("refused   curl -i 'http://%s%s'\n", s.Signed, conformance.Target)
-	fmt.Printf("operator  %s\n", s.Operator)
-	end := make(chan os.Signal, 1)
-	signal.Notify(end, syscall.SIGINT, syscall.SIGTERM)
-	var over <-chan time.Time
-	if c.For > 0 {
-		over = time.After(c.For)
-	}
-	select {
-	case <-end:
-	case <-over:
-	}
-	return s.Stop()
-}
-
 type conformanceCommand struct {
 	frontPath
 	Address string `help:"A running server's address, in place of a front of our own."`
--- a/cmd/ramplab/sim.go
+++ b/cmd/ramplab/sim.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"os"
 	"runtime"
 	"sync"
@@ -21,8 +22,9 @@
 	JSON   string   `help:"A file for all results."`
 	Second bool     `help:"Print the worth asked for and earned, second by second."`
 	frontPath
-	Sockets bool `help:"Play them before built fronts on loopback, in the system's time."`
-	Jobs    int  `default:"0" help:"Days at a time; 0: one a core in virtual time, one for every two cores on sockets."`
+	Sockets bool   `help:"Play them before built fronts on loopback, in the system's time."`
+	Log     string `help:"A file for what the fronts have to say, on sockets."`
+	Jobs    int    `default:"0" help:"Days at a time; 0: one a core in virtual time, one for every two cores on sockets."`
 }
 
 // played is one day.
@@ -63,12 +65,21 @@
 	if jobs == 0 && c.Sockets {
 		jobs = max(1, runtime.GOMAXPROCS(0)/2)
 	}
+	var log io.Writer
+	if c.Log != "" {
+		f, err := os.Create(c.Log)
+		if err != nil {
+			return err
+		}
+		defer func() { _ = f.Close() }()
+		log = f
+	}
 	errs := each(len(days), jobs, nil, func(i int) error {
 		start := time.Now()
 		var r *world.Result
 		var err error
 		if c.Sockets {
-			r, err = days[i].PlayOnSockets(world.None, world.Sockets{Front: front})
+			r, err = days[i].PlayOnSockets(world.None, world.Sockets{Front: front, Log: log})
 		} else {
 			r, err = days[i].Play(world.None)
 		}
--- /dev/null
+++ b/cmd/ramplab/up.go
@@ -0,0 +1,338 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	tea "charm.land/bubbletea/v2"
+	"charm.land/lipgloss/v2"
+	"golang.org/x/term"
+
+	"cherryramp/lab/conformance"
+	"cherryramp/lab/scenario"
+	"cherryramp/lab/world"
+)
+
+type upCommand struct {
+	Scenario string `arg:"" optional:"" type:"existingfile" help:"A scenario to play; by default a calm site without an end."`
+	frontPath
+	Rate  float64       `default:"60" help:"Requests a second of the site's own clients, where no scenario is played."`
+	For   time.Duration `help:"How long; by default until interrupted."`
+	Plain bool          `help:"No live view; also where there is no terminal."`
+}
+
+// endless is longer than anyone looks.
+const endless = world.Micros(365 * 24 * 3600 * 1_000_000)
+
+// Run holds a site up: the world's servers, clients and notice boards on loopback,
+// and built fronts in their middle.
+func (c upCommand) Run() error {
+	front, err := c.path()
+	if err != nil {
+		return err
+	}
+	keys, err := conformance.New(time.Now())
+	if err != nil {
+		return err
+	}
+	spec, plan := world.Default(), world.Plan{For: endless}
+	spec.Rate = c.Rate
+	if c.Scenario != "" {
+		text, err := os.ReadFile(c.Scenario)
+		if err != nil {
+			return err
+		}
+		s, err := scenario.Parse(c.Scenario, string(text))
+		if err != nil {
+			return err
+		}
+		spec, plan = s.Spec, s.Plan
+	} else if !(c.Rate >= 0 && c.Rate <= 10_000) {
+		return fmt.Errorf("--rate: %v: 0 to 10000 are possible", c.Rate)
+	}
+	live := !c.Plain && term.IsTerminal(int(os.Stdout.Fd())) && term.IsTerminal(int(os.Stdin.Fd()))
+	o := world.Sockets{Front: front, Operator: keys.Operator}
+	if !live {
+		o.Log = os.Stderr
+	}
+	w, err := world.NewOnSockets(spec, o)
+	if err != nil {
+		return err
+	}
+	var ui *tea.Program
+	if live {
+		branches, hubs, _, fronts := w.Names()
+		m := &viewModel{w: w, links: func(v world.View) []string { return links(v, keys) }, keys: troubleKeys(branches, hubs, fronts)}
+		ui = tea.NewProgram(m)
+		w.Watch(250_000, func(v world.View) { ui.Send(v) })
+	} else {
+		told := false
+		w.Watch(100_000, func(v world.View) {
+			if lines := links(v, keys); !told && lines != nil {
+				told = true
+				fmt.Println(strings.Join(lines, "\n"))
+			}
+		})
+	}
+	end := make(chan os.Signal, 1)
+	signal.Notify(end, syscall.SIGINT, syscall.SIGTERM)
+	var over <-chan time.Time
+	if c.For > 0 {
+		over = time.After(c.For)
+	}
+	go func() {
+		select {
+		case <-end:
+		case <-over:
+		}
+		w.Stop()
+	}()
+	type outcome struct {
+		r   *world.Result
+		err error
+	}
+	done := make(chan outcome, 1)
+	go func() {
+		r, err := w.Run(plan)
+		done <- outcome{r, err}
+		if ui != nil {
+			ui.Quit()
+		}
+	}()
+	if ui != nil {
+		_, err = ui.Run()
+		w.Stop()
+	}
+	x := <-done
+	if err := errors.Join(err, x.err); err != nil {
+		return err
+	}
+	fmt.Print(x.r)
+	for _, v := range x.r.Violations {
+		fmt.Printf("  %s\n", v)
+	}
+	if len(x.r.Violations) > 0 {
+		return errNotMet
+	}
+	return nil
+}
+
+// links are requests to try out; nil while no front serves.
+func links(v world.View, keys *conformance.World) []string {
+	f := v.Fronts[0]
+	if !f.Serves {
+		return nil
+	}
+	return []string{
+		fmt.Sprintf("platform  curl -i -H 'Req-Id: 9b1f03aa5c7e2d41' -H 'Req-Wait-Ms: 1500' -H 'X-Bucket: 17' 'http://%s/call/guide-video/9f3a?seg=3'", f.Address),
+		fmt.Sprintf("signed    curl -i 'http://%s%s'", f.Signed, keys.Good("edgeauth", "query", time.Hour)),
+		fmt.Sprintf("refused   curl -i 'http://%s%s'", f.Signed, conformance.Target),
+	}
+}
+
+// troubleKey is a trouble that a key brings.
+type troubleKey struct {
+	key     string
+	trouble world.Trouble
+}
+
+func troubleKeys(branches, hubs, fronts []string) []troubleKey {
+	const second = 1_000_000
+	list := []world.Trouble{
+		{Kind: world.LoseBranch, Target: branches[0], For: 12 * second},
+		{Kind: world.LoseBranch, Target: branches[len(branches)-1], For: 12 * second, Silent: true},
+		{Kind: world.LoseParents, Target: hubs[0], For: 15 * second},
+		{Kind: world.OriginSlow, X: 3, For: 10 * second},
+		{Kind: world.OriginStops, For: 5 * second},
+		{Kind: world.PurgeGroups, X: 0.4},
+		{Kind: world.Storm, For: 10 * second},
+		{Kind: world.Surge, X: 3, For: 10 * second},
+		{Kind: world.Resets},
+		{Kind: world.KillFront, Target: fronts[len(fronts)-1], For: 3 * second},
+	}
+	var keys []troubleKey
+	for i, t := range list {
+		keys = append(keys, troubleKey{fmt.Sprint((i + 1) % 10), t})
+	}
+	return keys
+}
+
+// viewModel is the live view.
+type viewModel struct {
+	w     *world.World
+	links func(world.View) []string
+	keys  []troubleKey
+	now   world.View
+	last  world.View // about a second before
+	rates [4]float64 // tries, attempts, refused and failed a second
+	worth []float64  // share earned, a reading a second
+	said  string
+}
+
+// rejected is a trouble that can't be.
+type rejected struct{ err error }
+
+// Init is part of tea.Model.
+func (m *viewModel) Init() tea.Cmd { return nil }
+
+// Update is part of tea.Model.
+func (m *viewModel) Update(msg tea.Msg) (tea.Model, tea.Cmd) {
+	switch msg := msg.(type) {
+	case world.View:
+		m.now = msg
+		if span := float64(msg.At-m.last.At) / 1e6; span >= 1 {
+			l := &m.last
+			m.rates = [4]float64{float64(msg.Tries-l.Tries) / span, float64(msg.Attempts-l.Attempts) / span, float64(msg.Refused-l.Refused) / span,
+				float64(msg.Failed-l.Failed) / span}
+			if msg.Asked > 0 {
+				m.worth = append(m.worth, msg.Earned/msg.Asked)
+				m.worth = m.worth[max(0, len(m.worth)-sparks):]
+			}
+			m.last = msg
+		}
+	case rejected:
+		m.said = msg.err.Error()
+	case tea.KeyPressMsg:
+		switch key := msg.String(); key {
+		case "q", "ctrl+c", "esc":
+			return m, tea.Quit
+		default:
+			for _, k := range m.keys {
+				if k.key == key {
+					return m, m.inject(k.trouble)
+				}
+			}
+		}
+	}
+	return m, nil
+}
+
+func (m *viewModel) inject(t world.Trouble) tea.Cmd {
+	m.said = t.Label()
+	return func() tea.Msg {
+		told := make(chan error, 1)
+		m.w.Inject(t, func(err error) { told <- err })
+		select {
+		case err := <-told:
+			if err != nil {
+				return rejected{err}
+			}
+		case <-time.After(time.Second): // the day is over
+		}
+		return nil
+	}
+}
+
+// sparks is how many readings the line of the worth has.
+const sparks = 60
+
+var (
+	headStyle   = lipgloss.NewStyle().Bold(true)
+	faintStyle  = lipgloss.NewStyle().Faint(true)
+	goodStyle   = lipgloss.NewStyle().Foreground(lipgloss.Color("2"))
+	warnStyle   = lipgloss.NewStyle().Foreground(lipgloss.Color("3"))
+	brokenStyle = lipgloss.NewStyle().Foreground(lipgloss.Color("1")).Bold(true)
+)
+
+// View is part of tea.Model.
+func (m *viewModel) View() tea.View {
+	v := tea.NewView(m.screen())
+	v.AltScreen = true
+	return v
+}
+
+func (m *viewModel) screen() string {
+	v := &m.now
+	if len(v.Fronts) == 0 {
+		return "the fronts start ..."
+	}
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s  %5.1f s   %5.0f tries/s  %5.0f attempts/s  %s  %s\n", headStyle.Render("cherryramp"), float64(v.At)/1e6, m.rates[0], m.rates[1],
+		level(m.rates[2], 1, "refused/s"), level(m.rates[3], 1, "failed/s"))
+	share := 1.0
+	if v.Asked > 0 {
+		share = v.Earned / v.Asked
+	}
+	fmt.Fprintf(&b, "worth of the last 10 s  %s %s\n\n", worthStyle(share).Render(fmt.Sprintf("%5.1f%%", 100*share)), sparkline(m.worth))
+	for _, l := range m.links(*v) {
+		fmt.Fprintln(&b, faintStyle.Render(l))
+	}
+	fmt.Fprintf(&b, "\n%s\n", headStyle.Render(fmt.Sprintf("%-22s %-9s %-9s %6s  %-22s", "server", "state", "capacity", "open", "link")))
+	for _, s := range v.Servers {
+		state := goodStyle
+		if s.State != "serving" {
+			state = warnStyle
+		}
+		fmt.Fprintf(&b, "%-22s %s %8.0f%% %6d  %s\n", s.Name, state.Render(fmt.Sprintf("%-9s", s.State)), 100*s.Share, s.Work, bar(s.Load))
+	}
+	fmt.Fprintf(&b, "\n%s\n", headStyle.Render(fmt.Sprintf("%-22s %-24s %6s %8s %6s", "front", "address", "held", "MB", "fds")))
+	for _, f := range v.Fronts {
+		if !f.Serves {
+			fmt.Fprintf(&b, "%-22s %s\n", f.Name, warnStyle.Render("does not serve"))
+			continue
+		}
+		fmt.Fprintf(&b, "%-22s %-24s %6d %8.1f %6d\n", f.Name, f.Address, f.Held, float64(f.KB)/1024, f.Descriptors)
+	}
+	fmt.Fprintln(&b)
+	for _, t := range v.Troubles {
+		fmt.Fprintln(&b, warnStyle.Render(fmt.Sprintf("%s, for %.0f s more", t.Label(), float64(t.At+t.For-v.At)/1e6)))
+	}
+	if v.Broken > 0 {
+		fmt.Fprintln(&b, brokenStyle.Render(fmt.Sprintf("promises broken %d times", v.Broken)))
+		for _, x := range v.Violations {
+			fmt.Fprintln(&b, x)
+		}
+	} else {
+		fmt.Fprintln(&b, goodStyle.Render("no promise was broken"))
+	}
+	var help []string
+	for _, k := range m.keys {
+		help = append(help, k.key+" "+k.trouble.Label())
+	}
+	fmt.Fprintf(&b, "%s\n%s", m.said, faintStyle.Render("q ends it; troubles: "+strings.Join(help, ", ")))
+	return b.String()
+}
+
+func level(x, most float64, what string) string {
+	text := fmt.Sprintf("%4.0f %s", x, what)
+	if x > most {
+		return warnStyle.Render(text)
+	}
+	return text
+}
+
+func worthStyle(share float64) lipgloss.Style {
+	switch {
+	case share > 0.95:
+		return goodStyle
+	case share > 0.8:
+		return warnStyle
+	}
+	return brokenStyle
+}
+
+// bar draws a load; what is above full is marked.
+func bar(load float64) string {
+	const wide = 20
+	n := min(wide, int(load*wide+0.5))
+	text := strings.Repeat("█", n) + strings.Repeat("·", wide-n)
+	if load > 1 {
+		return warnStyle.Render(text + fmt.Sprintf(" %.1fx", load))
+	}
+	return text
+}
+
+// sparkline draws shares from a half to all.
+func sparkline(values []float64) string {
+	marks := []rune("▁▂▃▄▅▆▇█")
+	var b strings.Builder
+	for _, x := range values {
+		b.WriteRune(marks[min(len(marks)-1, max(0, int((x-0.5)*2*float64(len(marks)))))])
+	}
+	return b.String()
+}
--- a/internal/ephemeral/keeper/keeper.go
+++ b/internal/ephemeral/keeper/keeper.go
@@ -1,10 +1,11 @@
-// Package keeper is for tests: a stand-in for a ZooKeeper server that speaks the
-// part of its published protocol that reading children and data with watches
-// takes.
+// Package keeper is for tests and the laboratory: a stand-in for a ZooKeeper server
+// that speaks the part of its published protocol that reading children and data
+// with watches takes.
 package keeper
 
 import (
 	"encoding/binary"
+	"fmt"
 	"io"
 	"net"
 	"strings"
@@ -22,6 +23,8 @@
 	session int64
 	conns   map[net.Conn]bool
 	watches map[net.Conn]map[string]bool // "list" or a child
+	frozen  bool
+	thawed  sync.Cond
 }
 
 // Root is the path whose children are the nodes.
@@ -30,13 +33,23 @@
 // New starts a keeper without nodes, which ends with the test.
 func New(t testing.TB) *Keeper {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	k, err := Open("127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
+	t.Cleanup(k.Close)
+	return k
+}
+
+// Open starts a keeper without nodes. It must be closed.
+func Open(address string) (*Keeper, error) {
+	ln, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("keeper: %w", err)
+	}
 	k := &Keeper{ln: ln, nodes: map[string]string{}, session: 100, conns: map[net.Conn]bool{},
 		watches: map[net.Conn]map[string]bool{}}
-	t.Cleanup(func() { _ = ln.Close(); k.Cut(false) })
+	k.thawed.L = &k.mu
 	go func() {
 		for {
 			c, err := ln.Accept()
@@ -46,7 +59,23 @@
 			go k.serve(c)
 		}
 	}()
-	return k
+	return k, nil
+}
+
+// Close ends a keeper and its connections.
+func (k *Keeper) Close() {
+	_ = k.ln.Close()
+	k.Cut(false)
+	k.Freeze(false)
+}
+
+// Freeze has the keeper say nothing until it is thawed: connections come up and
+// stay, and what is asked meanwhile is answered then.
+func (k *Keeper) Freeze(frozen bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.frozen = frozen
+	k.thawed.Broadcast()
 }
 
 // packet reads or writes fields in ZooKeeper's encoding.
@@ -99,6 +128,9 @@
 	p.take64() // last zxid
 	timeout, session := p.take32(), p.take64()
 	k.mu.Lock()
+	for k.frozen {
+		k.thawed.Wait()
+	}
 	if session != 0 && session != k.session {
 		session = 0 // expired
 	} else {
@@ -127,6 +159,9 @@
 func (k *Keeper) answer(c net.Conn, p *packet) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	for k.frozen {
+		k.thawed.Wait()
+	}
 	if k.watches[c] == nil { // it was cut
 		return
 	}
--- a/internal/seeded/seeded.go
+++ b/internal/seeded/seeded.go
@@ -12,12 +12,16 @@
 )
 
 // Main is for a package's TestMain.
-func Main(m *testing.M) {
+func Main(m *testing.M) { os.Exit(Run(m)) }
+
+// Run is for a TestMain that has something to do after the tests; it gives the
+// exit code.
+func Run(m *testing.M) (code int) {
 	for name, value := range map[string]string{"rapid.seed": "7", "rapid.nofailfile": "true"} {
 		if err := flag.Set(name, value); err != nil {
 			fmt.Fprintln(os.Stderr, err)
-			os.Exit(2)
+			return 2
 		}
 	}
-	os.Exit(m.Run())
+	return m.Run()
 }
--- a/lab/world/catalog.go
+++ b/lab/world/catalog.go
@@ -20,6 +20,7 @@
 	w       *World
 	objects []object
 	classes []popular
+	adopted map[string]uint32 // objects that were asked for from outside, by name
 }
 
 // popular is one class's objects: those of all branches, and each branch's own.
@@ -95,6 +96,18 @@
 	return float64(c.w.spec.Classes[o.class].Send) / 1e6 * c.w.spec.Flow * o.scale
 }
 
+// adopt makes an object of a name that somebody outside the world asks for.
+func (c *catalog) adopt(text string, class int, r *rand.Rand) uint32 {
+	if c.adopted == nil {
+		c.adopted = map[string]uint32{}
+	}
+	if _, ok := c.adopted[text]; !ok {
+		c.adopted[text] = c.add(class, r)
+		c.objects[c.adopted[text]].parts = math.MaxUint16
+	}
+	return c.adopted[text]
+}
+
 // name is how an object is called on the wire.
 func name(object uint32) string { return strconv.FormatUint(uint64(object)|1<<32, 16) }
 
--- a/lab/world/clients.go
+++ b/lab/world/clients.go
@@ -271,7 +271,11 @@
 	if w.spec.Repeats.Obey {
 		wait = max(wait, away)
 	}
-	w.after(wait, func() { w.ask(o) })
+	w.returning++
+	w.after(wait, func() {
+		w.returning--
+		w.ask(o)
+	})
 }
 
 // ran is told of every execution of a write.
--- a/lab/world/inside.go
+++ b/lab/world/inside.go
@@ -19,7 +19,8 @@
 	leave(a *ask)
 	member(m gateway.Member)
 	purge(p gateway.Purge)
-	heard() // the register answers at this moment
+	heard()         // the register answers at this moment
+	mute(mute bool) // it can't be reached, or can again
 	settle()
 	held() (calls, kb, descriptors int) // 0 where it has no process of its own
 	end()                               // at once, as if killed
@@ -73,6 +74,7 @@
 func (x *inside) member(m gateway.Member) { x.gate.Members(false, []gateway.Member{m}) }
 func (x *inside) purge(p gateway.Purge)   { x.gate.Purge(p) }
 func (x *inside) heard()                  { x.gate.Heard() }
+func (x *inside) mute(bool)               {}
 func (x *inside) settle()                 { x.gate.Settle() }
 func (x *inside) held() (int, int, int)   { return x.gate.Open(), 0, 0 }
 func (x *inside) end()                    { x.ended = true }
--- a/lab/world/sockets.go
+++ b/lab/world/sockets.go
@@ -14,12 +14,15 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
+	"cherryramp/internal/ephemeral/keeper"
 	"cherryramp/internal/gateway"
 	"cherryramp/internal/loop"
 	"cherryramp/lab/process"
+	"cherryramp/rules"
 )
 
 // Sockets has the fronts of a world be the built program, as it is shipped. The
@@ -30,6 +33,14 @@
 	Front    string    // path of the built program
 	Log      io.Writer // of the fronts; nil: nowhere
 	MemoryMB int       // the fronts' limit; 0: 32
+
+	// Ephemeral has members told by ephemeral nodes, as ZooKeeper has them, and not by
+	// the notice board.
+	Ephemeral bool
+
+	// Operator gives the first front's operator's file, for an address of the signed
+	// front; nil: there is none.
+	Operator func(signed string) []byte
 }
 
 // What the fronts are told of their machine.
@@ -108,15 +119,47 @@
 	return nil
 }
 
-// stopFronts ends what a day on sockets has started.
-func (w *World) stopFronts() error {
+// quit ends the day's loop; on sockets once the fronts, told to end, have ended,
+// so that they still have a notice board and servers meanwhile.
+func (w *World) quit() {
+	if w.sockets == nil || w.quitting {
+		w.loop.Quit()
+		return
+	}
+	w.quitting = true
+	var running []*outside
+	for _, f := range w.fronts {
+		if x, ok := f.prog.(*outside); ok && !f.dead && x.process != nil {
+			f.serves, x.over = false, true // what becomes of clients now does not count
+			for a := range f.open {
+				a.over = true
+			}
+			running = append(running, x)
+		}
+	}
+	go func() {
+		errs := make([]error, len(running))
+		var wg sync.WaitGroup
+		for i, x := range running {
+			wg.Go(func() { errs[i] = x.process.Stop() })
+		}
+		wg.Wait()
+		w.loop.Post(func() {
+			w.ended = errors.Join(errs...)
+			w.loop.Quit()
+		})
+	}()
+}
+
+// release gives back what a day on sockets holds, and ends fronts that still run.
+func (w *World) release() error {
 	if w.sockets == nil {
 		return nil
 	}
-	var errs []error
+	errs := []error{w.ended}
 	for _, f := range w.fronts {
 		if x, ok := f.prog.(*outside); ok && !f.dead {
-			errs = append(errs, x.close())
+			x.end()
 		}
 		for _, d := range f.doors {
 			errs = append(errs, d.apply(doorShut))
@@ -168,6 +211,8 @@
 	failed  error
 	dir     string
 	listen  string
+	signed  string
+	keeper  *keeper.Keeper // with ephemeral nodes
 	board   *http.Server
 	client  *http.Client
 	rev     int64
@@ -186,7 +231,7 @@
 
 // wireMember is a member as the board tells of it.
 type wireMember struct {
-	ID       string  `json:"id"`
+	ID       string  `json:"id,omitempty"`
 	HostPort string  `json:"host_port"`
 	Locality string  `json:"locality"`
 	Flavor   string  `json:"flavor"`
@@ -280,13 +325,9 @@
 	if err != nil {
 		return err
 	}
-	ln, err := net.Listen("tcp", f.ip+":0")
-	if err != nil {
+	if x.listen, err = f.free(); err != nil {
 		return err
 	}
-	if x.listen = ln.Addr().String(); ln.Close() != nil {
-		return errors.New("the front's address can't be given back")
-	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /board/poll", x.serveBoard)
 	x.board = &http.Server{Handler: mux, ReadHeaderTimeout: process.Patience}
@@ -305,10 +346,70 @@
 	if err = os.WriteFile(path, text, 0o600); err != nil {
 		return err
 	}
-	x.process, err = process.Start(process.Options{Path: w.sockets.Front, Env: []string{"ROUTER_CONFIG=" + path}, Log: w.sockets.Log})
+	env := []string{"ROUTER_CONFIG=" + path}
+	operator, err := x.operator(known)
+	if err != nil {
+		return err
+	}
+	if len(operator) > 0 {
+		if text, err = json.Marshal(operator); err != nil {
+			return err
+		}
+		path := filepath.Join(x.dir, "operator.json")
+		if err = os.WriteFile(path, text, 0o600); err != nil {
+			return err
+		}
+		env = append(env, "CHERRYRAMP_OPERATOR="+path)
+	}
+	x.process, err = process.Start(process.Options{Path: w.sockets.Front, Env: env, Log: w.sockets.Log})
 	return err
 }
 
+// operator makes the operator's file; empty: there is none.
+func (x *outside) operator(known []gateway.Member) (file map[string]json.RawMessage, err error) {
+	f, o := x.f, x.f.w.sockets
+	file = map[string]json.RawMessage{}
+	if o.Operator != nil && f == f.w.fronts[0] {
+		if x.signed, err = f.free(); err != nil {
+			return nil, err
+		}
+		if err := json.Unmarshal(o.Operator(x.signed), &file); err != nil {
+			return nil, err
+		}
+	}
+	if o.Ephemeral {
+		if x.keeper, err = keeper.Open(f.ip + ":0"); err != nil {
+			return nil, err
+		}
+		for _, m := range known {
+			x.node(m)
+		}
+		file["ephemeral"] = fmt.Appendf(nil, `{"servers":[%q],"path":%q}`, x.keeper.Addr(), keeper.Root)
+	}
+	return file, nil
+}
+
+// node tells of a member by an ephemeral node.
+func (x *outside) node(m gateway.Member) {
+	data := []byte(nil) // it vanishes
+	if m.State != rules.Gone {
+		n := x.wireMember(m)
+		n.ID = ""
+		data, _ = json.Marshal(n) // it has no values that JSON does not
+	}
+	x.keeper.Set(m.Name, string(data))
+}
+
+// free gives an address at which nobody listens. Nothing else uses the front's IP
+// address, so it stays so.
+func (f *Front) free() (string, error) {
+	ln, err := net.Listen("tcp", f.ip+":0")
+	if err != nil {
+		return "", err
+	}
+	return ln.Addr().String(), ln.Close()
+}
+
 // serveBoard answers the front's long poll.
 func (x *outside) serveBoard(rw http.ResponseWriter, r *http.Request) {
 	after, err := strconv.ParseInt(r.FormValue("watch"), 10, 64)
@@ -362,6 +463,10 @@
 }
 
 func (x *outside) member(m gateway.Member) {
+	if x.keeper != nil {
+		x.node(m)
+		return
+	}
 	x.publish(wireNotice{Pool: &wirePool{Revision: x.rev, Members: []wireMember{x.wireMember(m)}}})
 }
 
@@ -370,6 +475,13 @@
 // heard has nothing to do: the front hears by its own polls.
 func (x *outside) heard() {}
 
+// mute has the register say nothing for a while.
+func (x *outside) mute(mute bool) {
+	if x.keeper != nil {
+		x.keeper.Freeze(mute)
+	}
+}
+
 func (x *outside) settle() {}
 
 func (x *outside) held() (calls, kb, open int) {
@@ -379,22 +491,15 @@
 func (x *outside) end() {
 	x.over = true
 	if x.process != nil {
-		go x.process.Kill()
-	}
-	x.clear()
-}
-
-// close ends the front as an operator does.
-func (x *outside) close() (err error) {
-	x.over = true
-	if x.process != nil {
-		err = x.process.Stop()
+		go x.process.Kill() // where it has not ended
 	}
 	x.clear()
-	return err
 }
 
 func (x *outside) clear() {
+	if x.keeper != nil {
+		x.keeper.Close()
+	}
 	if x.board != nil {
 		_ = x.board.Close()
 		x.client.CloseIdleConnections()
--- /dev/null
+++ b/lab/world/sockets_run_test.go
@@ -0,0 +1,155 @@
+package world
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+)
+
+// built is the program, built once for all tests.
+var built string
+
+func buildFront() (dir string, err error) {
+	if dir, err = os.MkdirTemp("", "world"); err != nil {
+		return "", err
+	}
+	built = filepath.Join(dir, "cherryramp")
+	if out, err := exec.Command("go", "build", "-o", built, "cherryramp/cmd/cherryramp").CombinedOutput(); err != nil {
+		return dir, fmt.Errorf("%w: %s", err, out)
+	}
+	return dir, nil
+}
+
+// small is a site for tests on sockets. Its slack is what a busy machine may hold
+// things up by; what is looked for takes longer.
+func small() Spec {
+	s := Default()
+	s.Branches, s.Rate, s.Slack = s.Branches[:2], 40, 1500*milli
+	return s
+}
+
+func playOnSockets(t *testing.T, spec Spec, m Mutation, p Plan, ephemeral bool) *Result {
+	t.Helper()
+	var log strings.Builder
+	w, err := NewOnSockets(spec, Sockets{Front: built, Log: &log, Ephemeral: ephemeral})
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.Mutation = m
+	r, err := w.Run(p)
+	if err != nil {
+		t.Fatalf("%v\n%s", err, log.String())
+	}
+	t.Logf("%s", r)
+	return r
+}
+
+// Built fronts keep every promise through each kind of loss, and serve; both bodies
+// have the same clients.
+func TestPromisesHoldOnSockets(t *testing.T) {
+	t.Parallel()
+	plan := Plan{Warm: 2 * second, For: 13 * second, Troubles: []Trouble{
+		{Kind: LoseServer, At: second, For: 3 * second, Target: "edge-1.box-1"},
+		{Kind: LoseServer, At: second, For: 4 * second, Target: "edge-2.box-1", Silent: true},
+		{Kind: PurgeGroups, At: 2 * second, X: 0.5},
+		{Kind: Resets, At: 4 * second},
+		{Kind: KillFront, At: 5 * second, For: second, Target: "edge-2.front-1"},
+		{Kind: CutBranch, At: 6 * second, For: 2 * second, Target: "edge-1"},
+		{Kind: DrainServer, At: 7 * second, For: 2 * second, Target: "edge-1.box-2"},
+		{Kind: Deaf, At: 9 * second, For: second},
+		{Kind: PurgeHot, At: 10 * second, X: 20},
+		{Kind: SpoiltAnswers, At: 11 * second, For: 2 * second, X: 0.05}}}
+	other := play(t, small(), None, plan)
+	for _, ephemeral := range []bool{false, true} {
+		t.Run(fmt.Sprint("ephemeral nodes ", ephemeral), func(t *testing.T) {
+			t.Parallel()
+			r := playOnSockets(t, small(), None, plan, ephemeral)
+			for _, v := range r.Violations {
+				t.Error(v)
+			}
+			if r.Requests() != other.Requests() || r.Requests() < 300 || r.Service < 0.4 {
+				t.Errorf("%d requests, %d in virtual time; service %.2f", r.Requests(), other.Requests(), r.Service)
+			}
+		})
+	}
+}
+
+// The checkers see on sockets what they see in virtual time.
+func TestMutationsAreSeenOnSockets(t *testing.T) {
+	t.Parallel()
+	for m, plan := range map[Mutation]Plan{
+		DeafToDrains: {For: 9 * second, Troubles: []Trouble{{Kind: DrainServer, At: second, For: 5 * second, Target: "edge-1.box-1"},
+			{Kind: DrainServer, At: second, For: 5 * second, Target: "edge-2.box-1"}}},
+		DeafToPurges: {Warm: 3 * second, For: 8 * second, Troubles: []Trouble{{Kind: PurgeGroups, At: second, X: 1}}},
+		WrongBody:    {For: 8 * second},
+		TwiceWritten: {For: 8 * second},
+	} {
+		t.Run(string(m), func(t *testing.T) {
+			t.Parallel()
+			spec := small()
+			if m == DeafToPurges { // old copies stay for long, and are asked for again at many caches
+				spec.PurgeDone, spec.Slack, spec.Rate, spec.Classes = 20*second, 200*milli, 120, slices.Clone(spec.Classes)
+				spec.Classes[0].Objects = 10
+			}
+			if r := playOnSockets(t, spec, m, plan, m == DeafToDrains); r.Broken[Mutations[m]] == 0 {
+				t.Errorf("not seen; broken: %v", r.Broken)
+			}
+		})
+	}
+}
+
+// An address refuses, answers, or says nothing, as its server is; the same again
+// after each other state.
+func TestDoors(t *testing.T) {
+	w, err := NewOnSockets(small(), Sockets{Front: built})
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := newDoor(w.fronts[0], w.servers[0])
+	defer func() { _ = d.apply(doorShut) }()
+	for i, state := range []doorState{doorOpen, doorMute, doorOpen, doorShut, doorMute, doorShut, doorOpen, doorMute} {
+		if err := d.apply(state); err != nil {
+			t.Fatal(i, err)
+		}
+		c, err := net.DialTimeout("tcp", d.address, 200*time.Millisecond)
+		is := doorOpen
+		var late net.Error
+		switch {
+		case errors.As(err, &late) && late.Timeout():
+			is = doorMute
+		case err != nil:
+			is = doorShut
+		default:
+			_ = c.Close()
+		}
+		if is != state {
+			t.Errorf("step %d: it is in state %d, %d wanted: %v", i, is, state, err)
+		}
+	}
+}
+
+// What can't be on sockets is refused.
+func TestSocketsAreChecked(t *testing.T) {
+	for _, change := range []func(s *Spec){func(s *Spec) { s.Held = 5000 }, func(s *Spec) { s.Branches[0].Fronts = 300 }, func(s *Spec) { s.Flow = 0 }} {
+		s := Default()
+		s.Branches = append([]Branch(nil), s.Branches...)
+		change(&s)
+		if _, err := NewOnSockets(s, Sockets{Front: built}); err == nil {
+			t.Error("it is taken")
+		}
+	}
+	w, err := NewOnSockets(small(), Sockets{Front: filepath.Join(t.TempDir(), "none")})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := w.Run(Plan{For: second}); err == nil {
+		t.Error("there is no such program")
+	}
+}
--- a/lab/world/trouble.go
+++ b/lab/world/trouble.go
@@ -139,7 +139,15 @@
 	case LostAnswers:
 		during(func() { w.lost += t.X }, func() { w.lost -= t.X })
 	case Deaf:
-		during(func() { w.eachFront(func(f *Front) { f.mute = true }) }, func() { w.eachFront(func(f *Front) { f.mute = false }) })
+		mute := func(mute bool) func() {
+			return func() {
+				w.eachFront(func(f *Front) {
+					f.mute = mute
+					f.prog.mute(mute)
+				})
+			}
+		}
+		during(mute(true), mute(false))
 	case TellsLate:
 		late := Micros(t.X * float64(second))
 		shift := func(by Micros) func() {
--- a/lab/world/wire.go
+++ b/lab/world/wire.go
@@ -157,7 +157,10 @@
 			err = nil
 		case "name":
 			var known bool
-			if j.item.object, known = w.catalog.named(value); !known {
+			if j.item.object, known = w.catalog.named(value); !known && w.sockets != nil && j.class >= 0 {
+				j.item.object, known = w.catalog.adopt(value, j.class, w.faults), true
+			}
+			if !known {
 				c.void("object %q", value)
 				return
 			}
--- a/lab/world/world.go
+++ b/lab/world/world.go
@@ -59,8 +59,15 @@
 	cuts       map[int]bool // zones whose servers no front reaches
 	purges     []purge
 
-	sockets *Sockets // nil: all in virtual time
-	stretch int      // times that a body is repeated, on sockets
+	returning int // clients that wait to come back
+
+	planned  []Trouble
+	injected []Trouble // while they go on
+
+	sockets  *Sockets // nil: all in virtual time
+	quitting bool
+	ended    error // of the fronts that were told to end
+	stretch  int   // times that a body is repeated, on sockets
 
 	asks       map[string]*ask
 	lastID     uint64
@@ -283,13 +290,14 @@
 	}
 	w.ends, w.curve = forever, p.Curve // it has begun
 	if err := w.startFronts(); err != nil {
-		return nil, errors.Join(fmt.Errorf("world: %w", err), w.stopFronts())
+		return nil, errors.Join(fmt.Errorf("world: %w", err), w.release())
 	}
 	if w.sockets != nil {
 		w.first = w.loop.Now()
 	}
 	w.began = w.first + p.Warm
 	w.ends = w.began + p.For
+	w.planned = p.Troubles
 	w.loop.At(w.began, func() { // what servers did in the warm-up does not count
 		w.stats = Stats{}
 		w.stats.init(len(w.spec.Classes))
@@ -297,21 +305,38 @@
 	})
 	for i := range p.Troubles {
 		if err := w.plan(&p.Troubles[i]); err != nil {
-			return nil, errors.Join(fmt.Errorf("world: %s: %w", p.Troubles[i], err), w.stopFronts())
+			return nil, errors.Join(fmt.Errorf("world: %s: %w", p.Troubles[i], err), w.release())
 		}
 	}
 	for i := range w.spec.Branches {
 		w.arrivals(i, w.first, rand.New(rand.NewPCG(w.spec.Seed, 100+uint64(i))))
 	}
 	w.bounds()
-	w.loop.At(w.ends+drained, w.loop.Quit)
+	w.loop.At(w.ends+drained, w.quit)
+	if w.sockets != nil { // nobody wants to wait for nothing
+		w.loop.At(w.ends, w.quitWhenCalm)
+	}
 	w.loop.Run()
-	if err := w.stopFronts(); err != nil {
+	if err := w.release(); err != nil {
 		return nil, fmt.Errorf("world: %w", err)
 	}
 	return w.result(), nil
 }
 
+// quitWhenCalm ends a day of which nothing is open any more, after what writes may
+// still do.
+func (w *World) quitWhenCalm() {
+	open := w.returning
+	for _, f := range w.fronts {
+		open += len(f.open)
+	}
+	if open == 0 {
+		w.after(2*second, w.quit)
+		return
+	}
+	w.after(100*milli, w.quitWhenCalm)
+}
+
 // note takes an answer into the digest of the day.
 func (w *World) note(a *ask, x gateway.Answer) {
 	var b [33]byte
--- a/lab/world/world_test.go
+++ b/lab/world/world_test.go
@@ -1,6 +1,8 @@
 package world
 
 import (
+	"fmt"
+	"os"
 	"slices"
 	"testing"
 
@@ -10,7 +12,16 @@
 	"cherryramp/rules"
 )
 
-func TestMain(m *testing.M) { seeded.Main(m) }
+func TestMain(m *testing.M) {
+	dir, err := buildFront()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	code := seeded.Run(m)
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
 
 // play plays a day.
 func play(t interface{ Fatal(...any) }, spec Spec, m Mutation, p Plan) *Result {
