--- a/lab/experiment/experiment.go
+++ b/lab/experiment/experiment.go
@@ -23,6 +23,14 @@
 	{"worst 10 s", func(r *world.Result) float64 { return r.WorstTen }},
 	{"hits", func(r *world.Result) float64 { return r.Hits() }},
 	{"bytes not from the store", func(r *world.Result) float64 { return 1 - r.OriginBytes/max(1, r.SentBytes) }},
+	{"tries not refused or failed", func(r *world.Result) float64 {
+		n := 0
+		for i := range r.Refused {
+			n += r.Refused[i] + r.Failed[i]
+		}
+		return 1 - float64(n)/float64(max(1, r.Tries))
+	}},
+	{"requests without a fill", func(r *world.Result) float64 { return 1 - float64(r.Fills)/float64(max(1, r.Requests())) }},
 	{"promises broken", func(r *world.Result) float64 { return -float64(len(r.Violations)) }},
 }
 
--- a/lab/process/process.go
+++ b/lab/process/process.go
@@ -96,9 +96,12 @@
 // Err tells how a front ended that has.
 func (p *Process) Err() error { return p.err }
 
+// Signal sends a front a signal; one that has ended does not get it.
+func (p *Process) Signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
+
 // Stop ends the front as an operator does.
 func (p *Process) Stop() error {
-	_ = p.cmd.Process.Signal(syscall.SIGTERM)
+	p.Signal(syscall.SIGTERM)
 	select {
 	case <-p.ended:
 		return p.err
--- a/lab/scenario/chaos.go
+++ b/lab/scenario/chaos.go
@@ -65,7 +65,13 @@
 		case 16:
 			t.Kind, t.X = world.LostAnswers, 0.05*r.Float64()
 		default:
-			switch r.IntN(4) {
+			switch r.IntN(7) {
+			case 4:
+				t.Kind, t.Target = world.FreezeBranch, pick(branches)
+			case 5:
+				t.Kind, t.Target = world.FreezeAnswers, pick(branches)
+			case 6:
+				t.Kind, t.Target = world.RestartFront, pick(fronts)
 			case 0:
 				t.Kind = world.Deaf
 			case 1:
@@ -205,8 +211,8 @@
 		return "reset connections"
 	case world.TellsLate:
 		return "register late " + seconds(world.Micros(t.X*1e6))
-	case world.KillFront:
-		return fmt.Sprintf("kill front %q", t.Target)
+	case world.KillFront, world.RestartFront, world.ReloadFront:
+		return fmt.Sprintf("%s front %q", t.Kind, t.Target)
 	case world.Flap:
 		return fmt.Sprintf("flap %q %d times", t.Target, int(t.X))
 	}
--- a/lab/scenario/scenario.go
+++ b/lab/scenario/scenario.go
@@ -160,6 +160,10 @@
 	Surge     *times  `parser:"| 'surge' @Times"`
 	Storm     bool    `parser:"| @'storm'"`
 	Cut       *string `parser:"| 'cut' 'branch' @String"`
+	FreezeA   *string `parser:"| 'freeze' ( 'answers' 'of' @String"`
+	FreezeB   *string `parser:"           | 'branch' @String )"`
+	Restart   *string `parser:"| 'restart' 'front' @String"`
+	Reload    *string `parser:"| 'reload' 'front' @String"`
 	Reset     bool    `parser:"| @('reset' 'connections')"`
 	Spoil     *share  `parser:"| 'spoil' @Percent"`
 	Deaf      bool    `parser:"| 'register' ( @'unreachable'"`
@@ -424,6 +428,15 @@
 		out.Kind = world.Storm
 	case t.Cut != nil:
 		named(world.CutBranch, t.Cut)
+	case t.FreezeA != nil:
+		named(world.FreezeAnswers, t.FreezeA)
+	case t.FreezeB != nil:
+		named(world.FreezeBranch, t.FreezeB)
+	case t.Restart != nil:
+		named(world.RestartFront, t.Restart)
+	case t.Reload != nil:
+		named(world.ReloadFront, t.Reload)
+		momentary = true
 	case t.Reset:
 		out.Kind = world.Resets
 		momentary = true
--- a/lab/world/door.go
+++ b/lab/world/door.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"cherryramp/lab/process"
 )
 
 // doorState is how a server's address answers those who connect.
@@ -29,6 +31,8 @@
 	is      doorState
 	ln      *net.TCPListener
 	fillers []net.Conn
+
+	accepting chan struct{} // closed once nobody accepts any more
 }
 
 func newDoor(f *Front, s *server) *door { return &door{front: f, server: s, address: f.ip + ":0"} }
@@ -65,7 +69,7 @@
 		for _, c := range d.fillers {
 			err = errors.Join(err, c.Close())
 		}
-		d.ln, d.fillers = nil, nil
+		d.ln, d.fillers, d.accepting = nil, nil, nil
 		if err != nil {
 			return err
 		}
@@ -84,7 +88,8 @@
 			d.address = ln.Addr().String()
 		}
 		if d.want == doorOpen {
-			go d.accept(d.ln)
+			d.accepting = make(chan struct{})
+			go d.accept(d.ln, d.accepting)
 		}
 	}
 	if d.want == doorMute {
@@ -93,32 +98,56 @@
 	return nil
 }
 
-// fillTime is how long a connection to a full queue is waited for to know it.
-const fillTime = 20 * time.Millisecond
+// mostFillers is how many connections may be needed to fill a queue, with those
+// that somebody else has there.
+const mostFillers = 8
 
 // fill takes the places in the queue for connections, after which the kernel drops
 // what comes (listen(2): a backlog of 0 holds one on Linux).
 func (d *door) fill() error {
-	err := d.ln.SetDeadline(time.Unix(1, 0)) // nobody accepts any more
-	raw, err2 := d.ln.SyscallConn()
-	if err = errors.Join(err, err2); err != nil {
+	if d.accepting != nil {
+		if err := d.ln.SetDeadline(time.Unix(1, 0)); err != nil {
+			return err
+		}
+		<-d.accepting
+		d.accepting = nil
+	}
+	raw, err := d.ln.SyscallConn()
+	if err != nil {
 		return err
 	}
-	var failed error
-	if err := raw.Control(func(fd uintptr) { failed = unix.Listen(int(fd), 0) }); err != nil || failed != nil {
-		return errors.Join(err, failed)
+	control := func(do func(fd int) error) error {
+		var failed error
+		return errors.Join(raw.Control(func(fd uintptr) { failed = do(int(fd)) }), failed)
+	}
+	if err := control(func(fd int) error { return unix.Listen(fd, 0) }); err != nil {
+		return err
 	}
-	for range 4 {
-		c, err := net.DialTimeout("tcp", d.address, fillTime)
+	for range mostFillers {
+		// Of a listening socket the kernel tells the queue's length and size here (tcp(7),
+		// net/ipv4/tcp.c: tcp_get_info).
+		full := false
+		if err := control(func(fd int) error {
+			info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+			full = err == nil && info.Unacked > info.Sacked
+			return err
+		}); err != nil {
+			return err
+		}
+		if full {
+			return nil
+		}
+		c, err := net.DialTimeout("tcp", d.address, process.Patience)
 		if err != nil {
-			return nil // it is full
+			return err
 		}
 		d.fillers = append(d.fillers, c)
 	}
 	return errors.New("the queue of " + d.address + " does not fill")
 }
 
-func (d *door) accept(ln *net.TCPListener) {
+func (d *door) accept(ln *net.TCPListener, over chan struct{}) {
+	defer close(over)
 	for {
 		c, err := ln.AcceptTCP()
 		if err != nil {
--- a/lab/world/inside.go
+++ b/lab/world/inside.go
@@ -23,6 +23,8 @@
 	mute(mute bool) // it can't be reached, or can again
 	settle()
 	held() (calls, kb, descriptors int) // 0 where it has no process of its own
+	reload()                            // its files
+	retire(ended func())                // in order: what is open is answered first
 	end()                               // at once, as if killed
 }
 
@@ -77,7 +79,19 @@
 func (x *inside) mute(bool)               {}
 func (x *inside) settle()                 { x.gate.Settle() }
 func (x *inside) held() (int, int, int)   { return x.gate.Open(), 0, 0 }
-func (x *inside) end()                    { x.ended = true }
+func (x *inside) reload()                 {}
+
+// retire has clients go elsewhere and waits for what is open.
+func (x *inside) retire(ended func()) {
+	x.f.serves = false
+	if len(x.f.open) == 0 || x.ended {
+		ended()
+		return
+	}
+	x.f.w.after(10*milli, func() { x.retire(ended) })
+}
+
+func (x *inside) end() { x.ended = true }
 
 var errRefused = errors.New("connection refused")
 var errSilent = errors.New("no answer to the connection")
--- a/lab/world/sockets.go
+++ b/lab/world/sockets.go
@@ -16,6 +16,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"cherryramp/internal/ephemeral/keeper"
@@ -218,7 +219,8 @@
 	rev     int64
 	notices []json.RawMessage // from 2 on; the first is in the configuration
 	polls   []*poll
-	over    bool
+	over    bool   // nothing of it counts any more
+	retired func() // it was told to end, and this is to be told once it has
 }
 
 // poll is one of the front's, held until there is something to tell.
@@ -300,8 +302,15 @@
 		})
 		<-x.process.Ended()
 		x.f.w.loop.Post(func() {
-			if !x.over {
-				x.f.w.broken(Answer, x.f, fmt.Sprintf("the program ended by itself: %v", x.process.Err()))
+			err := x.process.Err()
+			if !x.over && (x.retired == nil || err != nil) {
+				x.f.w.broken(Answer, x.f, fmt.Sprintf("the program ended by itself: %v", err))
+			}
+			switch {
+			case x.over:
+			case x.retired != nil:
+				x.retired()
+			default:
 				x.f.kill()
 			}
 		})
@@ -488,6 +497,21 @@
 	return len(x.f.open), process.Resident(x.process.Pid()), process.Descriptors(x.process.Pid())
 }
 
+// reload tells the front to read its files anew.
+func (x *outside) reload() { x.process.Signal(syscall.SIGHUP) }
+
+// retire ends the front as an operator does. For a moment clients still come, as
+// they do until a balancer has noticed; after that they go elsewhere.
+func (x *outside) retire(ended func()) {
+	x.retired = ended
+	x.process.Signal(syscall.SIGTERM)
+	x.f.w.after(lingering, func() {
+		if !x.over {
+			x.f.serves = false
+		}
+	})
+}
+
 func (x *outside) end() {
 	x.over = true
 	if x.process != nil {
--- a/lab/world/trouble.go
+++ b/lab/world/trouble.go
@@ -30,9 +30,13 @@
 	SpoiltAnswers Kind = "spoil"        // a share X of the answers
 	LostAnswers   Kind = "lose answers" // a share X never comes
 	Deaf          Kind = "register unreachable"
-	TellsLate     Kind = "register late" // by X seconds
-	KillFront     Kind = "kill"          // a front, which starts again after the length
-	Flap          Kind = "flap"          // a server is told as gone and back, X times, while it runs
+	TellsLate     Kind = "register late"     // by X seconds
+	KillFront     Kind = "kill"              // a front, which starts again after the length
+	FreezeBranch  Kind = "freeze branch"     // as above, but what is sent meanwhile comes when it ends, as on a link that stood still
+	FreezeAnswers Kind = "freeze answers of" // the same, and only on the way back
+	RestartFront  Kind = "restart"           // a front, told to end as an operator does; it starts again the length after it has ended
+	ReloadFront   Kind = "reload"            // a front reads its files anew
+	Flap          Kind = "flap"              // a server is told as gone and back, X times, while it runs
 )
 
 // Trouble is something that goes wrong.
@@ -126,6 +130,17 @@
 			return err
 		}
 		during(func() { w.cuts[zone] = true; w.doorsIn(zone) }, func() { delete(w.cuts, zone); w.doorsIn(zone) })
+	case FreezeBranch, FreezeAnswers:
+		zone, err := w.branch(t.Target)
+		if err != nil {
+			return err
+		}
+		w.loop.At(at, func() {
+			w.thaws[1][zone] = max(w.thaws[1][zone], end)
+			if t.Kind == FreezeBranch {
+				w.thaws[0][zone] = max(w.thaws[0][zone], end)
+			}
+		})
 	case Resets:
 		w.loop.At(at, func() {
 			for _, s := range w.servers {
@@ -158,12 +173,23 @@
 			}
 		}
 		during(shift(late), shift(-late))
-	case KillFront:
+	case KillFront, RestartFront, ReloadFront:
 		i := slices.IndexFunc(w.fronts, func(f *Front) bool { return f.name == t.Target })
 		if i < 0 {
 			return fmt.Errorf("no front is called %q", t.Target)
 		}
-		during(w.fronts[i].kill, w.fronts[i].revive)
+		switch f := w.fronts[i]; t.Kind {
+		case KillFront:
+			during(f.kill, f.revive)
+		case RestartFront:
+			w.loop.At(at, func() { f.restart(t.For) })
+		default:
+			w.loop.At(at, func() {
+				if f.serves {
+					f.prog.reload()
+				}
+			})
+		}
 	case Flap:
 		s := w.by[t.Target]
 		if s == nil {
@@ -282,6 +308,31 @@
 	}
 }
 
+// lingering is how long clients and answers may still be under way to and from a
+// front that has ended, or was told to.
+const lingering = 300 * milli
+
+// restart has a front end as an operator does, and start again some time after.
+func (f *Front) restart(down Micros) {
+	if !f.serves {
+		return
+	}
+	starts := f.starts
+	still := func(do func()) func() {
+		return func() {
+			if f.starts == starts && !f.dead {
+				do()
+			}
+		}
+	}
+	f.prog.retire(still(func() {
+		f.w.after(lingering, still(func() { // an end that is still on its way to its client
+			f.kill()
+			f.w.after(down, f.revive)
+		}))
+	}))
+}
+
 // Names are what troubles may name in a world: branches, hubs, caches and fronts.
 func (w *World) Names() (branches, hubs, caches, fronts []string) {
 	for _, b := range w.spec.Branches {
--- a/lab/world/wire.go
+++ b/lab/world/wire.go
@@ -60,7 +60,7 @@
 		c.front.left(c, x)
 		if !c.dead() {
 			w := c.front.w
-			c.there = max(c.there, w.loop.Now()+w.way(c.front.zone, c.to))
+			c.there = max(c.there, w.leaves(there, c.to)+w.way(c.front.zone, c.to))
 			w.loop.At(c.there, func() { c.arrive(x) })
 		}
 	}
@@ -222,7 +222,7 @@
 			text = append([]byte("\x00what is this\r\n"), text...)
 		}
 	}
-	at := max(c.back, w.loop.Now()+w.way(c.front.zone, c.to))
+	at := max(c.back, w.leaves(back, c.to)+w.way(c.front.zone, c.to))
 	if n := len(text); n > 2 && w.faults.IntN(8) == 0 { // it comes in two pieces
 		half := 1 + w.faults.IntN(n-1)
 		first := text[:half]
--- a/lab/world/world.go
+++ b/lab/world/world.go
@@ -56,7 +56,8 @@
 	spoilt     float64
 	lost       float64
 	originSlow float64
-	cuts       map[int]bool // zones whose servers no front reaches
+	cuts       map[int]bool      // zones whose servers no front reaches
+	thaws      [2]map[int]Micros // when what stands still moves again, by zone
 	purges     []purge
 
 	returning int // clients that wait to come back
@@ -103,7 +104,7 @@
 		return nil, fmt.Errorf("world: %w", err)
 	}
 	w := &World{spec: spec, rand: rand.New(rand.NewPCG(spec.Seed, 1)), faults: rand.New(rand.NewPCG(spec.Seed, 2)), first: day, began: day,
-		by: map[string]*server{}, at: map[string]*server{}, asks: map[string]*ask{}, cuts: map[int]bool{}, surge: 1, originSlow: 1,
+		by: map[string]*server{}, at: map[string]*server{}, asks: map[string]*ask{}, cuts: map[int]bool{}, thaws: [2]map[int]Micros{{}, {}}, surge: 1, originSlow: 1,
 		digest: xxhash.New()}
 	w.stats.init(len(spec.Classes))
 	w.warmUp.init(len(spec.Classes))
@@ -135,7 +136,7 @@
 // settle has the fronts of this process carry out what they have decided.
 func (w *World) settle() {
 	for _, f := range w.fronts {
-		if f.serves {
+		if !f.dead {
 			f.prog.settle()
 		}
 	}
@@ -226,6 +227,16 @@
 	return w.ways[zone][s.zone]
 }
 
+// The two ways between fronts and servers.
+const (
+	there = iota
+	back
+)
+
+// leaves is when what is sent now to or from a server gets on its way: now, or once
+// a link that stands still moves again.
+func (w *World) leaves(way int, s *server) Micros { return max(w.loop.Now(), w.thaws[way][s.zone]) }
+
 // cut tells whether nothing crosses between any front and a server.
 func (w *World) cut(s *server) bool { return len(w.cuts) > 0 && w.cuts[s.zone] }
 
