--- a/cmd/ramplab/load.go
+++ b/cmd/ramplab/load.go
@@ -27,6 +27,7 @@
 	Even        bool               `help:"Evenly spaced; by default as a Poisson process."`
 	Connections int                `default:"256" help:"Connections at most; what finds none free waits, and its time counts."`
 	Threads     int                `default:"1" help:"Threads that send."`
+	Precise     bool               `help:"Requests leave to some ten microseconds and not to a millisecond, for a core a thread."`
 	Patience    time.Duration      `default:"3s" help:"How long clients wait, from when their request is due."`
 	Idle        time.Duration      `default:"4s" help:"How long connections are kept that are not used."`
 	Seed        uint64             `default:"1"`
@@ -49,7 +50,7 @@
 		return err
 	}
 	o := load.Options{Address: c.Address, Curve: curve, Even: c.Even, For: c.For, Patience: c.Patience, Idle: c.Idle, Connections: c.Connections,
-		Threads: c.Threads, Seed: c.Seed}
+		Threads: c.Threads, Precise: c.Precise, Seed: c.Seed}
 	if c.Targets != "" {
 		list, err := targets(c.Targets)
 		if err != nil {
