The link between sites: frames, streams with credit, holding times

Need: two sites are to share few connections among many requests, where one slow reader stops no other, clocks differ, and a peer may lie.

Change: internal/link/frame reads and writes bounded frames with heads in CBOR; internal/decide/streams decides whose bytes go next (deficit round robin) and keeps credit both ways; internal/decide/transit tells for how long a link held a frame above its quickest, without comparing clocks.

A first draft let a turn run into debt, and a stream stood still for it: found by the random test.

--- /dev/null
+++ b/internal/decide/streams/streams_test.go
@@ -0,0 +1,187 @@
+package streams
+
+import (
+	"errors"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"cherryramp/internal/seeded"
+)
+
+func TestMain(m *testing.M) { seeded.Main(m) }
+
+var config = Config{Weights: []int{1, 3}, Window: 1000, Total: 4000, Most: 8, Quantum: 100}
+
+func end(t interface{ Fatal(...any) }, cfg Config) *Mux {
+	m, err := New(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return m
+}
+
+// Two ends that keep to the rules never fall out, whatever is read when: no bytes
+// are lost, and in the end all of them came.
+func TestBothEnds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b := end(t, config), end(t, config)
+		queued, got, held := map[uint32]int{}, map[uint32]int{}, map[uint32]int{}
+		grant := func(id uint32, stream, all int) {
+			if stream > 0 {
+				if err := a.Credit(id, stream); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if all > 0 {
+				if err := a.Credit(0, all); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+		move := func(most int) bool {
+			id, n, ok := a.Next(most)
+			if !ok {
+				return false
+			}
+			if n < 1 || n > most {
+				t.Fatal(n)
+			}
+			if err := b.Received(id, n); err != nil {
+				t.Fatal(err)
+			}
+			got[id], held[id] = got[id]+n, held[id]+n
+			if held[id] > config.Window {
+				t.Fatalf("%d bytes held", held[id])
+			}
+			return true
+		}
+		for id := uint32(1); id <= 5; id++ {
+			if err := errors.Join(a.Open(id, int(id)%2), b.Open(id, int(id)%2)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		read := func(id uint32, n int) {
+			n = min(n, held[id])
+			held[id] -= n
+			s, all := b.Consumed(id, n)
+			grant(id, s, all)
+		}
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			id := uint32(rapid.IntRange(1, 5).Draw(t, "id"))
+			n := rapid.IntRange(1, 1500).Draw(t, "bytes")
+			switch rapid.IntRange(0, 2).Draw(t, "step") {
+			case 0:
+				a.Queue(id, n)
+				queued[id] += n
+			case 1:
+				move(n)
+			default:
+				read(id, n)
+			}
+		}
+		for moved := true; moved; {
+			moved = move(700)
+			for id := uint32(1); id <= 5; id++ {
+				if held[id] > 0 {
+					read(id, held[id])
+					moved = true
+				}
+			}
+		}
+		for id, n := range queued {
+			if got[id] != n {
+				t.Fatalf("stream %d: %d of %d bytes came", id, got[id], n)
+			}
+		}
+	})
+}
+
+// A stream that nobody reads stops itself alone, classes get their weights, streams
+// of a class the same each.
+func TestShares(t *testing.T) {
+	a, b := end(t, config), end(t, config)
+	for id := uint32(1); id <= 5; id++ {
+		_, _ = a.Open(id, int(id)%2), b.Open(id, int(id)%2)
+		a.Queue(id, 1<<30)
+	}
+	sent := map[uint32]int{}
+	for range 20_000 {
+		id, n, ok := a.Next(100)
+		if !ok {
+			t.Fatal("all stand still")
+		}
+		sent[id] += n
+		if err := b.Received(id, n); err != nil {
+			t.Fatal(err)
+		}
+		if id == 5 { // never read
+			continue
+		}
+		s, all := b.Consumed(id, n)
+		if s > 0 {
+			_ = a.Credit(id, s)
+		}
+		if all > 0 {
+			_ = a.Credit(0, all)
+		}
+	}
+	heavy, light := sent[1]+sent[3], sent[2]+sent[4]
+	if sent[5] != config.Window || heavy < 28*light/10 || heavy > 32*light/10 || sent[1] < 9*sent[3]/10 || sent[2] > 11*sent[4]/10 {
+		t.Errorf("%v", sent)
+	}
+}
+
+// A peer that claims credit without end, sends without it, or opens what is open, is
+// told apart.
+func TestPeersThatLie(t *testing.T) {
+	for name, x := range map[string]struct {
+		do   func(m *Mux) error
+		want error
+	}{
+		"credit for a full stream":     {func(m *Mux) error { return m.Credit(1, 1) }, ErrCredit},
+		"credit for a full connection": {func(m *Mux) error { return m.Credit(0, 1) }, ErrCredit},
+		"credit of nothing":            {func(m *Mux) error { return m.Credit(1, 0) }, ErrCredit},
+		"credit less than nothing":     {func(m *Mux) error { return m.Credit(0, -5) }, ErrCredit},
+		"more than a window":           {func(m *Mux) error { return m.Received(1, 1001) }, ErrFlooded},
+		"more than the connection's":   {func(m *Mux) error { return m.Received(99, 4001) }, ErrFlooded},
+		"a stream twice":               {func(m *Mux) error { return m.Open(1, 0) }, ErrTaken},
+		"too many": {func(m *Mux) error {
+			var err error
+			for id := uint32(2); err == nil; id++ {
+				err = m.Open(id, 0)
+			}
+			return err
+		}, ErrMany},
+	} {
+		m := end(t, config)
+		if err := m.Open(1, 0); err != nil {
+			t.Fatal(err)
+		}
+		if err := x.do(m); !errors.Is(err, x.want) {
+			t.Errorf("%s: got %v", name, err)
+		}
+	}
+	if _, err := New(Config{}); err == nil {
+		t.Error("nothing is taken for a connection")
+	}
+}
+
+// What a stream held when it ended comes back to the connection.
+func TestEndsGiveBack(t *testing.T) {
+	m := end(t, config)
+	given := 0
+	for id := uint32(1); id < 100; id++ {
+		if err := m.Open(id, 0); err != nil {
+			t.Fatal(err)
+		}
+		if err := m.Received(id, 900); err != nil {
+			t.Fatalf("stream %d: %v", id, err)
+		}
+		_, all := m.Consumed(id, 100)
+		given += all + m.Close(id)
+	}
+	if given < 99*900-config.Total || m.Len() != 0 {
+		t.Errorf("%d of %d bytes given back", given, 99*900)
+	}
+}
--- /dev/null
+++ b/internal/decide/transit/transit_test.go
@@ -0,0 +1,46 @@
+package transit
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"cherryramp/internal/seeded"
+)
+
+func TestMain(m *testing.M) { seeded.Main(m) }
+
+// Whatever the clocks' difference and drift, a frame that was held for long is never
+// said to have been held for much less, and on a steady link none is said to be held
+// by more than its jitter.
+func TestHeld(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		offset := rapid.Int64Range(-1<<50, 1<<50).Draw(t, "offset")
+		rate := 1 + rapid.Float64Range(-100e-6, 100e-6).Draw(t, "rate")
+		least := rapid.Int64Range(100, 200_000).Draw(t, "way")
+		jitter := rapid.Int64Range(0, 20_000).Draw(t, "jitter")
+		theirs := func(now Micros) Micros { return offset + Micros(float64(now)*rate) }
+		var h Held
+		now, slow, quickest := Micros(0), Micros(0), Micros(1<<60)
+		for i := range rapid.IntRange(2, 200).Draw(t, "frames") {
+			now += rapid.Int64Range(1, 30_000_000).Draw(t, "pause")
+			if i > 5 && rapid.IntRange(0, 20).Draw(t, "turn") == 0 {
+				slow = rapid.Int64Range(0, 5_000_000).Draw(t, "slow")
+			}
+			way := least + rapid.Int64Range(0, jitter).Draw(t, "late") + slow
+			got := h.Came(theirs(now), now+way)
+			now += way
+			quickest = min(quickest, way)
+			// The sender's clock may gain or lose on ours while the least is old.
+			slack := Micros(float64(now)*4e-4) + 2
+			if over := way - quickest; got < over-slack || got > over+slack {
+				t.Fatalf("held %d, said %d, slack %d", over, got, slack)
+			}
+		}
+	})
+	var h Held
+	h.Came(0, 0)
+	if h.Came(-1<<62, 1<<62) < 1<<60 {
+		t.Error("a sender's clock that runs wild is believed")
+	}
+}
--- /dev/null
+++ b/internal/link/frame/frame_test.go
@@ -0,0 +1,147 @@
+package frame
+
+import (
+	"bytes"
+	"errors"
+	"reflect"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"cherryramp/internal/seeded"
+)
+
+func TestMain(m *testing.M) { seeded.Main(m) }
+
+// A frame is read as it was written, wherever it is cut, and nothing behind it is
+// touched.
+func TestCuts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := Frame{Kind: Kind(rapid.IntRange(1, int(kinds)-1).Draw(t, "kind")), Sent: rapid.Uint64().Draw(t, "sent"),
+			Body: rapid.SliceOfN(rapid.Byte(), 0, 100).Draw(t, "body")}
+		if f.Kind != KindHello && f.Kind < KindOffer {
+			f.Stream = rapid.Uint32Min(1).Draw(t, "stream")
+		}
+		text, err := Append(nil, f)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for cut := range len(text) {
+			if _, used, err := Parse(text[:cut]); used != 0 || err != nil {
+				t.Fatalf("cut at %d: %d, %v", cut, used, err)
+			}
+		}
+		got, used, err := Parse(append(bytes.Clone(text), "more"...))
+		if err != nil || used != len(text) || got.Kind != f.Kind || got.Stream != f.Stream || got.Sent != f.Sent || !bytes.Equal(got.Body, f.Body) {
+			t.Fatalf("%+v, %d, %v", got, used, err)
+		}
+	})
+}
+
+// What is no frame is refused by name, as soon as that is seen, and is not written
+// either.
+func TestRefused(t *testing.T) {
+	head := func(length uint32, kind Kind, stream byte) []byte {
+		return []byte{byte(length >> 24), byte(length >> 16), byte(length >> 8), byte(length), byte(kind), 0, 0, 0, stream, 0, 0, 0, 0, 0, 0, 0, 0}
+	}
+	for _, x := range []struct {
+		text []byte
+		want error
+	}{
+		{[]byte{0xff, 0, 0, 0}, ErrLength}, {[]byte{0, 0, 0, 3}, ErrLength}, {head(fixed+MostData+1, KindData, 1), ErrLength},
+		{head(fixed+MostHead+1, KindOpen, 1), ErrLength}, {head(fixed, 0, 1), ErrKind}, {head(fixed, kinds, 0), ErrKind},
+		{head(fixed, KindOpen, 0), ErrStream}, {head(fixed, KindHello, 1), ErrStream}, {head(fixed, KindPing, 3), ErrStream},
+	} {
+		if _, used, err := Parse(x.text); !errors.Is(err, x.want) || used != 0 {
+			t.Errorf("%x: %d, %v, want %v", x.text, used, err, x.want)
+		}
+	}
+	for _, f := range []Frame{{Kind: KindData, Stream: 1, Body: make([]byte, MostData+1)}, {Kind: KindTell, Stream: 1, Body: make([]byte, MostHead+1)},
+		{Kind: KindData}, {}} {
+		if _, err := Append(nil, f); err == nil {
+			t.Errorf("kind %d is written", f.Kind)
+		}
+	}
+}
+
+// Heads come back as they were; what is not as agreed is refused.
+func TestHeads(t *testing.T) {
+	for _, x := range []any{&Hello{[]uint16{1, 2}, "north", 1 << 63, 1, 2, 3}, &Open{ID: 1 << 60, Try: 1, Epoch: 9, Class: "guide-video", Object: "9f3a", Part: -1,
+		Group: 255, Left: 5_000_000, Hops: 1, Length: 3, Offset: 4, Tag: "t", Age: 8}, &Answer{1, 240_000, "t", 3, 4}, &Ask{1, 2, 3, 4}, &Tell{3, 1, true, 9, 7},
+		&Credit{1}, &Offer{1000}} {
+		body, err := Head(x)
+		if err != nil {
+			t.Fatal(err)
+		}
+		again := reflect.New(reflect.TypeOf(x).Elem()).Interface()
+		if err := Read(Frame{Body: body}, again); err != nil || !reflect.DeepEqual(again, x) {
+			t.Errorf("%+v: got %+v, %v", x, again, err)
+		}
+		if err := Read(Frame{Body: append(body, 0)}, again); err == nil {
+			t.Errorf("%T: something behind it is taken", x)
+		}
+	}
+	for name, body := range map[string][]byte{"twice the same field": {0xa2, 1, 1, 1, 2}, "a field that is not known": {0xa1, 0x18, 0x63, 1},
+		"an open length": {0xbf, 1, 1, 0xff}, "a tag": {0xc1, 0xa0}, "less than nothing": {0xa1, 1, 0x20}, "no map": {1}, "nothing": {}} {
+		if err := Read(Frame{Kind: KindCredit, Body: body}, &Credit{}); err == nil {
+			t.Errorf("%s is taken", name)
+		}
+	}
+	if v, err := Agree([]uint16{0, 7, 1}); v != 1 || err != nil {
+		t.Error(v, err)
+	}
+	if _, err := Agree([]uint16{7}); !errors.Is(err, ErrVersion) {
+		t.Error(err)
+	}
+}
+
+// FuzzParse reads anything without falling over; what is read is written the same.
+func FuzzParse(f *testing.F) {
+	text, err := Append(nil, Frame{Kind: KindData, Stream: 7, Sent: 9, Body: []byte("bytes")})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(text)
+	body, err := Head(&Open{ID: 1, Class: "guide-video", Object: "9f3a"})
+	if err != nil {
+		f.Fatal(err)
+	}
+	text, err = Append(nil, Frame{Kind: KindOpen, Stream: 1, Body: body})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(text)
+	f.Fuzz(func(t *testing.T, b []byte) {
+		x, used, err := Parse(b)
+		if used == 0 || err != nil {
+			return
+		}
+		if again, err := Append(nil, x); err != nil || !bytes.Equal(again, b[:used]) {
+			t.Fatalf("%+v: %x, %v", x, again, err)
+		}
+		for _, head := range []any{&Hello{}, &Open{}, &Answer{}, &Ask{}, &Tell{}, &Credit{}, &Offer{}} {
+			_ = Read(x, head)
+		}
+	})
+}
+
+// BenchmarkOpen is a request's frame, written and read.
+func BenchmarkOpen(b *testing.B) {
+	open := Open{ID: 1 << 60, Try: 1, Epoch: 1 << 60, Class: "guide-video", Object: "7f3a9c21e0b4d655", Part: 3, Group: 17, Left: 1_500_000, Hops: 1}
+	var buf []byte
+	for b.Loop() {
+		body, err := Head(&open)
+		if err != nil {
+			b.Fatal(err)
+		}
+		if buf, err = Append(buf[:0], Frame{Kind: KindOpen, Stream: 1, Sent: 1, Body: body}); err != nil {
+			b.Fatal(err)
+		}
+		f, _, err := Parse(buf)
+		var x Open
+		if err != nil || Read(f, &x) != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(len(buf)), "bytes")
+}
