ramplab load and tell refuse what makes no sense

Cause: load took an address without a port and ended well where nothing was answered; tell compared an arm with itself.

Change: both are refused by name; a load of which nothing was answered is an error.

Result: tried by hand, with a dozen other bad calls that were refused already.

--- a/cmd/ramplab/experiment.go
+++ b/cmd/ramplab/experiment.go
@@ -232,6 +232,9 @@
 
 // Run plays days of two arms until it can tell which is better.
 func (c *tellCommand) Run() (err error) {
+	if c.A == c.B {
+		return fmt.Errorf("--a, --b: %q is one arm", c.A)
+	}
 	d := &experiment.Design{Looks: c.Looks, First: c.First, Batch: c.Batch, Least: c.Least}
 	for _, m := range experiment.Measures {
 		if m.Name == c.Measure {
--- a/cmd/ramplab/load.go
+++ b/cmd/ramplab/load.go
@@ -7,6 +7,7 @@
 	"io"
 	"log/slog"
 	"maps"
+	"net"
 	"os"
 	"slices"
 	"strings"
@@ -45,6 +46,9 @@
 
 // Run sends a load.
 func (c *loadCommand) Run() error {
+	if host, port, err := net.SplitHostPort(c.Address); err != nil || host == "" || port == "" {
+		return fmt.Errorf("address: %q is not host:port", c.Address)
+	}
 	curve, err := scenario.ParseLoad(c.Rate)
 	if err != nil {
 		return err
@@ -96,7 +100,13 @@
 			return err
 		}
 	}
-	return writeJSON(c.JSON, loadJSON(r))
+	if err := writeJSON(c.JSON, loadJSON(r)); err != nil {
+		return err
+	}
+	if r.Due > 0 && progress.Answered.Load() == 0 {
+		return fmt.Errorf("%s: nothing was answered", c.Address)
+	}
+	return nil
 }
 
 // targets reads a list of them.
