--- a/cmd/ramplab/sim.go
+++ b/cmd/ramplab/sim.go
@@ -22,9 +22,10 @@
 	JSON   string   `help:"A file for all results."`
 	Second bool     `help:"Print the worth asked for and earned, second by second."`
 	frontPath
-	Sockets bool   `help:"Play them before built fronts on loopback, in the system's time."`
-	Log     string `help:"A file for what the fronts have to say, on sockets."`
-	Jobs    int    `default:"0" help:"Days at a time; 0: one a core in virtual time, one for every two cores on sockets."`
+	Sockets   bool   `help:"Play them before built fronts on loopback, in the system's time."`
+	Ephemeral bool   `help:"On sockets, have members told by ephemeral nodes and not by the notice board."`
+	Log       string `help:"A file for what the fronts have to say, on sockets."`
+	Jobs      int    `default:"0" help:"Days at a time; 0: one a core in virtual time, one for every two cores on sockets."`
 }
 
 // played is one day.
@@ -57,6 +58,9 @@
 		}
 	}
 	out, bad := make([]played, len(days)), false
+	if !c.Sockets && (c.Ephemeral || c.Log != "") {
+		return fmt.Errorf("--ephemeral, --log: only with --sockets")
+	}
 	front, err := c.path()
 	if err != nil {
 		return err
@@ -79,7 +83,7 @@
 		var r *world.Result
 		var err error
 		if c.Sockets {
-			r, err = days[i].PlayOnSockets(world.None, world.Sockets{Front: front, Log: log})
+			r, err = days[i].PlayOnSockets(world.None, world.Sockets{Front: front, Log: log, Ephemeral: c.Ephemeral})
 		} else {
 			r, err = days[i].Play(world.None)
 		}
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -291,7 +291,7 @@
 			j.tell([]job{*next}, j.rewrite(next.snapshot))
 		}
 	}
-	j.done <- errors.Join(j.f.Close())
+	j.done <- j.f.Close()
 }
 
 func (j *Journal) tell(batch []job, err error) {
