--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"net"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -105,6 +106,17 @@
 	return len(line), nil
 }
 
+// reusePort binds listeners with SO_REUSEPORT.
+var reusePort = net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+	var err error
+	if e := raw.Control(func(fd uintptr) {
+		err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_REUSEPORT, 1)
+	}); e != nil {
+		return e
+	}
+	return err
+}}
+
 type connKey struct{}
 
 // onRequest runs on the poller when bytes have come.
@@ -115,10 +127,16 @@
 
 // Listen accepts connections at an address. For each, admit is called on the
 // poller and gives the connection's handler; nil turns the connection away.
+// The socket is bound with SO_REUSEPORT, so that a new process of an upgrade
+// listens beside the old one and the kernel shares new clients between both.
 // What a connection buffers is bounded by limit; see Flooded. What all hold is in
 // the gauge.
 func Listen(l *loop.Loop, address string, limit int, g *Gauge, admit func(*Conn) Handler) error {
-	ln, err := netpoll.CreateListener("tcp", address)
+	shared, err := reusePort.Listen(context.Background(), "tcp", address)
+	if err != nil {
+		return fmt.Errorf("transport: listen on %s: %w", address, err)
+	}
+	ln, err := netpoll.ConvertListener(shared)
 	if err != nil {
 		return fmt.Errorf("transport: listen on %s: %w", address, err)
 	}
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -258,3 +258,29 @@
 		}
 	}
 }
+
+// A second listener at the same address, as a new process of an upgrade opens
+// it, is let in beside the first, and clients reach one of the two.
+func TestListenersShareAnAddress(t *testing.T) {
+	w := newWorld(t)
+	ends := make(chan *end, 1)
+	err := Listen(w.loop, w.addr, 1<<20, &w.gauge, func(c *Conn) Handler {
+		e := &end{c: c, more: make(chan struct{}, 1), drained: make(chan struct{}, 1), closed: make(chan struct{})}
+		ends <- e
+		return e
+	})
+	if err != nil {
+		t.Fatalf("second listener: %v", err)
+	}
+	c, err := net.Dial("tcp", w.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	select {
+	case <-w.ends:
+	case <-ends:
+	case <-time.After(patience):
+		t.Fatal("no listener took the client")
+	}
+}
