The operators' door: PING, INFO, LAMEDUCK, REJOIN on ops or ROUTER_OPS

The program is the desk: readiness (listening, board heard once or 2 s, not a lame duck, not ending), lame duck (session.Drain, now reversible by Rejoin) and the figures. Counts live in internal/figures, state only, kept by class name; the gateway counts every answer in one place (tell) and attempts as Clear lets them leave; the admission queue counts its own refusals through Desk.Count. Found on the way: the door's parse called Flooded inside Consume, which holds the same lock; the loop stopped (probe: a half call, then PING unanswered). Flooded is read first. Test: TestOperatorsDoor (through the started program), TestReportIsTheSum (rapid).

--- /dev/null
+++ b/cmd/cherryramp/door_test.go
@@ -0,0 +1,87 @@
+package main_test
+
+import (
+	"bufio"
+	"encoding/json"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"cherryramp/internal/figures"
+)
+
+// call makes one call at the operators' door and gives the lines of its answer.
+func call(t *testing.T, addr, line string) []string {
+	t.Helper()
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(patience))
+	if _, err := c.Write([]byte(line + "\n")); err != nil {
+		t.Fatal(err)
+	}
+	var out []string
+	for r := bufio.NewScanner(c); r.Scan(); {
+		out = append(out, r.Text())
+	}
+	return out
+}
+
+// Guards against a door that answers late or wrongly: readiness, figures that
+// count what was served, a lame duck that empties the front and says no, and a
+// caller that sends half a call and holds on, which must cost nobody else.
+func TestOperatorsDoor(t *testing.T) {
+	door := freeAddress(t)
+	s := newSiteEnv(t, 1, "", "ROUTER_OPS="+door)
+	s.log.await(t, "ops="+door)
+	half, err := net.Dial("tcp", door)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer half.Close()
+	_, _ = half.Write([]byte("PI"))
+	for got := call(t, door, "PING"); len(got) != 1 || got[0] != "ok ready"; got = call(t, door, "PING") {
+		if len(got) != 1 || got[0] != "fail starting" {
+			t.Fatalf("PING: %q; %s", got, s.log)
+		}
+	}
+	c := dial(t, s.addr)
+	c.send(get("guide-video", "9f3a", 2000))
+	x := s.boxes[0].next(t)
+	x.reply("ok", "sum=t1,t0=1,why=warm", object(x))
+	if r, _ := c.answer("GET"); r.StatusCode != 200 {
+		t.Fatalf("got %d", r.StatusCode)
+	}
+	info := call(t, door, "INFO")
+	if len(info) != 3 || info[0] != "ok" || info[2] != "eof" {
+		t.Fatalf("INFO: %q", info)
+	}
+	var figs struct {
+		Handled map[string]figures.Class `json:"handled"`
+		Known   int                      `json:"known_cache_nodes"`
+	}
+	if err := json.Unmarshal([]byte(info[1]), &figs); err != nil {
+		t.Fatal(err)
+	}
+	if v := figs.Handled["guide-video"]; v.Passed != 1 || v.Tries != 1 || figs.Known != 3 {
+		t.Errorf("figures: %s", info[1])
+	}
+	if got := call(t, door, "LAMEDUCK"); len(got) != 1 || got[0] != "ok lame duck" {
+		t.Fatalf("LAMEDUCK: %q", got)
+	}
+	if got := call(t, door, "PING"); got[0] != "fail lame duck" {
+		t.Errorf("PING of a lame duck: %q", got)
+	}
+	if !c.closed() {
+		t.Error("an idle connection stays open in a lame duck")
+	}
+	if got := call(t, door, "REJOIN"); got[0] != "ok rejoined" || call(t, door, "PING")[0] != "ok ready" {
+		t.Errorf("REJOIN: %q", got)
+	}
+	if got := call(t, door, "WHAT"); !strings.HasPrefix(got[0], "fail") {
+		t.Errorf("an unknown call: %q", got)
+	}
+}
--- a/cmd/cherryramp/serve.go
+++ b/cmd/cherryramp/serve.go
@@ -15,6 +15,8 @@
 	"cherryramp/internal/config"
 	"cherryramp/internal/decide/admission"
 	"cherryramp/internal/ephemeral"
+	"cherryramp/internal/figures"
+	"cherryramp/internal/front/ops"
 	"cherryramp/internal/front/platform"
 	"cherryramp/internal/front/session"
 	"cherryramp/internal/front/signed"
@@ -80,7 +82,7 @@
 		return err
 	}
 	go p.heed(signals)
-	log.Info("serving", "name", cfg.Name, "listen", cfg.Listen, "board", cfg.Board)
+	log.Info("serving", "name", cfg.Name, "listen", cfg.Listen, "ops", cfg.Ops, "board", cfg.Board)
 	p.loop.Run()
 	log.Info("ended", "open", p.gate.Open())
 	return nil
@@ -98,12 +100,16 @@
 	signed   *signed.Front  // nil: off
 	held     *balance       // nil: no account of bytes is kept
 	queue    *session.Queue // nil: no limit is learnt
+	figures  *figures.Figures
+	door     *ops.Door // nil: no operators' door
+	started  loop.Micros
+	lameDuck bool // told so at the door: says no to readiness, and empties
 	stopping bool
 }
 
 // build wires the parts and starts to serve.
 func build(cfg *config.Config, operator *config.Operator, log *slog.Logger) (*program, error) {
-	p := &program{log: log, cfg: cfg, operator: operator}
+	p := &program{log: log, cfg: cfg, operator: operator, figures: figures.New(cfg.Lanes)}
 	p.held = newBalance(cfg, operator.Clients)
 	p.loop = loop.New(func() {
 		p.gate.Settle()
@@ -111,7 +117,7 @@
 	})
 	var err error
 	p.gate, err = gateway.New(gateway.Config{Settings: cfg.Settings, Zones: cfg.Zones, Kinds: cfg.Kinds,
-		Seed: cfg.Seed, Copies: copies(cfg)}, p.loop, log)
+		Seed: cfg.Seed, Copies: copies(cfg), Figures: p.figures}, p.loop, log)
 	if err != nil {
 		return nil, err
 	}
@@ -175,6 +181,13 @@
 			return nil, fmt.Errorf("listen: %w", err)
 		}
 	}
+	p.started = p.loop.Now()
+	if cfg.Ops != "" {
+		p.door = ops.New(p.loop, p, log)
+		if err := p.door.Listen(cfg.Ops); err != nil {
+			return nil, fmt.Errorf("ops: %w", err)
+		}
+	}
 	if cfg.Board != "" {
 		p.news.Start()
 	}
@@ -270,6 +283,7 @@
 		operator, err2 := config.LoadOperator(os.Getenv)
 		if err := errors.Join(err, err2); err != nil {
 			p.log.Error("configuration can't be used, the old one stays", "error", err)
+			p.loop.Post(func() { p.figures.Loaded(false) })
 			continue
 		}
 		p.loop.Post(func() { p.reload(cfg, operator) })
@@ -299,6 +313,7 @@
 	if p.signed != nil && operator.Signed != nil {
 		p.signed.Reload(signedPolicy(p.cfg, operator.Signed))
 	}
+	p.figures.Loaded(true)
 	p.log.Info("configuration read again", "board", p.cfg.Board)
 }
 
--- a/cmd/cherryramp/standin_test.go
+++ b/cmd/cherryramp/standin_test.go
@@ -238,6 +238,12 @@
 // newSite starts the program with so many cache boxes; operator is the text of
 // an operator's file, where "LISTEN" stands for an address, or empty.
 func newSite(t *testing.T, boxes int, operator string) *site {
+	t.Helper()
+	return newSiteEnv(t, boxes, operator)
+}
+
+// newSiteEnv is newSite with more of the environment.
+func newSiteEnv(t *testing.T, boxes int, operator string, more ...string) *site {
 	t.Helper()
 	s := &site{t: t, parent: newNode(t), origin: newNode(t), board: newBoard(t), addr: freeAddress(t)}
 	var members []string
@@ -256,7 +262,7 @@
 		"known":{"rev":1,"notices":[{"rev":1,"pool":{"revision":0,"complete":true,"members":[%s]}}]},
 		"settings":%s}`, s.addr, s.board.addr, strings.Join(members, ","), settings)
 	s.config = write(t, config)
-	env := []string{"ROUTER_CONFIG=" + s.config}
+	env := append([]string{"ROUTER_CONFIG=" + s.config}, more...)
 	if operator != "" {
 		s.signed = freeAddress(t)
 		s.rules = write(t, strings.ReplaceAll(operator, "LISTEN", s.signed))
--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -32,17 +32,21 @@
 
 // Board is a client of the notice board.
 type Board struct {
-	loop    *loop.Loop
-	log     *slog.Logger
-	address string
-	sink    Sink
-	last    int64
-	link    *link // the one that counts
-	pause   loop.Micros
-	warned  loop.Micros
-	held    transport.Gauge
+	loop     *loop.Loop
+	log      *slog.Logger
+	address  string
+	sink     Sink
+	last     int64
+	link     *link // the one that counts
+	pause    loop.Micros
+	warned   loop.Micros
+	held     transport.Gauge
+	answered bool // a whole answer has come once
 }
 
+// Answered tells whether the board has given a whole answer since the start.
+func (b *Board) Answered() bool { return b.answered }
+
 // link is one connection to the board. What an older one still brings is passed
 // over: its events come again under their numbers.
 type link struct {
@@ -205,6 +209,7 @@
 		return
 	}
 	k.good = true
+	b.answered = true
 	b.take(news)
 	b.sink.Heard()
 	if r.Close {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -32,6 +32,7 @@
 type Config struct {
 	Name     string
 	Listen   string
+	Ops      string // the operators' door; empty: none
 	Seed     uint64
 	MemoryMB int
 	Sockets  int
@@ -55,6 +56,7 @@
 type file struct {
 	Name   string `json:"name"`
 	Listen string `json:"listen"`
+	Ops    string `json:"ops"`
 	Seed   string `json:"seed"`
 	Limits struct {
 		MemoryMB float64 `json:"memory_mb"`
@@ -78,6 +80,12 @@
 		return nil, fmt.Errorf("config: ROUTER_CONFIG: %w", err)
 	}
 	c, err := Parse(data, getenv("ROUTER_NAME"), getenv("ROUTER_LISTEN"))
+	if err == nil && getenv("ROUTER_OPS") != "" {
+		c.Ops = getenv("ROUTER_OPS")
+		if err = checkAddress(c.Ops); err != nil {
+			err = fmt.Errorf("ROUTER_OPS: %w", err)
+		}
+	}
 	if err != nil {
 		return nil, fmt.Errorf("config: %s: %w", path, err)
 	}
@@ -85,7 +93,7 @@
 }
 
 // Parse reads the platform's file. A name and an address from the environment
-// go before those in it. The error names every fault that was found, a line each.
+// go before those in it; so does ROUTER_OPS before `ops`, in Load. The error names every fault that was found, a line each.
 func Parse(data []byte, name, listen string) (*Config, error) {
 	var f file
 	if err := json.Unmarshal(data, &f); err != nil {
@@ -95,14 +103,14 @@
 		}
 		return nil, fmt.Errorf("not JSON: %w", err)
 	}
-	c := &Config{Name: cmp.Or(name, f.Name, "front"), Listen: cmp.Or(listen, f.Listen), Board: f.Board,
+	c := &Config{Name: cmp.Or(name, f.Name, "front"), Listen: cmp.Or(listen, f.Listen), Ops: f.Ops, Board: f.Board,
 		Flow: f.Flow, Link: f.Link,
 		MemoryMB: cmp.Or(int(f.Limits.MemoryMB), defaultMemoryMB),
 		Sockets:  cmp.Or(f.Limits.Sockets, defaultSockets)}
 	var faults []error
 	fault := func(format string, args ...any) { faults = append(faults, fmt.Errorf(format, args...)) }
-	for _, x := range []struct{ key, address string }{{"listen", c.Listen}, {"board", c.Board}} {
-		if x.key == "board" && x.address == "" {
+	for _, x := range []struct{ key, address string }{{"listen", c.Listen}, {"board", c.Board}, {"ops", c.Ops}} {
+		if x.key != "listen" && x.address == "" {
 			continue
 		}
 		if err := checkAddress(x.address); err != nil {
@@ -151,6 +159,7 @@
 	}{
 		{"name", c.Name != o.Name},
 		{"listen", c.Listen != o.Listen},
+		{"ops", c.Ops != o.Ops},
 		{"limits", c.MemoryMB != o.MemoryMB || c.Sockets != o.Sockets},
 		{"settings", !reflect.DeepEqual(settings, o.Settings) || !slices.Equal(c.Zones, o.Zones) ||
 			!slices.Equal(c.Kinds, o.Kinds) || c.Streams != o.Streams ||
--- /dev/null
+++ b/internal/figures/figures_test.go
@@ -0,0 +1,65 @@
+package figures
+
+import (
+	"encoding/json"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"cherryramp/internal/seeded"
+)
+
+func TestMain(m *testing.M) { seeded.Main(m) }
+
+// Whatever is counted in whatever order, the report reads back as the sum of it,
+// class by class.
+func TestReportIsTheSum(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		names := []string{"page-asset", "guide-video", "payout-confirm"}
+		f := New(names[:2])
+		want := map[string]Class{names[0]: {}, names[1]: {}}
+		var loads, errs uint64
+		for range rapid.IntRange(0, 200).Draw(t, "steps") {
+			n := rapid.SampledFrom(names).Draw(t, "class")
+			c := want[n]
+			switch rapid.IntRange(0, 4).Draw(t, "what") {
+			case 0:
+				f.Answered(n, Passed)
+				c.Passed++
+			case 1:
+				f.Answered(n, Dropped)
+				c.Dropped++
+			case 2:
+				f.Answered(n, BadGateway)
+				c.BadGateway++
+			case 3:
+				f.Tried(n)
+				c.Tries++
+			case 4:
+				ok := rapid.Bool().Draw(t, "ok")
+				f.Loaded(ok)
+				if ok {
+					loads++
+				} else {
+					errs++
+				}
+				continue
+			}
+			want[n] = c
+		}
+		g := Gauges{InProgress: rapid.IntRange(0, 9).Draw(t, "open"), Known: 7, Skipped: 2}
+		var got report
+		if err := json.Unmarshal(f.AppendJSON(nil, g), &got); err != nil {
+			t.Fatal(err)
+		}
+		if len(got.Handled) != len(want) || got.Loads != loads || got.LoadErrors != errs ||
+			got.InProgress != g.InProgress || got.Known != 7 || got.Skipped != 2 {
+			t.Fatalf("got %+v", got)
+		}
+		for n, c := range want {
+			if *got.Handled[n] != c || f.Of(n) != c {
+				t.Fatalf("%s: got %+v, want %+v", n, *got.Handled[n], c)
+			}
+		}
+	})
+}
--- a/internal/front/session/session.go
+++ b/internal/front/session/session.go
@@ -42,6 +42,7 @@
 const (
 	linger      = 500_000
 	lingerShort = 60_000
+	lateOut     = 3_000_000 // us that an answer on its way may still take in a drain
 )
 
 const (
@@ -119,6 +120,7 @@
 type Desk interface {
 	Submit(c *gateway.Call)
 	Leave(c *gateway.Call)
+	Count(c *gateway.Call, k gateway.Kind) // an answer that the front gave by itself
 }
 
 // Server holds a front's connections.
@@ -243,9 +245,12 @@
 	}
 }
 
-// Drain has every connection end with its next answer, and idle ones at once.
+// Drain has every connection end with its next answer, idle ones at once, and
+// ones whose last answer is still on its way once it is out, or within lateOut.
+// Connections that come meanwhile are served and end with their first answer.
 func (s *Server) Drain() {
 	s.closing = true
+	now := s.loop.Now()
 	for i := silent; i < states; i++ {
 		if i == busy || i == ending {
 			continue
@@ -253,11 +258,18 @@
 		s.lists[i].each(func(c *conn) {
 			if !c.tc.Blocked() {
 				c.quit()
+				return
 			}
+			c.last = true
+			c.enter(ending)
+			c.tc.Finish(now + lateOut)
 		})
 	}
 }
 
+// Rejoin takes back a Drain: answers keep their connections again.
+func (s *Server) Rejoin() { s.closing = false }
+
 // Busy counts connections whose answer is open or not all out.
 func (s *Server) Busy() (n int) {
 	for i := range s.lists {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"slices"
 	"strings"
 
+	"cherryramp/internal/figures"
 	"cherryramp/internal/loop"
 	"cherryramp/rules"
 )
@@ -140,6 +141,7 @@
 	Kinds    []string
 	Seed     uint64
 	Copies   Copies
+	Figures  *figures.Figures // where answers and attempts are counted; nil: a gateway's own
 }
 
 // Gateway owns the router and the calls it holds.
@@ -165,6 +167,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("gateway: %w", err)
 	}
+	if cfg.Figures == nil {
+		cfg.Figures = figures.New(nil)
+	}
 	return &Gateway{cfg: cfg, loop: l, router: router, log: log, calls: map[rules.RequestID]*Call{},
 		open: map[string]struct{}{}, servers: map[rules.ServerID]*Server{}, purges: map[uint64]Micros{},
 		copies: newCopies(cfg.Copies)}, nil
@@ -176,6 +181,21 @@
 // Open counts the calls that are not answered yet.
 func (g *Gateway) Open() int { return len(g.calls) }
 
+// Servers counts the listed servers, and of those the ones told as draining, to
+// which nothing new goes.
+func (g *Gateway) Servers() (listed, draining int) {
+	for _, s := range g.servers {
+		switch s.State {
+		case rules.Ready:
+			listed++
+		case rules.Draining:
+			listed++
+			draining++
+		}
+	}
+	return listed, draining
+}
+
 // Kept is the bytes of the own copies.
 func (g *Gateway) Kept() int { return g.copies.bytes }
 
@@ -207,7 +227,7 @@
 func (g *Gateway) Submit(c *Call) {
 	if _, open := g.open[c.ID]; open {
 		c.over = true
-		c.Caller.Answer(Answer{Kind: Failed})
+		g.tell(c, Answer{Kind: Failed})
 		return
 	}
 	if x := g.copies.find(c, &g.cfg.Settings.Classes[c.Class], g.loop.Now()); x != nil {
@@ -216,7 +236,7 @@
 		if c.Tag != "" && c.Tag == x.tag {
 			a = Answer{Kind: Current, Tag: x.tag, Born: x.born}
 		}
-		c.Caller.Answer(a)
+		g.tell(c, a)
 		return
 	}
 	g.last++
@@ -382,9 +402,28 @@
 	c.over = true
 	a.Late = g.loop.Now() >= c.Deadline
 	g.giveUp(c)
+	g.tell(c, a)
+}
+
+// tell gives a call its one answer, and counts it.
+func (g *Gateway) tell(c *Call, a Answer) {
+	g.Count(c, a.Kind)
 	c.Caller.Answer(a)
 }
 
+// Count counts the answer to a call, for the figures. A front that answers a
+// call without the gateway, as a queue before it does, counts it here.
+func (g *Gateway) Count(c *Call, k Kind) {
+	o := figures.Passed
+	switch k {
+	case Refused:
+		o = figures.Dropped
+	case Failed:
+		o = figures.BadGateway
+	}
+	g.cfg.Figures.Answered(g.cfg.Settings.Classes[c.Class].Name, o)
+}
+
 // get carries out the module's choice.
 func (g *Gateway) get(x rules.Get) {
 	c, now := g.calls[x.ID], g.loop.Now()
@@ -449,6 +488,7 @@
 			}
 		}
 	}
+	g.cfg.Figures.Tried(g.cfg.Settings.Classes[a.Call.Class].Name)
 	return maxAge, true
 }
 
@@ -472,7 +512,7 @@
 		c.over = true
 		g.giveUp(c)
 		g.copies.keep(c, &g.cfg.Settings.Classes[c.Class], &e.Answer, g.purgedSince(c, e.Answer.Born))
-		c.Caller.Answer(e.Answer)
+		g.tell(c, e.Answer)
 	}
 }
 
