A stopping front leaves the SO_REUSEPORT group; a drain lets arriving requests come

Cause, read from the code: after SIGTERM the old process kept its listener until it exited, so in an upgrade the kernel went on handing it half of the new clients, and watch() quit as soon as no answer was open: a connection accepted a moment before, with its request on the way, was cut without an answer, and those in the backlog were reset. Drain also ended silent connections at once, so a request that crossed a lame duck or SIGTERM was lost. Not taken: netpoll's EventLoop.Shutdown, which also closes every idle connection and waits. Test: TestListenersShareAnAddress now stops one listener and dials eight times.

--- a/cmd/cherryramp/serve.go
+++ b/cmd/cherryramp/serve.go
@@ -328,6 +328,7 @@
 	now := p.loop.Now()
 	p.loop.At(now+drainAfter, func() {
 		for _, f := range p.fronts {
+			f.Stop()
 			f.Drain()
 		}
 		p.watch()
@@ -352,7 +353,7 @@
 func (p *program) watch() {
 	busy := p.gate.Open()
 	for _, f := range p.fronts {
-		busy += f.Busy()
+		busy += f.Busy() + f.Coming()
 	}
 	if busy == 0 {
 		p.loop.Quit()
--- a/internal/front/ops/ops.go
+++ b/internal/front/ops/ops.go
@@ -73,7 +73,8 @@
 
 // Listen opens the door at an address.
 func (d *Door) Listen(address string) error {
-	return transport.Listen(d.loop, address, lineMost, &d.gauge, d.admit)
+	_, err := transport.Listen(d.loop, address, lineMost, &d.gauge, d.admit)
+	return err
 }
 
 // admit runs on the poller.
--- a/internal/front/session/session.go
+++ b/internal/front/session/session.go
@@ -125,19 +125,20 @@
 
 // Server holds a front's connections.
 type Server struct {
-	cfg     Config
-	loop    *loop.Loop
-	app     App
-	desk    Desk
-	log     *slog.Logger
-	lists   [states]list
-	gauge   transport.Gauge
-	account *resources.Account
-	held    atomic.Int64 // with those that the loop has not heard of yet
-	places  atomic.Int64 // held at most
-	refused atomic.Int64 // when one was last turned away
-	closing bool
-	buf     []byte
+	cfg      Config
+	loop     *loop.Loop
+	app      App
+	desk     Desk
+	log      *slog.Logger
+	lists    [states]list
+	gauge    transport.Gauge
+	account  *resources.Account
+	held     atomic.Int64 // with those that the loop has not heard of yet
+	places   atomic.Int64 // held at most
+	refused  atomic.Int64 // when one was last turned away
+	closing  bool
+	listener *transport.Listener
+	buf      []byte
 }
 
 // conn is one client's connection; it carries one request at a time.
@@ -176,10 +177,15 @@
 }
 
 // Start begins to accept clients.
-func (s *Server) Start() error {
-	return transport.Listen(s.loop, s.cfg.Listen, max(s.cfg.Buffer, s.cfg.Limits.Head+s.cfg.Limits.Body), &s.gauge, s.admit)
+func (s *Server) Start() (err error) {
+	s.listener, err = transport.Listen(s.loop, s.cfg.Listen, max(s.cfg.Buffer, s.cfg.Limits.Head+s.cfg.Limits.Body),
+		&s.gauge, s.admit)
+	return err
 }
 
+// Stop accepts no more clients; those that came are served as in a Drain.
+func (s *Server) Stop() { s.listener.Stop() }
+
 // admit runs on the poller. Where few places are left, one of the connections
 // that stand idle has to make room.
 func (s *Server) admit(tc *transport.Conn) transport.Handler {
@@ -247,12 +253,14 @@
 
 // Drain has every connection end with its next answer, idle ones at once, and
 // ones whose last answer is still on its way once it is out, or within lateOut.
-// Connections that come meanwhile are served and end with their first answer.
+// Connections that have come for a request, and those that come meanwhile, are
+// served and end with their first answer; one that brings none in its time ends
+// then, as always.
 func (s *Server) Drain() {
 	s.closing = true
 	now := s.loop.Now()
 	for i := silent; i < states; i++ {
-		if i == busy || i == ending {
+		if i == busy || i == ending || i == silent || i == reading {
 			continue
 		}
 		s.lists[i].each(func(c *conn) {
@@ -282,6 +290,10 @@
 	return n
 }
 
+// Coming counts connections that have come for a request and not brought it
+// whole yet; their time bounds them.
+func (s *Server) Coming() int { return s.lists[silent].count + s.lists[reading].count }
+
 // Readable takes the next request, unless one is open.
 func (c *conn) Readable(tc *transport.Conn) {
 	for c.x == nil && !c.over && !c.last {
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -131,14 +131,18 @@
 // listens beside the old one and the kernel shares new clients between both.
 // What a connection buffers is bounded by limit; see Flooded. What all hold is in
 // the gauge.
-func Listen(l *loop.Loop, address string, limit int, g *Gauge, admit func(*Conn) Handler) error {
+func Listen(l *loop.Loop, address string, limit int, g *Gauge, admit func(*Conn) Handler) (*Listener, error) {
 	shared, err := reusePort.Listen(context.Background(), "tcp", address)
 	if err != nil {
-		return fmt.Errorf("transport: listen on %s: %w", address, err)
+		return nil, fmt.Errorf("transport: listen on %s: %w", address, err)
 	}
 	ln, err := netpoll.ConvertListener(shared)
 	if err != nil {
-		return fmt.Errorf("transport: listen on %s: %w", address, err)
+		return nil, fmt.Errorf("transport: listen on %s: %w", address, err)
+	}
+	raw, err := shared.(*net.TCPListener).SyscallConn()
+	if err != nil {
+		return nil, fmt.Errorf("transport: listen on %s: %w", address, err)
 	}
 	events, err := netpoll.NewEventLoop(onRequest,
 		netpoll.WithOnPrepare(func(np netpoll.Connection) context.Context {
@@ -155,10 +159,27 @@
 			return ctx
 		}))
 	if err != nil {
-		return fmt.Errorf("transport: %w", err)
+		return nil, fmt.Errorf("transport: %w", err)
 	}
 	go func() { _ = events.Serve(ln) }()
-	return nil
+	return &Listener{raw: raw}, nil
+}
+
+// Listener is a socket that accepts clients.
+type Listener struct {
+	raw  syscall.RawConn
+	once sync.Once
+}
+
+// Stop accepts no more clients; those accepted stay. The socket leaves its
+// SO_REUSEPORT group at once, so that new clients go to the other processes
+// that listen at the address, or are refused where there are none. Those that
+// the kernel held for it and nobody took are reset; so few are, since the
+// poller takes them as they come.
+func (x *Listener) Stop() {
+	x.once.Do(func() {
+		_ = x.raw.Control(func(fd uintptr) { _ = unix.Shutdown(int(fd), unix.SHUT_RD) })
+	})
 }
 
 // Dial connects until a deadline and then tells ready, on the loop.
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -67,7 +67,7 @@
 	w.loop = loop.New(func() {})
 	go w.loop.Run()
 	t.Cleanup(func() { w.loop.Post(w.loop.Quit) })
-	err = Listen(w.loop, w.addr, 1<<20, &w.gauge, func(c *Conn) Handler {
+	_, err = Listen(w.loop, w.addr, 1<<20, &w.gauge, func(c *Conn) Handler {
 		e := &end{c: c, more: make(chan struct{}, 1), drained: make(chan struct{}, 1), closed: make(chan struct{})}
 		w.ends <- e
 		return e
@@ -264,7 +264,7 @@
 func TestListenersShareAnAddress(t *testing.T) {
 	w := newWorld(t)
 	ends := make(chan *end, 1)
-	err := Listen(w.loop, w.addr, 1<<20, &w.gauge, func(c *Conn) Handler {
+	second, err := Listen(w.loop, w.addr, 1<<20, &w.gauge, func(c *Conn) Handler {
 		e := &end{c: c, more: make(chan struct{}, 1), drained: make(chan struct{}, 1), closed: make(chan struct{})}
 		ends <- e
 		return e
@@ -283,4 +283,20 @@
 	case <-time.After(patience):
 		t.Fatal("no listener took the client")
 	}
+	// Once the second stops, every client goes to the first.
+	second.Stop()
+	for range 8 {
+		c, err := net.Dial("tcp", w.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		select {
+		case <-w.ends:
+		case <-ends:
+			t.Fatal("a stopped listener took a client")
+		case <-time.After(patience):
+			t.Fatal("no listener took the client")
+		}
+	}
 }
