A file is turned down whole where it lacks a class's key or a deadline is no number above 0

Empty and cut files were already refused by the JSON reader; a class without give-up-us, or max-attempts of 0 or 'six', was taken with a default (the facts reader only knew absent or not a number). Change: config.facts.needed checks that each class has name, effect and give-up-us, and that deadlines, attempts, streams and the tick are numbers above 0 where given; two classes of one name are refused. The error names the key. Only the platform's file checks so; the simulator's wire lines keep their defaults. Not taken: a JSON schema library, one more dependency for eleven keys. Test: TestFileIsTakenWholeOrNot (rapid over every cut, and a table of faults).

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -207,8 +207,14 @@
 		if class.Name == "" || strings.ContainsAny(class.Name, " ,=/?%\r\n") {
 			return fmt.Errorf("settings: grades.%d.name=%s: can't be used", i, class.Name)
 		}
+		if slices.Contains(c.Lanes, class.Name) {
+			return fmt.Errorf("settings: grades.%d.name=%s: a second class of that name", i, class.Name)
+		}
 		c.Lanes = append(c.Lanes, class.Name)
 	}
+	if err := f.needed(len(c.Settings.Classes)); err != nil {
+		return err
+	}
 	// Clients hold a third of the descriptors at most, one request on each.
 	if places := c.Sockets / clientPart; c.Settings.MaxHeld == 0 || c.Settings.MaxHeld > places {
 		c.Settings.MaxHeld = places
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -104,6 +104,53 @@
 	return out
 }
 
+// What every class must have, and what must be a number above 0 where it is
+// given: a deadline or a number of attempts of 0 or less would refuse or fail all.
+var (
+	classNeeds    = []string{"name", "effect", "give-up-us"}
+	classPositive = []string{"give-up-us", "goal-time-us", "memory-span-us"}
+	positive      = []string{"limits.max-attempts", "limits.connect-timeout-us", "limits.conn-idle-us",
+		"limits.streams-per-conn", "tick-us"}
+)
+
+// needed tells the first key that a file of so many classes lacks, or that is
+// no number above 0. A file cut short loses keys, and so is turned down here
+// where its JSON was still whole.
+func (f *facts) needed(classes int) error {
+	check := func(key string, must bool) error {
+		s, ok := f.values[key]
+		if !ok || s == "" {
+			if must {
+				return fmt.Errorf("settings: %s: missing", key)
+			}
+			return nil
+		}
+		if v, err := strconv.ParseFloat(s, 64); err != nil || !(v > 0) || math.IsInf(v, 0) {
+			return fmt.Errorf("settings: %s=%s: not a number above 0", key, s)
+		}
+		return nil
+	}
+	for i := range classes {
+		p := "grades." + strconv.Itoa(i) + "."
+		for _, k := range classNeeds {
+			if s, ok := f.values[p+k]; !ok || s == "" {
+				return fmt.Errorf("settings: %s%s: missing", p, k)
+			}
+		}
+		for _, k := range classPositive {
+			if err := check(p+k, false); err != nil {
+				return err
+			}
+		}
+	}
+	for _, k := range positive {
+		if err := check(k, false); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // at gives a list's value for a class, or what stands for an absent one.
 func at[T any](list []T, i int, absent T) T {
 	if i < len(list) {
--- a/internal/config/settings_test.go
+++ b/internal/config/settings_test.go
@@ -1,11 +1,17 @@
 package config
 
 import (
+	"strings"
 	"testing"
 
+	"pgregory.net/rapid"
+
+	"cherryramp/internal/seeded"
 	"cherryramp/rules"
 )
 
+func TestMain(m *testing.M) { seeded.Main(m) }
+
 func TestParseSettings(t *testing.T) {
 	s, err := ParseSettings("grades.count=1\n" +
 		"grades.0.effect=idempotency_key\n" +
@@ -29,3 +35,42 @@
 		}
 	}
 }
+
+// good is a whole platform file of two classes.
+const good = `{"name":"n0","listen":"127.0.0.1:9000","ops":"127.0.0.1:9001","settings":{"grades":[
+ {"name":"page-asset","effect":"read_like","give-up-us":2000000,"goal-time-us":1000000},
+ {"name":"payout-confirm","effect":"non_idempotent","give-up-us":3000000,"goal-time-us":600000}],
+ "limits":{"max-attempts":6,"connect-timeout-us":400000}}}`
+
+// Guards against a file that SIGHUP would half take: one cut short anywhere, one
+// that lacks a key or has a deadline or number of attempts of no use is turned
+// down whole, and the error names the key.
+func TestFileIsTakenWholeOrNot(t *testing.T) {
+	c, err := Parse([]byte(good), "", "")
+	if err != nil || c.Ops != "127.0.0.1:9001" || len(c.Lanes) != 2 {
+		t.Fatalf("good file: %v, %+v", err, c)
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		cut := rapid.IntRange(0, len(good)-1).Draw(t, "cut")
+		if _, err := Parse([]byte(good[:cut]), "", ""); err == nil {
+			t.Fatalf("cut at %d: taken", cut)
+		}
+	})
+	for _, x := range []struct{ from, to, key string }{
+		{`"give-up-us":3000000,`, ``, "grades.1.give-up-us: missing"},
+		{`"effect":"read_like",`, ``, "grades.0.effect: missing"},
+		{`"give-up-us":2000000`, `"give-up-us":0`, "grades.0.give-up-us=0"},
+		{`"give-up-us":2000000`, `"give-up-us":-5`, "grades.0.give-up-us=-5"},
+		{`"give-up-us":2000000`, `"give-up-us":"soon"`, "grades.0.give-up-us=soon"},
+		{`"max-attempts":6`, `"max-attempts":0`, "limits.max-attempts=0"},
+		{`"max-attempts":6`, `"max-attempts":"six"`, "limits.max-attempts=six"},
+		{`"name":"payout-confirm"`, `"name":"page-asset"`, "a second class"},
+		{`"listen":"127.0.0.1:9000",`, ``, "listen"},
+		{`"ops":"127.0.0.1:9001"`, `"ops":"somewhere"`, "ops"},
+	} {
+		_, err := Parse([]byte(strings.Replace(good, x.from, x.to, 1)), "", "")
+		if err == nil || !strings.Contains(err.Error(), x.key) {
+			t.Errorf("%s -> %s: got %v, want %q", x.from, x.to, err, x.key)
+		}
+	}
+}
