A lame duck stops listening, and REJOIN listens again

What a lame duck still did was accept connections: Drain (session.go) left the listener open. Ruled out: PING's words. Change: LameDuck stops the fronts' listeners (transport.Listener.Stop, out of the SO_REUSEPORT group) before the drain; REJOIN binds them anew (Server.Resume). Test: TestOperatorsDoor dials a lame duck (refused) and is served after REJOIN.

--- a/cmd/cherryramp/door.go
+++ b/cmd/cherryramp/door.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 
 	"cherryramp/internal/figures"
 )
@@ -29,27 +30,35 @@
 	return true, ""
 }
 
-// LameDuck has the front say no to readiness and empty itself: idle connections
-// end now, others with their next answer; what is open is answered.
+// LameDuck has the front say no to readiness and empty itself: it stops
+// listening, so that new clients are refused (or go to another process at the
+// address); idle connections end now, others with their next answer; what is open
+// is answered.
 func (p *program) LameDuck() {
 	if p.lameDuck || p.stopping {
 		return
 	}
 	p.lameDuck = true
 	for _, f := range p.fronts {
+		f.Stop()
 		f.Drain()
 	}
 }
 
-// Rejoin takes clients again after LameDuck.
+// Rejoin listens and takes clients again after LameDuck.
 func (p *program) Rejoin() error {
 	if p.stopping {
 		return errors.New("ending")
 	}
-	p.lameDuck = false
+	var err error
 	for _, f := range p.fronts {
 		f.Rejoin()
+		err = errors.Join(err, f.Resume())
+	}
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
 	}
+	p.lameDuck = false
 	return nil
 }
 
--- a/cmd/cherryramp/door_test.go
+++ b/cmd/cherryramp/door_test.go
@@ -78,9 +78,19 @@
 	if !c.closed() {
 		t.Error("an idle connection stays open in a lame duck")
 	}
+	if _, err := net.Dial("tcp", s.addr); err == nil {
+		t.Error("a lame duck takes new clients")
+	}
 	if got := call(t, door, "REJOIN"); got[0] != "ok rejoined" || call(t, door, "PING")[0] != "ok ready" {
 		t.Errorf("REJOIN: %q", got)
 	}
+	again := dial(t, s.addr)
+	again.send(get("guide-video", "9f3b", 2000))
+	y := s.boxes[0].next(t)
+	y.reply("ok", "sum=t1,t0=1,why=warm", object(y))
+	if r, _ := again.answer("GET"); r.StatusCode != 200 {
+		t.Errorf("after REJOIN: %d", r.StatusCode)
+	}
 	if got := call(t, door, "WHAT"); !strings.HasPrefix(got[0], "fail") {
 		t.Errorf("an unknown call: %q", got)
 	}
--- a/internal/front/session/session.go
+++ b/internal/front/session/session.go
@@ -183,8 +183,22 @@
 	return err
 }
 
-// Stop accepts no more clients; those that came are served as in a Drain.
-func (s *Server) Stop() { s.listener.Stop() }
+// Stop accepts no more clients: new ones are refused, or go to another process
+// at the address. Those that came are served.
+func (s *Server) Stop() {
+	if s.listener != nil {
+		s.listener.Stop()
+		s.listener = nil
+	}
+}
+
+// Resume listens again after Stop; the error is the address's.
+func (s *Server) Resume() error {
+	if s.listener != nil {
+		return nil
+	}
+	return s.Start()
+}
 
 // admit runs on the poller. Where few places are left, one of the connections
 // that stand idle has to make room.
