--- a/internal/figures/figures.go
+++ b/internal/figures/figures.go
@@ -99,6 +99,7 @@
 // report is the form of AppendJSON.
 type report struct {
 	Handled    map[string]*Class `json:"handled"`
+	Tries      uint64            `json:"upstream_tries"` // of all classes
 	InProgress int               `json:"in_progress"`
 	Known      int               `json:"known_cache_nodes"`
 	Skipped    int               `json:"skipped_cache_nodes"`
@@ -107,9 +108,13 @@
 }
 
 // AppendJSON appends the counts and the gauges as one line of JSON, without its
-// line end: {"handled":{"CLASS":{"passed":N,...},...},"in_progress":N,...}.
+// line end: {"handled":{"CLASS":{"passed":N,...},...},"upstream_tries":N,"in_progress":N,...}.
 func (f *Figures) AppendJSON(b []byte, g Gauges) []byte {
-	out, err := json.Marshal(report{Handled: f.classes, InProgress: g.InProgress, Known: g.Known,
+	var tries uint64
+	for _, c := range f.classes {
+		tries += c.Tries
+	}
+	out, err := json.Marshal(report{Handled: f.classes, Tries: tries, InProgress: g.InProgress, Known: g.Known,
 		Skipped: g.Skipped, Loads: f.loads, LoadErrors: f.errors})
 	if err != nil { // maps of strings to plain numbers always encode
 		panic(fmt.Sprintf("figures: %v", err))
--- a/internal/figures/figures_test.go
+++ b/internal/figures/figures_test.go
@@ -56,6 +56,13 @@
 			got.InProgress != g.InProgress || got.Known != 7 || got.Skipped != 2 {
 			t.Fatalf("got %+v", got)
 		}
+		var tries uint64
+		for _, c := range want {
+			tries += c.Tries
+		}
+		if got.Tries != tries {
+			t.Fatalf("upstream_tries %d, want %d", got.Tries, tries)
+		}
 		for n, c := range want {
 			if *got.Handled[n] != c || f.Of(n) != c {
 				t.Fatalf("%s: got %+v, want %+v", n, *got.Handled[n], c)
--- a/internal/front/ops/ops.go
+++ b/internal/front/ops/ops.go
@@ -4,7 +4,7 @@
 // package only reads calls and writes answers, on the event loop.
 //
 //	PING       ok ready | fail lame duck | fail ending | fail starting
-//	INFO       ok, then the figures as one line of JSON, then a line eof
+//	INFO       the figures as JSON on one line, then a line eof
 //	LAMEDUCK   ok lame duck: the front empties and says no to PING
 //	REJOIN     ok rejoined: it takes clients again
 //
@@ -179,7 +179,6 @@
 		}
 		return append(b, "ok ready\n"...)
 	case "INFO":
-		b = append(b, "ok\n"...)
 		return append(d.desk.Info(b), "\neof\n"...)
 	case "LAMEDUCK":
 		d.desk.LameDuck()
