A drain ends connections that have said nothing for 100 ms at once, as before

Change: a drain leaves only connections silent for under 100 ms (whose request may be on the way) and those reading a request; older silent ones end at once, as before.

--- a/internal/front/session/session.go
+++ b/internal/front/session/session.go
@@ -43,6 +43,7 @@
 	linger      = 500_000
 	lingerShort = 60_000
 	lateOut     = 3_000_000 // us that an answer on its way may still take in a drain
+	arriving    = 100_000   // us within which a connection that has said nothing may still bring a request
 )
 
 const (
@@ -267,17 +268,20 @@
 
 // Drain has every connection end with its next answer, idle ones at once, and
 // ones whose last answer is still on its way once it is out, or within lateOut.
-// Connections that have come for a request, and those that come meanwhile, are
-// served and end with their first answer; one that brings none in its time ends
-// then, as always.
+// Connections that are bringing a request, that came within arriving, or that
+// come meanwhile are served and end with their first answer; one that has said
+// nothing for longer ends at once.
 func (s *Server) Drain() {
 	s.closing = true
 	now := s.loop.Now()
 	for i := silent; i < states; i++ {
-		if i == busy || i == ending || i == silent || i == reading {
+		if i == busy || i == ending || i == reading {
 			continue
 		}
 		s.lists[i].each(func(c *conn) {
+			if c.state == silent && c.since > now-arriving {
+				return // its request may be on the way
+			}
 			if !c.tc.Blocked() {
 				c.quit()
 				return
@@ -304,9 +308,17 @@
 	return n
 }
 
-// Coming counts connections that have come for a request and not brought it
-// whole yet; their time bounds them.
-func (s *Server) Coming() int { return s.lists[silent].count + s.lists[reading].count }
+// Coming counts connections that are bringing a request, and those that came
+// within arriving and may be; their time bounds them.
+func (s *Server) Coming() int {
+	n, now := s.lists[reading].count, s.loop.Now()
+	s.lists[silent].each(func(c *conn) {
+		if c.since > now-arriving {
+			n++
+		}
+	})
+	return n
+}
 
 // Readable takes the next request, unless one is open.
 func (c *conn) Readable(tc *transport.Conn) {
