Readiness and the figures move under internal/decide, as state without I/O

Change: internal/decide/readiness holds the state (New, Ready, LameDuck, Rejoin, End) and the program carries out what it says; internal/decide/figures is the old internal/figures, unchanged. A REJOIN that can't bind its address again stays a lame duck. Not taken: keeping readiness in the program, which no test could reach without starting it.

--- a/cmd/cherryramp/door.go
+++ b/cmd/cherryramp/door.go
@@ -4,7 +4,7 @@
 	"errors"
 	"fmt"
 
-	"cherryramp/internal/figures"
+	"cherryramp/internal/decide/figures"
 )
 
 // readyAfter is how long after its start a front says that it can serve even
@@ -12,22 +12,13 @@
 // board answers, as they would after a break.
 const readyAfter = 2_000_000
 
-// The program is the desk of the operators' door: readiness, lame duck and
-// figures are its state, beside the loop; the door only words them.
+// The program is the desk of the operators' door. Readiness and the figures are
+// state of their own (internal/decide); the program carries out what they say,
+// and the door only words it.
 
-// Ready tells whether the front takes clients: it listens, it has heard the
-// notice board once (or waited readyAfter for it), and it is neither a lame duck
-// nor ending.
+// Ready tells whether the front takes clients.
 func (p *program) Ready() (bool, string) {
-	switch {
-	case p.stopping:
-		return false, "ending"
-	case p.lameDuck:
-		return false, "lame duck"
-	case p.cfg.Board != "" && !p.news.Answered() && p.loop.Now() < p.started+readyAfter:
-		return false, "starting"
-	}
-	return true, ""
+	return p.ready.Ready(p.loop.Now(), p.news.Answered())
 }
 
 // LameDuck has the front say no to readiness and empty itself: it stops
@@ -35,10 +26,9 @@
 // address); idle connections end now, others with their next answer; what is open
 // is answered.
 func (p *program) LameDuck() {
-	if p.lameDuck || p.stopping {
+	if !p.ready.LameDuck() {
 		return
 	}
-	p.lameDuck = true
 	for _, f := range p.fronts {
 		f.Stop()
 		f.Drain()
@@ -47,8 +37,8 @@
 
 // Rejoin listens and takes clients again after LameDuck.
 func (p *program) Rejoin() error {
-	if p.stopping {
-		return errors.New("ending")
+	if err := p.ready.Rejoin(); err != nil {
+		return err
 	}
 	var err error
 	for _, f := range p.fronts {
@@ -56,9 +46,9 @@
 		err = errors.Join(err, f.Resume())
 	}
 	if err != nil {
+		p.ready.LameDuck() // it did not come back whole
 		return fmt.Errorf("listen: %w", err)
 	}
-	p.lameDuck = false
 	return nil
 }
 
--- a/cmd/cherryramp/door_test.go
+++ b/cmd/cherryramp/door_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"cherryramp/internal/figures"
+	"cherryramp/internal/decide/figures"
 )
 
 // call makes one call at the operators' door and gives the lines of its answer.
--- a/cmd/cherryramp/serve.go
+++ b/cmd/cherryramp/serve.go
@@ -14,8 +14,9 @@
 	"cherryramp/internal/board"
 	"cherryramp/internal/config"
 	"cherryramp/internal/decide/admission"
+	"cherryramp/internal/decide/figures"
+	"cherryramp/internal/decide/readiness"
 	"cherryramp/internal/ephemeral"
-	"cherryramp/internal/figures"
 	"cherryramp/internal/front/ops"
 	"cherryramp/internal/front/platform"
 	"cherryramp/internal/front/session"
@@ -102,9 +103,7 @@
 	queue    *session.Queue // nil: no limit is learnt
 	figures  *figures.Figures
 	door     *ops.Door // nil: no operators' door
-	started  loop.Micros
-	lameDuck bool // told so at the door: says no to readiness, and empties
-	stopping bool
+	ready    *readiness.State
 }
 
 // build wires the parts and starts to serve.
@@ -181,7 +180,11 @@
 			return nil, fmt.Errorf("listen: %w", err)
 		}
 	}
-	p.started = p.loop.Now()
+	wait := int64(0)
+	if cfg.Board != "" {
+		wait = readyAfter
+	}
+	p.ready = readiness.New(p.loop.Now(), wait)
 	if cfg.Ops != "" {
 		p.door = ops.New(p.loop, p, log)
 		if err := p.door.Listen(cfg.Ops); err != nil {
@@ -320,10 +323,9 @@
 // stop goes on serving while clients may still come, then ends once all is
 // answered, and before whoever sent the signal runs out of patience.
 func (p *program) stop(got os.Signal) {
-	if p.stopping {
+	if !p.ready.End() {
 		return
 	}
-	p.stopping = true
 	p.log.Info("told to end", "signal", got.String(), "open", p.gate.Open())
 	now := p.loop.Now()
 	p.loop.At(now+drainAfter, func() {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -13,7 +13,7 @@
 	"slices"
 	"strings"
 
-	"cherryramp/internal/figures"
+	"cherryramp/internal/decide/figures"
 	"cherryramp/internal/loop"
 	"cherryramp/rules"
 )
