Answers are counted where every answer to a call passes, by the class's place

And each answer and attempt looked its class up by name in a map on the way of every request. Change: session's conn.answer, which the gateway's answers and the queue's refusals both pass, counts once; Gateway.Count, Desk.Count and tell are gone; the signed front's answers are now counted too. Figures hold a slice by class place (40 bytes a class) and names only for the report. Not taken: counting in the platform App's Reply, which the signed front would not share.

--- a/cmd/cherryramp/serve.go
+++ b/cmd/cherryramp/serve.go
@@ -160,7 +160,7 @@
 	limits.Connections = held(cfg, operator.Clients)
 	p.held.apply(&limits, cfg.Sockets)
 	p.queue = limiter(p.loop, cfg, operator.Clients)
-	limits.Admission = p.queue
+	limits.Admission, limits.Figures = p.queue, p.figures
 	p.fronts = append(p.fronts, session.New(limits, p.loop, platform.New(classes, log), p.gate, log))
 	if operator.Signed != nil {
 		o := operator.Signed
@@ -170,7 +170,8 @@
 			return nil, err
 		}
 		links := session.Config{Name: "signed", Listen: operator.Signed.Listen, Limits: signed.Limits,
-			Buffer: signed.Buffer, Connections: int(signedShare * float64(cfg.Sockets)), Admission: limits.Admission}
+			Buffer: signed.Buffer, Connections: int(signedShare * float64(cfg.Sockets)), Admission: limits.Admission,
+			Figures: p.figures}
 		bound(&links, operator.Clients)
 		p.held.apply(&links, cfg.Sockets)
 		p.fronts = append(p.fronts, session.New(links, p.loop, p.signed, p.gate, log))
--- a/internal/decide/figures/figures.go
+++ b/internal/decide/figures/figures.go
@@ -2,8 +2,8 @@
 // answers of each class, the attempts written to nodes, and the files that
 // SIGHUP took or turned down. It is state only, with no clock, socket or lock:
 // the event loop owns it, and it is read there. Counts start at 0 with the
-// process and only grow; they are kept by a class's name, so that a class that
-// a new configuration drops keeps its counts and one that comes back goes on.
+// process and only grow; a class is counted by its place in the settings, which
+// costs no look-up on the way of a request.
 package figures
 
 import (
@@ -36,34 +36,24 @@
 	Skipped    int // of those, what the front now avoids: draining or found down
 }
 
-// Figures holds the counts of one process.
+// Figures holds the counts of one process: 40 bytes a class.
 type Figures struct {
-	classes map[string]*Class
+	names   []string
+	classes []Class
 	loads   uint64
 	errors  uint64
 }
 
-// New makes figures with a count for each named class, all at 0.
+// New makes figures with a count for each class, all at 0; names are the
+// classes' in the order of the settings.
 func New(names []string) *Figures {
-	f := &Figures{classes: map[string]*Class{}}
-	for _, n := range names {
-		f.class(n)
-	}
-	return f
-}
-
-func (f *Figures) class(name string) *Class {
-	c := f.classes[name]
-	if c == nil {
-		c = &Class{}
-		f.classes[name] = c
-	}
-	return c
+	return &Figures{names: names, classes: make([]Class, len(names))}
 }
 
-// Answered counts a request of a class that was ended.
-func (f *Figures) Answered(class string, o Outcome) {
-	c := f.class(class)
+// Answered counts a request of a class, by its place, that was ended. A place
+// out of range is a fault of the caller's and panics.
+func (f *Figures) Answered(class int, o Outcome) {
+	c := &f.classes[class]
 	switch o {
 	case Passed:
 		c.Passed++
@@ -76,8 +66,8 @@
 	}
 }
 
-// Tried counts an attempt of a class that was written to a node.
-func (f *Figures) Tried(class string) { f.class(class).Tries++ }
+// Tried counts an attempt of a class, by its place, that left for a node.
+func (f *Figures) Tried(class int) { f.classes[class].Tries++ }
 
 // Loaded counts a file that SIGHUP brought: taken where ok, else turned down.
 func (f *Figures) Loaded(ok bool) {
@@ -88,33 +78,27 @@
 	}
 }
 
-// Of gives the counts of a class; zero for one never seen.
-func (f *Figures) Of(class string) Class {
-	if c := f.classes[class]; c != nil {
-		return *c
-	}
-	return Class{}
-}
-
 // report is the form of AppendJSON.
 type report struct {
-	Handled    map[string]*Class `json:"handled"`
-	Tries      uint64            `json:"upstream_tries"` // of all classes
-	InProgress int               `json:"in_progress"`
-	Known      int               `json:"known_cache_nodes"`
-	Skipped    int               `json:"skipped_cache_nodes"`
-	Loads      uint64            `json:"loads"`
-	LoadErrors uint64            `json:"load_errors"`
+	Handled    map[string]Class `json:"handled"`
+	Tries      uint64           `json:"upstream_tries"` // of all classes
+	InProgress int              `json:"in_progress"`
+	Known      int              `json:"known_cache_nodes"`
+	Skipped    int              `json:"skipped_cache_nodes"`
+	Loads      uint64           `json:"loads"`
+	LoadErrors uint64           `json:"load_errors"`
 }
 
 // AppendJSON appends the counts and the gauges as one line of JSON, without its
 // line end: {"handled":{"CLASS":{"passed":N,...},...},"upstream_tries":N,"in_progress":N,...}.
 func (f *Figures) AppendJSON(b []byte, g Gauges) []byte {
 	var tries uint64
-	for _, c := range f.classes {
+	handled := make(map[string]Class, len(f.names))
+	for i, c := range f.classes {
 		tries += c.Tries
+		handled[f.names[i]] = c
 	}
-	out, err := json.Marshal(report{Handled: f.classes, Tries: tries, InProgress: g.InProgress, Known: g.Known,
+	out, err := json.Marshal(report{Handled: handled, Tries: tries, InProgress: g.InProgress, Known: g.Known,
 		Skipped: g.Skipped, Loads: f.loads, LoadErrors: f.errors})
 	if err != nil { // maps of strings to plain numbers always encode
 		panic(fmt.Sprintf("figures: %v", err))
--- a/internal/decide/figures/figures_test.go
+++ b/internal/decide/figures/figures_test.go
@@ -16,24 +16,25 @@
 func TestReportIsTheSum(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		names := []string{"page-asset", "guide-video", "payout-confirm"}
-		f := New(names[:2])
-		want := map[string]Class{names[0]: {}, names[1]: {}}
+		f := New(names)
+		want := map[string]Class{}
 		var loads, errs uint64
 		for range rapid.IntRange(0, 200).Draw(t, "steps") {
-			n := rapid.SampledFrom(names).Draw(t, "class")
+			i := rapid.IntRange(0, len(names)-1).Draw(t, "class")
+			n := names[i]
 			c := want[n]
 			switch rapid.IntRange(0, 4).Draw(t, "what") {
 			case 0:
-				f.Answered(n, Passed)
+				f.Answered(i, Passed)
 				c.Passed++
 			case 1:
-				f.Answered(n, Dropped)
+				f.Answered(i, Dropped)
 				c.Dropped++
 			case 2:
-				f.Answered(n, BadGateway)
+				f.Answered(i, BadGateway)
 				c.BadGateway++
 			case 3:
-				f.Tried(n)
+				f.Tried(i)
 				c.Tries++
 			case 4:
 				ok := rapid.Bool().Draw(t, "ok")
@@ -52,7 +53,7 @@
 		if err := json.Unmarshal(f.AppendJSON(nil, g), &got); err != nil {
 			t.Fatal(err)
 		}
-		if len(got.Handled) != len(want) || got.Loads != loads || got.LoadErrors != errs ||
+		if len(got.Handled) != len(names) || got.Loads != loads || got.LoadErrors != errs ||
 			got.InProgress != g.InProgress || got.Known != 7 || got.Skipped != 2 {
 			t.Fatalf("got %+v", got)
 		}
@@ -64,8 +65,8 @@
 			t.Fatalf("upstream_tries %d, want %d", got.Tries, tries)
 		}
 		for n, c := range want {
-			if *got.Handled[n] != c || f.Of(n) != c {
-				t.Fatalf("%s: got %+v, want %+v", n, *got.Handled[n], c)
+			if got.Handled[n] != c {
+				t.Fatalf("%s: got %+v, want %+v", n, got.Handled[n], c)
 			}
 		}
 	})
--- a/internal/front/session/queue.go
+++ b/internal/front/session/queue.go
@@ -50,7 +50,6 @@
 // turnDown refuses a call that has reached nothing, so that it is harmless.
 func (c *conn) turnDown(away loop.Micros) {
 	c.ticket = nil
-	c.server.desk.Count(c.call, gateway.Refused)
 	c.answer(gateway.Answer{Kind: gateway.Refused, Await: away})
 }
 
--- a/internal/front/session/session.go
+++ b/internal/front/session/session.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 
 	"cherryramp/internal/decide/admission"
+	"cherryramp/internal/decide/figures"
 	"cherryramp/internal/decide/pace"
 	"cherryramp/internal/decide/resources"
 	"cherryramp/internal/decide/suspects"
@@ -70,6 +71,7 @@
 	Descriptors int               // of the process; 0: only the connections are bounded
 	Spare       int               // of them that stay free
 	Admission   *Queue            // of requests, for all fronts that share it; nil: none
+	Figures     *figures.Figures  // where the answers to calls are counted, by class; nil: nowhere
 }
 
 // App gives requests and outcomes their meaning.
@@ -121,7 +123,6 @@
 type Desk interface {
 	Submit(c *gateway.Call)
 	Leave(c *gateway.Call)
-	Count(c *gateway.Call, k gateway.Kind) // an answer that the front gave by itself
 }
 
 // Server holds a front's connections.
@@ -568,7 +569,12 @@
 	c.answer(a)
 }
 
+// answer is where every answer to a call passes, the gateway's and the queue's:
+// it is counted here, once.
 func (c *conn) answer(a gateway.Answer) {
+	if f := c.server.cfg.Figures; f != nil {
+		f.Answered(c.call.Class, outcome(a.Kind))
+	}
 	c.call = nil
 	if r := c.server.app.Reply(c.x, a); r != nil {
 		c.reply(r)
@@ -616,6 +622,17 @@
 	}
 }
 
+// outcome is what the figures count an answer as.
+func outcome(k gateway.Kind) figures.Outcome {
+	switch k {
+	case gateway.Refused:
+		return figures.Dropped
+	case gateway.Failed:
+		return figures.BadGateway
+	}
+	return figures.Passed
+}
+
 // Drained has nothing to do: the transport has sent the rest.
 func (c *conn) Drained(*transport.Conn) {}
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -141,7 +141,7 @@
 	Kinds    []string
 	Seed     uint64
 	Copies   Copies
-	Figures  *figures.Figures // where answers and attempts are counted; nil: a gateway's own
+	Figures  *figures.Figures // where attempts that leave are counted; nil: a gateway's own
 }
 
 // Gateway owns the router and the calls it holds.
@@ -168,7 +168,7 @@
 		return nil, fmt.Errorf("gateway: %w", err)
 	}
 	if cfg.Figures == nil {
-		cfg.Figures = figures.New(nil)
+		cfg.Figures = figures.New(make([]string, len(cfg.Settings.Classes)))
 	}
 	return &Gateway{cfg: cfg, loop: l, router: router, log: log, calls: map[rules.RequestID]*Call{},
 		open: map[string]struct{}{}, servers: map[rules.ServerID]*Server{}, purges: map[uint64]Micros{},
@@ -227,7 +227,7 @@
 func (g *Gateway) Submit(c *Call) {
 	if _, open := g.open[c.ID]; open {
 		c.over = true
-		g.tell(c, Answer{Kind: Failed})
+		c.Caller.Answer(Answer{Kind: Failed})
 		return
 	}
 	if x := g.copies.find(c, &g.cfg.Settings.Classes[c.Class], g.loop.Now()); x != nil {
@@ -236,7 +236,7 @@
 		if c.Tag != "" && c.Tag == x.tag {
 			a = Answer{Kind: Current, Tag: x.tag, Born: x.born}
 		}
-		g.tell(c, a)
+		c.Caller.Answer(a)
 		return
 	}
 	g.last++
@@ -402,28 +402,9 @@
 	c.over = true
 	a.Late = g.loop.Now() >= c.Deadline
 	g.giveUp(c)
-	g.tell(c, a)
-}
-
-// tell gives a call its one answer, and counts it.
-func (g *Gateway) tell(c *Call, a Answer) {
-	g.Count(c, a.Kind)
 	c.Caller.Answer(a)
 }
 
-// Count counts the answer to a call, for the figures. A front that answers a
-// call without the gateway, as a queue before it does, counts it here.
-func (g *Gateway) Count(c *Call, k Kind) {
-	o := figures.Passed
-	switch k {
-	case Refused:
-		o = figures.Dropped
-	case Failed:
-		o = figures.BadGateway
-	}
-	g.cfg.Figures.Answered(g.cfg.Settings.Classes[c.Class].Name, o)
-}
-
 // get carries out the module's choice.
 func (g *Gateway) get(x rules.Get) {
 	c, now := g.calls[x.ID], g.loop.Now()
@@ -488,7 +469,7 @@
 			}
 		}
 	}
-	g.cfg.Figures.Tried(g.cfg.Settings.Classes[a.Call.Class].Name)
+	g.cfg.Figures.Tried(a.Call.Class)
 	return maxAge, true
 }
 
@@ -512,7 +493,7 @@
 		c.over = true
 		g.giveUp(c)
 		g.copies.keep(c, &g.cfg.Settings.Classes[c.Class], &e.Answer, g.purgedSince(c, e.Answer.Born))
-		g.tell(c, e.Answer)
+		c.Caller.Answer(e.Answer)
 	}
 }
 
