ROUTER_OPS is checked on its own, the help names it, an unknown call is named back

And facts.needed parsed numbers a second time, which the facts reader had checked. Test: TestOperatorsDoor, TestFileIsTakenWholeOrNot.

--- a/cmd/cherryramp/door_test.go
+++ b/cmd/cherryramp/door_test.go
@@ -91,7 +91,7 @@
 	if r, _ := again.answer("GET"); r.StatusCode != 200 {
 		t.Errorf("after REJOIN: %d", r.StatusCode)
 	}
-	if got := call(t, door, "WHAT"); !strings.HasPrefix(got[0], "fail") {
+	if got := call(t, door, "WHAT"); !strings.HasPrefix(got[0], `fail unknown call "WHAT"`) {
 		t.Errorf("an unknown call: %q", got)
 	}
 }
--- a/cmd/cherryramp/main.go
+++ b/cmd/cherryramp/main.go
@@ -42,7 +42,7 @@
 	running := false
 	root := &cobra.Command{Use: "cherryramp", Short: "A gateway in front of caches of large objects",
 		Long: "A gateway in front of caches of large objects. Without a command it serves.\n\nThe environment gives ROUTER_CONFIG, " +
-			"ROUTER_NAME, ROUTER_LISTEN, CHERRYRAMP_OPERATOR and CHERRYRAMP_LOG.\n\nExit codes: 0 well, 1 failed or at fault, " +
+			"ROUTER_NAME, ROUTER_LISTEN, ROUTER_OPS (the operators' door), CHERRYRAMP_OPERATOR and CHERRYRAMP_LOG.\n\nExit codes: 0 well, 1 failed or at fault, " +
 			"2 called in a way that is not known, 3 a link is not let in.",
 		SilenceErrors: true, SilenceUsage: true,
 		PersistentPreRun: func(*cobra.Command, []string) { running = true }}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -79,16 +79,17 @@
 	if err != nil {
 		return nil, fmt.Errorf("config: ROUTER_CONFIG: %w", err)
 	}
-	c, err := Parse(data, getenv("ROUTER_NAME"), getenv("ROUTER_LISTEN"))
-	if err == nil && getenv("ROUTER_OPS") != "" {
-		c.Ops = getenv("ROUTER_OPS")
-		if err = checkAddress(c.Ops); err != nil {
-			err = fmt.Errorf("ROUTER_OPS: %w", err)
+	ops := getenv("ROUTER_OPS")
+	if ops != "" {
+		if err := checkAddress(ops); err != nil {
+			return nil, fmt.Errorf("config: ROUTER_OPS: %w", err)
 		}
 	}
+	c, err := Parse(data, getenv("ROUTER_NAME"), getenv("ROUTER_LISTEN"))
 	if err != nil {
 		return nil, fmt.Errorf("config: %s: %w", path, err)
 	}
+	c.Ops = cmp.Or(ops, c.Ops)
 	return c, nil
 }
 
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -115,37 +115,24 @@
 
 // needed tells the first key that a file of so many classes lacks, or that is
 // no number above 0. A file cut short loses keys, and so is turned down here
-// where its JSON was still whole.
+// where its JSON was still whole. Numbers that can't be read at all the facts
+// reader has told already.
 func (f *facts) needed(classes int) error {
-	check := func(key string, must bool) error {
-		s, ok := f.values[key]
-		if !ok || s == "" {
-			if must {
-				return fmt.Errorf("settings: %s: missing", key)
-			}
-			return nil
-		}
-		if v, err := strconv.ParseFloat(s, 64); err != nil || !(v > 0) || math.IsInf(v, 0) {
-			return fmt.Errorf("settings: %s=%s: not a number above 0", key, s)
-		}
-		return nil
-	}
+	var keys []string
 	for i := range classes {
 		p := "grades." + strconv.Itoa(i) + "."
 		for _, k := range classNeeds {
-			if s, ok := f.values[p+k]; !ok || s == "" {
+			if f.values[p+k] == "" {
 				return fmt.Errorf("settings: %s%s: missing", p, k)
 			}
 		}
 		for _, k := range classPositive {
-			if err := check(p+k, false); err != nil {
-				return err
-			}
+			keys = append(keys, p+k)
 		}
 	}
-	for _, k := range positive {
-		if err := check(k, false); err != nil {
-			return err
+	for _, k := range append(keys, positive...) {
+		if f.values[k] != "" && !(f.float(k, 0) > 0) {
+			return fmt.Errorf("settings: %s=%s: not a number above 0", k, f.values[k])
 		}
 	}
 	return nil
--- a/internal/front/ops/ops.go
+++ b/internal/front/ops/ops.go
@@ -15,6 +15,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"log/slog"
 	"sync/atomic"
 
@@ -193,7 +194,7 @@
 	case "":
 		return append(b, "fail no call\n"...)
 	}
-	return append(b, "fail unknown call\n"...)
+	return fmt.Appendf(b, "fail unknown call %q; calls are PING, INFO, LAMEDUCK, REJOIN\n", call)
 }
 
 // Drained has nothing to do: the answer is out.
