Settings by generation: one class table that only grows; open requests keep their place

Change: internal/decide/generations (pure), Router.Renew, a place by class at every part, config.Next.

--- a/cmd/cherryramp/serve.go
+++ b/cmd/cherryramp/serve.go
@@ -15,6 +15,7 @@
 	"cherryramp/internal/config"
 	"cherryramp/internal/decide/admission"
 	"cherryramp/internal/decide/figures"
+	"cherryramp/internal/decide/generations"
 	"cherryramp/internal/decide/readiness"
 	"cherryramp/internal/ephemeral"
 	"cherryramp/internal/front/ops"
@@ -93,12 +94,16 @@
 type program struct {
 	log      *slog.Logger
 	cfg      *config.Config // in force
+	table    *generations.Table[rules.Class]
+	platform *platform.Front
+	pools    *upstream.Pools
 	loop     *loop.Loop
 	gate     *gateway.Gateway
 	news     *board.Board
 	fronts   []*session.Server
 	operator *config.Operator
 	signed   *signed.Front  // nil: off
+	links    *config.Signed // by which it judges
 	held     *balance       // nil: no account of bytes is kept
 	queue    *session.Queue // nil: no limit is learnt
 	figures  *figures.Figures
@@ -108,13 +113,17 @@
 
 // build wires the parts and starts to serve.
 func build(cfg *config.Config, operator *config.Operator, log *slog.Logger) (*program, error) {
-	p := &program{log: log, cfg: cfg, operator: operator, figures: figures.New(cfg.Lanes)}
+	p := &program{log: log, cfg: cfg, operator: operator}
+	var err error
+	if p.table, err = generations.New(classesMost, cfg.Digest, cfg.Settings.Classes); err != nil {
+		return nil, err
+	}
+	p.figures = figures.New(lanes(cfg.Settings.Classes))
 	p.held = newBalance(cfg, operator.Clients)
 	p.loop = loop.New(func() {
 		p.gate.Settle()
 		p.balance()
 	})
-	var err error
 	p.gate, err = gateway.New(gateway.Config{Settings: cfg.Settings, Zones: cfg.Zones, Kinds: cfg.Kinds,
 		Seed: cfg.Seed, Copies: copies(cfg), Figures: p.figures}, p.loop, log)
 	if err != nil {
@@ -128,18 +137,13 @@
 			}
 		}
 	}
-	var alone []bool // what must not run twice does not suffer from others' answers
-	for _, c := range cfg.Settings.Classes {
-		alone = append(alone, c.Effect == rules.Unsafe)
-	}
 	tcp := upstream.NewTCP(p.loop)
-	pools := upstream.New(upstream.Config{Lanes: cfg.Lanes, Alone: alone, Streams: cfg.Streams,
-		Connections: max(1, min(poolMost, int(poolShare*float64(cfg.Sockets))/nodes)),
-		ConnectTime: cfg.ConnectTime, IdleTime: int64(idleShare * float64(cfg.ConnIdle))},
-		tcp, p.loop, p.gate, log)
-	p.gate.Use(pools)
+	to := towards(cfg, cfg.Settings.Classes)
+	to.Connections = max(1, min(poolMost, int(poolShare*float64(cfg.Sockets))/nodes))
+	p.pools = upstream.New(to, tcp, p.loop, p.gate, log)
+	p.gate.Use(p.pools)
 	if p.held != nil {
-		p.held.nodes, p.held.tcp = pools, tcp
+		p.held.nodes, p.held.tcp = p.pools, tcp
 	}
 	var sink board.Sink = p.gate
 	if e := operator.Ephemeral; e != nil {
@@ -151,21 +155,19 @@
 		}
 	}
 	p.news = board.New(p.loop, log, cfg.Board, cfg.Known, sink)
-	var classes []platform.Class
-	for i, c := range cfg.Settings.Classes {
-		classes = append(classes, platform.Class{Name: cfg.Lanes[i], Write: c.Write})
-	}
 	limits := session.Config{Name: "platform", Listen: cfg.Listen, Limits: platform.Limits}
 	bound(&limits, operator.Clients)
 	limits.Connections = held(cfg, operator.Clients)
 	p.held.apply(&limits, cfg.Sockets)
 	p.queue = limiter(p.loop, cfg, operator.Clients)
 	limits.Admission, limits.Figures = p.queue, p.figures
-	p.fronts = append(p.fronts, session.New(limits, p.loop, platform.New(classes, log), p.gate, log))
+	p.platform = platform.New(p.named(), log)
+	p.fronts = append(p.fronts, session.New(limits, p.loop, p.platform, p.gate, log))
 	if operator.Signed != nil {
 		o := operator.Signed
+		p.links = o
 		p.signed, err = signed.New(signed.Config{Queue: o.Pool.Queue, Rates: o.Tables.Rates, Uses: o.Tables.Uses,
-			Encoded: *o.EncodedMB << 20}, signedPolicy(cfg, o), workers.New(p.loop, o.Pool.Workers), p.loop.Now, log)
+			Encoded: *o.EncodedMB << 20}, p.signedPolicy(o), workers.New(p.loop, o.Pool.Workers), p.loop.Now, log)
 		if err != nil {
 			return nil, err
 		}
@@ -230,13 +232,9 @@
 	if c.Admission == "gradient" {
 		law = admission.Gradient
 	}
-	var worth []float64
-	for _, x := range cfg.Settings.Classes {
-		worth = append(worth, x.Worth)
-	}
 	return session.NewQueue(l, admission.New(admission.Config{Law: law, Least: admitLeast, Start: admitStart,
 		Most: max(admitStart, cfg.Settings.MaxHeld), Queue: admitQueue, Away: cmp.Or(cfg.Settings.MaxAway, admitAway),
-		Worth: worth, Seed: cfg.Seed}))
+		Worth: worth(cfg.Settings.Classes), Seed: cfg.Seed}))
 }
 
 // purgesOnly is a gateway whose members come from elsewhere than the board.
@@ -256,23 +254,24 @@
 }
 
 // signedPolicy is what the operator's file says of signed links.
-func signedPolicy(cfg *config.Config, s *config.Signed) signed.Policy {
-	p := signed.Policy{Set: s.Set, Uses: map[string]signed.Uses{}, Tenants: map[string]signed.Tenant{}, Revoked: s.Taken}
+func (p *program) signedPolicy(s *config.Signed) signed.Policy {
+	policy := signed.Policy{Set: s.Set, Uses: map[string]signed.Uses{}, Tenants: map[string]signed.Tenant{}, Revoked: s.Taken}
 	for name, x := range s.ByName {
-		p.Uses[name] = signed.Uses{Most: x.Uses, Retry: int64(*x.RetryMS) * 1000}
+		policy.Uses[name] = signed.Uses{Most: x.Uses, Retry: int64(*x.RetryMS) * 1000}
 	}
 	for name, t := range s.Whose {
-		p.Tenants[name] = signed.Tenant{Paths: t.Paths, All: t.Limit.Quota(), Key: t.Key.Quota(), Subject: t.Subject.Quota()}
+		policy.Tenants[name] = signed.Tenant{Paths: t.Paths, All: t.Limit.Quota(), Key: t.Key.Quota(), Subject: t.Subject.Quota()}
 	}
 	if c := s.CORS; c != nil {
-		p.CORS = &signed.CORS{Origins: c.Origins, Headers: c.Headers, Credentials: c.Credentials, MaxAge: *c.MaxAgeS}
+		policy.CORS = &signed.CORS{Origins: c.Origins, Headers: c.Headers, Credentials: c.Credentials, MaxAge: *c.MaxAgeS}
 	}
-	for i, c := range cfg.Settings.Classes {
-		a := s.Classes[cfg.Lanes[i]]
-		p.Classes = append(p.Classes, signed.Class{Name: cfg.Lanes[i], Write: c.Write, GiveUp: c.GiveUp, Fresh: c.Fresh,
+	for _, place := range p.table.InForce() {
+		c := &p.table.Classes()[place]
+		a := s.Classes[c.Name]
+		policy.Classes = append(policy.Classes, signed.Class{Name: c.Name, Place: place, Write: c.Write, GiveUp: c.GiveUp, Fresh: c.Fresh,
 			Type: a.Type, Compress: a.Compress, MaxAge: int64(a.MaxAgeS) * 1_000_000})
 	}
-	return p
+	return policy
 }
 
 // heed carries out signals for as long as the program runs. Files are read here,
@@ -296,13 +295,18 @@
 
 // reload takes over what a new configuration may change while the program runs.
 func (p *program) reload(cfg *config.Config, operator *config.Operator) {
-	if fixed := append(p.cfg.Fixed(cfg), p.operator.Fixed(operator)...); len(fixed) > 0 {
+	next, fixed := p.cfg.Next(cfg)
+	if err := p.settle(next); err != nil {
+		p.log.Error("configuration can't be used, the old one stays", "error", err)
+		p.figures.Loaded(false)
+		return
+	}
+	if fixed = append(fixed, p.operator.Fixed(operator)...); len(fixed) > 0 {
 		p.log.Warn("configuration: these keys need a restart, their old values stay", "keys", fixed)
 	}
-	p.cfg.Flow, p.cfg.Link = cfg.Flow, cfg.Link
-	if p.cfg.Board != "" && cfg.Board != "" {
-		p.cfg.Board = cfg.Board
-		p.news.Move(cfg.Board)
+	p.cfg = next
+	if p.cfg.Board != "" {
+		p.news.Move(p.cfg.Board)
 	}
 	p.gate.Limit(copies(p.cfg))
 	if c := operator.Clients; p.operator.Clients != nil && c != nil {
@@ -314,11 +318,12 @@
 			f.Rebound(b)
 		}
 	}
-	if p.signed != nil && operator.Signed != nil {
-		p.signed.Reload(signedPolicy(p.cfg, operator.Signed))
+	if p.signed != nil {
+		p.links = cmp.Or(operator.Signed, p.links)
+		p.signed.Reload(p.signedPolicy(p.links))
 	}
 	p.figures.Loaded(true)
-	p.log.Info("configuration read again", "board", p.cfg.Board)
+	p.log.Info("configuration read again", "board", p.cfg.Board, "generation", p.table.Number(), "settings", p.cfg.Digest)
 }
 
 // stop goes on serving while clients may still come, then ends once all is
@@ -337,7 +342,7 @@
 		p.watch()
 	})
 	var longest loop.Micros
-	for _, c := range p.cfg.Settings.Classes {
+	for _, c := range p.table.Classes() {
 		longest = max(longest, c.GiveUp)
 	}
 	last := max(drainAfter, min(longest, drainMost)+drainSlack)
--- /dev/null
+++ b/cmd/cherryramp/settings.go
@@ -0,0 +1,81 @@
+package main
+
+import (
+	"fmt"
+
+	"cherryramp/internal/config"
+	"cherryramp/internal/decide/generations"
+	"cherryramp/internal/front/platform"
+	"cherryramp/internal/upstream"
+	"cherryramp/rules"
+)
+
+// classesMost is how many classes, of all generations of settings, a process
+// holds: about 700 bytes each, over all parts that keep something by class.
+const classesMost = 1024
+
+// settle has all parts take the settings of a configuration, or none: requests
+// that come from now on are under them, and open ones stay with the class and
+// number of attempts under which they came.
+func (p *program) settle(cfg *config.Config) error {
+	table, err := generations.Restore(classesMost, p.table.State())
+	if err != nil {
+		return err
+	}
+	changed, err := table.Take(cfg.Digest, cfg.Settings.Classes)
+	if err != nil {
+		return fmt.Errorf("settings: %w", err)
+	}
+	if !changed {
+		return nil
+	}
+	classes := table.Classes()
+	s := cfg.Settings
+	s.Classes = classes
+	if err := p.gate.Renew(s); err != nil {
+		return err
+	}
+	p.table = table
+	p.pools.Renew(towards(cfg, classes))
+	p.figures.Renew(lanes(classes))
+	if p.queue != nil {
+		p.queue.Renew(worth(classes))
+	}
+	p.platform.Reload(p.named())
+	return nil
+}
+
+// named is the classes that requests may name now.
+func (p *program) named() (out []platform.Class) {
+	for _, place := range p.table.InForce() {
+		c := &p.table.Classes()[place]
+		out = append(out, platform.Class{Name: c.Name, Place: place, Write: c.Write})
+	}
+	return out
+}
+
+// towards is what the connections to nodes are told of settings and of all classes.
+func towards(cfg *config.Config, classes []rules.Class) upstream.Config {
+	c := upstream.Config{Lanes: lanes(classes), Streams: cfg.Streams, ConnectTime: cfg.ConnectTime,
+		IdleTime: int64(idleShare * float64(cfg.ConnIdle))}
+	for _, x := range classes { // what must not run twice does not suffer from others' answers
+		c.Alone = append(c.Alone, x.Effect == rules.Unsafe)
+	}
+	return c
+}
+
+// lanes is the classes' names, by place.
+func lanes(classes []rules.Class) (names []string) {
+	for _, c := range classes {
+		names = append(names, c.Name)
+	}
+	return names
+}
+
+// worth is the classes' worth, by place.
+func worth(classes []rules.Class) (out []float64) {
+	for _, c := range classes {
+		out = append(out, c.Worth)
+	}
+	return out
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -3,13 +3,14 @@
 import (
 	"bytes"
 	"cmp"
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"log/slog"
 	"net"
 	"os"
-	"reflect"
 	"slices"
 	"strconv"
 	"strings"
@@ -38,7 +39,7 @@
 	Sockets  int
 
 	Settings rules.Settings
-	Lanes    []string // names of the classes
+	Digest   string // names the settings: 16 hex digits of SHA-256 over their JSON, without its spaces
 	Zones    []string
 	Kinds    []string
 
@@ -149,29 +150,34 @@
 	return c, nil
 }
 
-// Fixed names the keys that another configuration sets otherwise, and that take
-// effect at a start only.
-func (c *Config) Fixed(o *Config) (keys []string) {
-	settings := c.Settings
-	settings.MaxHeld = o.Settings.MaxHeld // follows from the limits
-	for _, x := range []struct {
-		key     string
-		changed bool
-	}{
-		{"name", c.Name != o.Name},
-		{"listen", c.Listen != o.Listen},
-		{"ops", c.Ops != o.Ops},
-		{"limits", c.MemoryMB != o.MemoryMB || c.Sockets != o.Sockets},
-		{"settings", !reflect.DeepEqual(settings, o.Settings) || !slices.Equal(c.Zones, o.Zones) ||
-			!slices.Equal(c.Kinds, o.Kinds) || c.Streams != o.Streams ||
-			c.ConnectTime != o.ConnectTime || c.ConnIdle != o.ConnIdle},
-		{"board", (c.Board == "") != (o.Board == "")},
-	} {
-		if x.changed {
-			keys = append(keys, x.key)
+// Next is the configuration in force once another was taken while the program
+// runs: the other one, but for what takes effect at a start only. Of that it
+// names the keys that the other sets otherwise.
+func (c *Config) Next(o *Config) (next *Config, fixed []string) {
+	n := *o
+	keep := func(key string, differs bool, back func()) {
+		if differs {
+			fixed = append(fixed, key)
+			back()
 		}
 	}
-	return keys
+	keep("name", n.Name != c.Name, func() { n.Name = c.Name })
+	keep("listen", n.Listen != c.Listen, func() { n.Listen = c.Listen })
+	keep("ops", n.Ops != c.Ops, func() { n.Ops = c.Ops })
+	keep("limits", n.MemoryMB != c.MemoryMB || n.Sockets != c.Sockets, func() {
+		n.MemoryMB, n.Sockets = c.MemoryMB, c.Sockets
+		n.Settings.MaxHeld = min(n.Settings.MaxHeld, c.Sockets/clientPart)
+	})
+	keep("board", (n.Board == "") != (c.Board == ""), func() { n.Board = c.Board })
+	s, was := &n.Settings, &c.Settings
+	keep("settings.zones", !slices.Equal(n.Zones, c.Zones), func() { n.Zones = c.Zones })
+	keep("settings.zone", s.Zone != was.Zone, func() { s.Zone = was.Zone })
+	keep("settings.machine-types", !slices.Equal(n.Kinds, c.Kinds), func() { n.Kinds = c.Kinds })
+	keep("settings.extra.upper-kind", s.ParentKind != was.ParentKind, func() { s.ParentKind = was.ParentKind })
+	keep("settings.extra.store-kind", s.OriginKind != was.OriginKind, func() { s.OriginKind = was.OriginKind })
+	keep("settings.discovery", s.OnRequest != was.OnRequest, func() { s.OnRequest = was.OnRequest })
+	n.Seed, n.Known = c.Seed, c.Known // only a start asks for them
+	return &n, fixed
 }
 
 func checkAddress(address string) error {
@@ -196,6 +202,12 @@
 	if _, ok := tree.(map[string]any); !ok {
 		return errors.New("settings: not an object")
 	}
+	var plain bytes.Buffer
+	if err := json.Compact(&plain, raw); err != nil {
+		return fmt.Errorf("settings: %w", err)
+	}
+	sum := sha256.Sum256(plain.Bytes())
+	c.Digest = hex.EncodeToString(sum[:8])
 	f := &facts{values: make(map[string]string)}
 	flatten(f.values, "", tree)
 	if c.Settings = f.settings(); f.err != nil {
@@ -208,10 +220,9 @@
 		if class.Name == "" || strings.ContainsAny(class.Name, " ,=/?%\r\n") {
 			return fmt.Errorf("settings: grades.%d.name=%s: can't be used", i, class.Name)
 		}
-		if slices.Contains(c.Lanes, class.Name) {
+		if slices.ContainsFunc(c.Settings.Classes[:i], func(o rules.Class) bool { return o.Name == class.Name }) {
 			return fmt.Errorf("settings: grades.%d.name=%s: a second class of that name", i, class.Name)
 		}
-		c.Lanes = append(c.Lanes, class.Name)
 	}
 	if err := f.needed(len(c.Settings.Classes)); err != nil {
 		return err
--- a/internal/decide/admission/admission.go
+++ b/internal/decide/admission/admission.go
@@ -82,15 +82,19 @@
 
 // New makes a limiter.
 func New(cfg Config) *Limiter {
-	l := &Limiter{cfg: cfg, limit: float64(min(max(cfg.Start, cfg.Least), cfg.Most)), came: suspects.New(cfg.Seed),
-		lanes: make([]lane, 2*len(cfg.Worth))}
-	for class, worth := range cfg.Worth {
-		l.lanes[laneOf(class, false)].worth = worth
-		l.lanes[laneOf(class, true)].worth = worth * heavyLess
-	}
+	l := &Limiter{cfg: cfg, limit: float64(min(max(cfg.Start, cfg.Least), cfg.Most)), came: suspects.New(cfg.Seed)}
+	l.Renew(cfg.Worth)
 	return l
 }
 
+// Renew takes the worth of further classes; those known so far must keep their places.
+func (l *Limiter) Renew(worth []float64) {
+	for _, w := range worth[len(l.lanes)/2:] {
+		l.lanes = append(l.lanes, lane{worth: w}, lane{worth: w * heavyLess}) // as laneOf has them
+	}
+	l.cfg.Worth = worth
+}
+
 // Limit is how many may be open now.
 func (l *Limiter) Limit() int { return int(l.limit) }
 
--- a/internal/decide/figures/figures.go
+++ b/internal/decide/figures/figures.go
@@ -50,6 +50,13 @@
 	return &Figures{names: names, classes: make([]Class, len(names))}
 }
 
+// Renew takes the names of further classes; those known so far must keep their
+// places. Classes of one name are reported as one.
+func (f *Figures) Renew(names []string) {
+	f.names = names
+	f.classes = append(f.classes, make([]Class, len(names)-len(f.classes))...)
+}
+
 // Answered counts a request of a class, by its place, that was ended. A place
 // out of range is a fault of the caller's and panics.
 func (f *Figures) Answered(class int, o Outcome) {
@@ -96,7 +103,9 @@
 	handled := make(map[string]Class, len(f.names))
 	for i, c := range f.classes {
 		tries += c.Tries
-		handled[f.names[i]] = c
+		h := handled[f.names[i]]
+		handled[f.names[i]] = Class{Passed: h.Passed + c.Passed, Dropped: h.Dropped + c.Dropped,
+			BadGateway: h.BadGateway + c.BadGateway, Tries: h.Tries + c.Tries}
 	}
 	out, err := json.Marshal(report{Handled: handled, Tries: tries, InProgress: g.InProgress, Known: g.Known,
 		Skipped: g.Skipped, Loads: f.loads, LoadErrors: f.errors})
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -24,6 +24,7 @@
 // Class is a class of requests.
 type Class struct {
 	Name  string
+	Place int // by which the gateway knows it
 	Write bool
 }
 
@@ -33,11 +34,14 @@
 	log     *slog.Logger
 }
 
-// New makes a front for the classes, which calls name by their place.
+// New makes a front for the classes that requests may name.
 func New(classes []Class, log *slog.Logger) *Front {
 	return &Front{classes: classes, log: log}
 }
 
+// Reload has requests that come from now on name other classes.
+func (f *Front) Reload(classes []Class) { f.classes = classes }
+
 // Take answers a health check, and turns any other request into a call.
 func (f *Front) Take(r *httpwire.Request, x *session.Exchange) (*gateway.Call, *httpwire.Response) {
 	if r.Target == health && r.Method == "GET" {
@@ -76,7 +80,7 @@
 	case r.Method == "GET" && len(r.Body) > 0:
 		return nil, bad("a read has no body")
 	}
-	c := &gateway.Call{ID: id, Class: class, Object: object, Body: r.Body,
+	c := &gateway.Call{ID: id, Class: f.classes[class].Place, Object: object, Body: r.Body,
 		Repeat: r.Header.Get("Req-Retry") == "1"}
 	wait, err := strconv.ParseUint(r.Header.Get("Req-Wait-Ms"), 10, 32)
 	if err != nil || wait == 0 || wait > longestWait {
--- a/internal/front/session/queue.go
+++ b/internal/front/session/queue.go
@@ -24,6 +24,9 @@
 	return q
 }
 
+// Renew takes the worth of further classes; those known so far keep their places.
+func (q *Queue) Renew(worth []float64) { q.limiter.Renew(worth) }
+
 // ask has a connection's open call taken, or waits with it, or refuses it.
 func (q *Queue) ask(c *conn) {
 	now := q.loop.Now()
--- a/internal/front/signed/signed.go
+++ b/internal/front/signed/signed.go
@@ -41,6 +41,7 @@
 // Class is a class of requests.
 type Class struct {
 	Name     string
+	Place    int // by which the gateway knows it
 	Write    bool
 	GiveUp   gateway.Micros // how long a client waits
 	Fresh    gateway.Micros // how long a copy is; 0: always
@@ -207,19 +208,22 @@
 	if !ok || !gateway.IsName(object) {
 		return nil, nil
 	}
-	c := &gateway.Call{Class: -1, Object: object}
+	var class *Class
 	for i := range f.policy.Classes {
 		if x := &f.policy.Classes[i]; x.Name == name && !x.Write {
-			c.Class, c.Deadline = i, v.asked.Now+x.GiveUp
+			class = x
 		}
 	}
-	if c.Class < 0 || session.ReadCopy(c, v.grant.Query, group) != "" {
+	if class == nil {
+		return nil, nil
+	}
+	c := &gateway.Call{Class: class.Place, Object: object, Deadline: v.asked.Now + class.GiveUp}
+	if session.ReadCopy(c, v.grant.Query, group) != "" {
 		return nil, nil
 	}
 	if tag := v.ask.Known(); gateway.IsName(tag) {
 		c.Tag = tag
 	}
-	class := &f.policy.Classes[c.Class]
 	if !class.Compress {
 		v.ask.Encoding = ""
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -178,6 +178,17 @@
 // Use gives the gateway its nodes; it must come before anything else.
 func (g *Gateway) Use(nodes Nodes) { g.nodes = nodes }
 
+// Renew takes settings for the calls that come from now on; open ones keep what
+// they came under. The classes of the settings must keep those known so far in
+// their places; else, or where the settings can't be used, nothing changes.
+func (g *Gateway) Renew(s rules.Settings) error {
+	if err := g.router.Renew(s); err != nil {
+		return fmt.Errorf("gateway: %w", err)
+	}
+	g.cfg.Settings = s
+	return nil
+}
+
 // Open counts the calls that are not answered yet.
 func (g *Gateway) Open() int { return len(g.calls) }
 
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -61,6 +61,14 @@
 		where: map[*gateway.Attempt]*conn{}}
 }
 
+// Renew takes a further configuration. Its lanes must keep those known so far in
+// their places. Connections that are up stay; the number to one server is the
+// one given at the start.
+func (p *Pools) Renew(cfg Config) {
+	cfg.Connections = p.cfg.Connections
+	p.cfg = cfg
+}
+
 // Held counts the connections to all servers.
 func (p *Pools) Held() (n int) {
 	for _, x := range p.pools {
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -113,6 +113,7 @@
 	deadline Micros
 	work     float64
 	part     uint64 // key of (object, part)
+	most     int    // attempts, as the settings were when it came
 	tries    []attempt
 	out      int
 	over     bool
@@ -188,6 +189,24 @@
 	return r, nil
 }
 
+// Renew takes settings for the requests that come from now on; open ones keep their class and number
+// of attempts. Classes may only have been added: what was learnt of one holds for its namesakes.
+func (r *Router) Renew(s Settings) error {
+	if err := cmp.Or(s.check(), s.extends(&r.cfg)); err != nil {
+		return err
+	}
+	for i := len(r.mean); i < len(s.Classes); i++ {
+		r.mean = append(r.mean, workPriorShare*float64(max(s.Classes[i].Aim, milli)))
+		for j, old := range s.Classes[:i] {
+			if old.Name == s.Classes[i].Name {
+				r.mean[i] = r.mean[j]
+			}
+		}
+	}
+	r.cfg = s
+	return nil
+}
+
 // Step takes the events of one moment and gives the actions to carry out, in
 // order. The slice is good until the next Step.
 func (r *Router) Step(now Micros, events []Event) []Action {
@@ -315,7 +334,7 @@
 		return
 	}
 	c := &r.cfg.Classes[e.Class]
-	q := &request{Request: e, class: c, came: r.now, deadline: r.now + e.Expires}
+	q := &request{Request: e, class: c, came: r.now, deadline: r.now + e.Expires, most: r.cfg.MaxAttempts}
 	q.part = mix(e.Object*0x9e3779b97f4a7c15 + uint64(e.Part) + 1)
 	q.work = r.mean[e.Class]
 	if e.Size > 0 && r.cfg.Flow > 0 {
@@ -358,7 +377,7 @@
 // send starts the next attempt of a request that has none out, or gives up on it.
 func (r *Router) send(q *request) {
 	left, again := q.deadline-r.now, len(q.tries) > 0
-	if left <= 0 || len(q.tries) >= r.cfg.MaxAttempts || again && r.retries < 1 {
+	if left <= 0 || len(q.tries) >= q.most || again && r.retries < 1 {
 		r.giveUp(q)
 		return
 	}
@@ -409,7 +428,7 @@
 func (r *Router) onTimer(e Timer) {
 	q := r.reqs[RequestID(e.Tag)]
 	if q == nil || q.over || q.out != 1 || !r.cfg.Hedges || q.class.Effect != Safe || r.retries < 1 ||
-		len(q.tries) >= r.cfg.MaxAttempts || r.now >= q.deadline {
+		len(q.tries) >= q.most || r.now >= q.deadline {
 		return
 	}
 	t := q.tries[len(q.tries)-1]
--- a/rules/support.go
+++ b/rules/support.go
@@ -42,6 +42,16 @@
 	return s.checkNumbers()
 }
 
+// extends tells whether settings keep every class of earlier ones in its place.
+func (s *Settings) extends(o *Settings) error {
+	for i, c := range o.Classes {
+		if i >= len(s.Classes) || s.Classes[i] != c {
+			return fmt.Errorf("settings: Classes[%d]: not the class %s that had the place", i, c.Name)
+		}
+	}
+	return nil
+}
+
 // checkCounts names the first count or code that cannot be.
 func (s *Settings) checkCounts() error {
 	type count struct {
