--- a/cmd/cherryramp/clients_hard_test.go
+++ b/cmd/cherryramp/clients_hard_test.go
@@ -75,6 +75,13 @@
 	for i := range 60 { // 14 MB, where 4 may wait
 		c := narrow(t, s.addr, fmt.Sprintf("127.0.%d.1", i+1))
 		c.send(get("guide-video", fmt.Sprintf("%x", 0xa000+i), 4000))
+		// One after another: a connection from the box holds four answers that the front has not
+		// looked at, and 60 at once would be more where the machine is busy.
+		for end := time.Now().Add(patience); s.boxes[0].taken.Load() <= int64(i); {
+			if time.Sleep(time.Millisecond); time.Now().After(end) {
+				t.Fatalf("request %d did not come to the box", i)
+			}
+		}
 	}
 	s.log.await(t, "memory runs short: slow transfers are ended")
 	// On a busy machine the one box may look dead for a while under the 60, and is
