--- a/cmd/cherryramp/door.go
+++ b/cmd/cherryramp/door.go
@@ -58,6 +58,6 @@
 	for _, f := range p.fronts {
 		open += f.Busy()
 	}
-	known, draining := p.gate.Servers()
-	return p.figures.AppendJSON(b, figures.Gauges{InProgress: open, Known: known, Skipped: draining})
+	known, avoided := p.gate.Servers()
+	return p.figures.AppendJSON(b, figures.Gauges{InProgress: open, Known: known, Skipped: avoided})
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -192,19 +192,15 @@
 // Open counts the calls that are not answered yet.
 func (g *Gateway) Open() int { return len(g.calls) }
 
-// Servers counts the listed servers, and of those the ones told as draining, to
-// which nothing new goes.
-func (g *Gateway) Servers() (listed, draining int) {
+// Servers counts the listed servers, and of those the ones that are avoided now:
+// told as draining, or found down by the module.
+func (g *Gateway) Servers() (listed, avoided int) {
 	for _, s := range g.servers {
-		switch s.State {
-		case rules.Ready:
+		if s.State != rules.Gone {
 			listed++
-		case rules.Draining:
-			listed++
-			draining++
 		}
 	}
-	return listed, draining
+	return listed, g.router.Avoided()
 }
 
 // Kept is the bytes of the own copies.
--- a/rules/support.go
+++ b/rules/support.go
@@ -52,6 +52,16 @@
 	return nil
 }
 
+// Avoided counts the listed members that get no ordinary work now: those that drain and those ejected.
+func (r *Router) Avoided() (n int) {
+	for _, m := range r.members {
+		if m.listed && (m.State != Ready || m.ejected > 0) {
+			n++
+		}
+	}
+	return n
+}
+
 // checkCounts names the first count or code that cannot be.
 func (s *Settings) checkCounts() error {
 	type count struct {
