--- a/rules/renew_test.go
+++ b/rules/renew_test.go
@@ -36,7 +36,9 @@
 	if r.Renew(wrong) == nil || r.Renew(Settings{}) == nil {
 		t.Error("settings that move a class were taken")
 	}
-	fail := func(id RequestID, by ServerID) Outcome { return Outcome{ID: id, Server: by, Code: ServerError, Spent: milli} }
+	fail := func(id RequestID, by ServerID) Outcome {
+		return Outcome{ID: id, Server: by, Code: ServerError, Spent: milli}
+	}
 	first := r.reqs[1].tries[0].server.ID
 	if gets(2, fail(1, first)) != 1 {
 		t.Error("the open read was not tried again")
