--- /dev/null
+++ b/internal/decide/work/work.go
@@ -0,0 +1,708 @@
+// Package work decides when machines are taken out for work, and in which order:
+// what was asked for, by which rules of budget one may go, its permit, and how it
+// comes back.
+//
+// Its state is replicated, and every replica draws the same conclusions where it
+// applies an entry (Step); nobody proposes a decision. A permit is taken in two
+// steps: leave, which can be taken back, and its acceptance by the machine's front,
+// from which on the machine counts as out until it is heard to be back or a person
+// declares it lost, never by time alone. Time is fleet time, which only entries
+// move on.
+package work
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// Micros is a span, or a moment of fleet time, in microseconds.
+type Micros = int64
+
+const second Micros = 1_000_000
+
+// Bounds.
+const (
+	MostItems  = 2000 // works that are not ended
+	mostEnded  = 256  // works that are, kept to be told of
+	mostFences = 2000 // machines with a fence of their own
+	mostText   = 200  // bytes of a reason
+	mostApart  = 16   // machines that a work must not overlap with
+	mostAge    = 1 << 20
+)
+
+// Phase is how far a work has come.
+type Phase uint8
+
+// The phases.
+const (
+	Asked     Phase = iota // it waits for its turn
+	Permitted              // leave was given, and not accepted yet
+	Emptying               // accepted: it counts as out from here on
+	Out                    // the work may be done
+	Returning              // it comes back, and is not a full machine yet
+	Done
+	Cancelled
+	Refused
+	Lost // a person declared the machine lost
+)
+
+var phases = [...]string{"asked", "permitted", "emptying", "out", "returning", "done", "cancelled", "refused", "lost"}
+
+// String is the phase's name.
+func (p Phase) String() string {
+	if int(p) < len(phases) {
+		return phases[p]
+	}
+	return "unknown"
+}
+
+// Ended tells whether nothing more happens to a work.
+func (p Phase) Ended() bool { return p >= Done }
+
+// IsOut tells whether a machine counts as out.
+func (p Phase) IsOut() bool { return p >= Emptying && p <= Returning }
+
+// Kind is what is taken out.
+type Kind uint8
+
+// The kinds.
+const (
+	AFront Kind = iota // a front: it empties itself
+	ABox               // a cache box: every front leaves it
+)
+
+// Item is one work.
+type Item struct {
+	ID         uint64   `cbor:"1,keyasint"` // in the order in which they were asked for, from 1
+	Machine    string   `cbor:"2,keyasint"` // a front's name, or a box's
+	Kind       Kind     `cbor:"3,keyasint,omitempty"`
+	Zone       string   `cbor:"4,keyasint,omitempty"` // of a box; of a front the fleet knows it
+	Why        string   `cbor:"5,keyasint,omitempty"`
+	Span       Micros   `cbor:"6,keyasint"`           // that the work takes, once the machine is out
+	Latest     Micros   `cbor:"7,keyasint,omitempty"` // from when it was asked, until which leave must be given; 0: any time
+	Importance int      `cbor:"8,keyasint,omitempty"`
+	Apart      []string `cbor:"9,keyasint,omitempty"`  // machines that must not be out at the same time
+	ZoneWise   bool     `cbor:"10,keyasint,omitempty"` // only while nothing of another zone is out
+	Urgent     bool     `cbor:"11,keyasint,omitempty"` // goes before all that is not, also while the fleet is hurt
+	Restart    bool     `cbor:"12,keyasint,omitempty"` // it is back once its process has started anew; else once a person says so
+	Asked      Micros   `cbor:"13,keyasint"`
+	Phase      Phase    `cbor:"14,keyasint,omitempty"`
+	Since      Micros   `cbor:"15,keyasint"`           // when it came into its phase
+	Permit     uint64   `cbor:"16,keyasint,omitempty"` // the last one given
+	Holder     uint64   `cbor:"17,keyasint,omitempty"` // incarnation that accepted it
+	Start      uint64   `cbor:"18,keyasint,omitempty"` // its process when it did
+	Note       string   `cbor:"19,keyasint,omitempty"` // why it ended, or what is unusual
+	Left       []string `cbor:"20,keyasint,omitempty"` // of a box: the fronts that have confirmed, by name, ordered
+	Overdue    bool     `cbor:"21,keyasint,omitempty"`
+}
+
+// Rules are the budgets and bounds, replicated so that all replicas use the same.
+type Rules struct {
+	Out      int    `cbor:"1,keyasint"`  // machines out at once, lost ones included
+	Zone     int    `cbor:"2,keyasint"`  // of one zone
+	Percent  int    `cbor:"3,keyasint"`  // of the fleet's fronts, rounded down, but one at least
+	Hurt     int    `cbor:"4,keyasint"`  // percent of the fronts lost from which nothing goes but what is urgent
+	Accept   Micros `cbor:"5,keyasint"`  // for leave to be accepted
+	Empty    Micros `cbor:"6,keyasint"`  // for a machine to be empty, after which it is told as late
+	Back     Micros `cbor:"7,keyasint"`  // for it to come back, after which it is told as late
+	Cold     Micros `cbor:"8,keyasint"`  // it is not a full machine for so long after it came back
+	AgeStep  Micros `cbor:"9,keyasint"`  // waiting that counts as one step of importance
+	Patience Micros `cbor:"10,keyasint"` // after which a work that waits is not passed over any more
+}
+
+// Defaults are the rules where the operators set none.
+func Defaults() Rules {
+	return Rules{Out: 1, Zone: 1, Percent: 34, Hurt: 20, Accept: 20 * second, Empty: 90 * second, Back: 120 * second,
+		Cold: 15 * second, AgeStep: 60 * second, Patience: 600 * second}
+}
+
+// Check names the first rule that can't be.
+func (r Rules) Check() error {
+	for _, x := range []struct {
+		key         string
+		n           int64
+		least, most int64
+	}{{"out", int64(r.Out), 1, 1000}, {"zone", int64(r.Zone), 1, 1000}, {"percent", int64(r.Percent), 1, 100},
+		{"hurt_percent", int64(r.Hurt), 1, 100}, {"accept_s", r.Accept, second / 10, 3600 * second}, {"empty_s", r.Empty, second / 10, 3600 * second},
+		{"back_s", r.Back, second / 10, 24 * 3600 * second}, {"cold_s", r.Cold, 0, 3600 * second},
+		{"age_step_s", r.AgeStep, second / 10, 24 * 3600 * second}, {"patience_s", r.Patience, second / 10, 24 * 3600 * second}} {
+		if x.n < x.least || x.n > x.most {
+			return fmt.Errorf("%s: %d is not %d to %d", x.key, x.n, x.least, x.most)
+		}
+	}
+	return nil
+}
+
+// Machine is what Step must know of a front.
+type Machine struct {
+	Name  string
+	Zone  string
+	ID    uint64
+	Start uint64
+	Lost  bool
+	Away  bool // it says itself that it takes no clients
+	Votes bool
+	Yield bool // it votes, and another front can take its seat, or it can be done without
+}
+
+// Fleet is the fronts as the council's state has them, ordered by name.
+type Fleet []Machine
+
+// Find gives a front by name; nil: there is none.
+func (f Fleet) Find(name string) *Machine {
+	i, ok := slices.BinarySearchFunc(f, name, func(m Machine, n string) int { return cmp.Compare(m.Name, n) })
+	if !ok {
+		return nil
+	}
+	return &f[i]
+}
+
+// State is all works. Permits are numbered through the fleet's life.
+type State struct {
+	Rules  Rules             `cbor:"1,keyasint"`
+	Last   uint64            `cbor:"2,keyasint"` // permit
+	LastID uint64            `cbor:"3,keyasint"`
+	Hold   string            `cbor:"4,keyasint,omitempty"` // why nothing new goes; empty: it does
+	Items  []Item            `cbor:"5,keyasint,omitempty"` // not ended, by ID
+	Ended  []Item            `cbor:"6,keyasint,omitempty"` // the last ones
+	Fences map[string]uint64 `cbor:"7,keyasint,omitempty"` // permits of a machine below it are void
+}
+
+// New makes the state of a fleet that has never taken a machine out.
+func New() State { return State{Rules: Defaults(), Fences: map[string]uint64{}} }
+
+// Errors of what was asked.
+var (
+	ErrNone   = errors.New("no such work, or it has ended")
+	ErrMany   = fmt.Errorf("%d works wait or are under way, which is the most", MostItems)
+	ErrTwice  = errors.New("the machine has a work that is not ended")
+	ErrPermit = errors.New("the permit is void")
+	ErrPhase  = errors.New("the work is not so far, or farther")
+	ErrFront  = errors.New("no front of that name")
+	ErrSpan   = errors.New("span: 1 s to 7 days are wanted")
+	ErrText   = fmt.Errorf("a machine, a reason of %d bytes at most, and %d machines apart at most are wanted", mostText, mostApart)
+	ErrHeard  = errors.New("the front is heard: it can say itself that it is back")
+)
+
+// Ask takes a work in. A front's must be of the fleet; one work a machine.
+func (s *State) Ask(x Item, fleet Fleet, now Micros) (id uint64, err error) {
+	switch {
+	case x.Machine == "" || len(x.Machine) > mostText || len(x.Why) > mostText || len(x.Apart) > mostApart || len(x.Zone) > mostText:
+		return 0, ErrText
+	case x.Span < second || x.Span > 7*24*3600*second || x.Latest < 0:
+		return 0, ErrSpan
+	case x.Kind == AFront && fleet.Find(x.Machine) == nil:
+		return 0, ErrFront
+	case len(s.Items) >= MostItems:
+		return 0, ErrMany
+	case s.On(x.Machine) != nil:
+		return 0, ErrTwice
+	}
+	s.LastID++
+	s.Items = append(s.Items, Item{ID: s.LastID, Machine: x.Machine, Kind: x.Kind, Zone: x.Zone, Why: x.Why, Span: x.Span,
+		Latest: x.Latest, Importance: x.Importance, Apart: x.Apart, ZoneWise: x.ZoneWise, Urgent: x.Urgent, Restart: x.Restart,
+		Asked: now, Since: now})
+	return s.LastID, nil
+}
+
+// Find gives a work that is not ended; nil: there is none.
+func (s *State) Find(id uint64) *Item {
+	i, ok := slices.BinarySearchFunc(s.Items, id, func(x Item, id uint64) int { return cmp.Compare(x.ID, id) })
+	if !ok {
+		return nil
+	}
+	return &s.Items[i]
+}
+
+// On gives a machine's work that is not ended; nil: there is none.
+func (s *State) On(machine string) *Item {
+	i := slices.IndexFunc(s.Items, func(x Item) bool { return x.Machine == machine })
+	if i < 0 {
+		return nil
+	}
+	return &s.Items[i]
+}
+
+func (x *Item) to(p Phase, now Micros) { x.Phase, x.Since, x.Overdue = p, now, false }
+
+// fence voids the permit that a machine may still have in hand.
+func (s *State) fence(x *Item) {
+	if x.Permit == 0 {
+		return
+	}
+	if s.Fences == nil {
+		s.Fences = map[string]uint64{}
+	}
+	if len(s.Fences) >= mostFences { // the lowest tell least: their permits are the oldest
+		var low string
+		for m, n := range s.Fences {
+			if low == "" || n < s.Fences[low] || n == s.Fences[low] && m < low {
+				low = m
+			}
+		}
+		delete(s.Fences, low)
+	}
+	s.Fences[x.Machine] = x.Permit + 1
+}
+
+// end ends a work and voids its permit.
+func (s *State) end(x *Item, p Phase, note string, now Micros) {
+	s.fence(x)
+	x.to(p, now)
+	if note != "" {
+		x.Note = note
+	}
+	done := *x
+	done.Left = nil
+	s.Items = slices.DeleteFunc(s.Items, func(y Item) bool { return y.ID == done.ID })
+	if s.Ended = append(s.Ended, done); len(s.Ended) > mostEnded {
+		s.Ended = slices.Delete(s.Ended, 0, len(s.Ended)-mostEnded)
+	}
+}
+
+// Cancel ends a work that has not begun; one that has comes back at once.
+func (s *State) Cancel(id uint64, why string, now Micros) error {
+	x := s.Find(id)
+	switch {
+	case x == nil:
+		return ErrNone
+	case !x.Phase.IsOut():
+		s.end(x, Cancelled, why, now)
+	case x.Phase != Returning:
+		x.Note = cmp.Or(why, "cancelled: it comes back")
+		x.to(Returning, now)
+	}
+	return nil
+}
+
+// Finish is a person's word, or the front's own, that the work is done and the
+// machine comes back.
+func (s *State) Finish(id uint64, now Micros) error {
+	x := s.Find(id)
+	switch {
+	case x == nil:
+		return ErrNone
+	case x.Phase != Out && x.Phase != Emptying:
+		return ErrPhase
+	}
+	x.to(Returning, now)
+	return nil
+}
+
+// Declare is a person's word that a machine in work will not come back: the only
+// way in which it stops counting as out without being heard. A front that is
+// heard can say so itself.
+func (s *State) Declare(id uint64, why string, fleet Fleet, now Micros) error {
+	x := s.Find(id)
+	if x == nil {
+		return ErrNone
+	}
+	if !x.Phase.IsOut() {
+		return ErrPhase
+	}
+	if m := fleet.Find(x.Machine); x.Kind == AFront && m != nil && !m.Lost && m.ID == x.Holder && m.Start == x.Start {
+		return ErrHeard
+	}
+	s.end(x, Lost, cmp.Or(why, "declared lost"), now)
+	return nil
+}
+
+// Accept is a front's acceptance of leave: from here on it is out. It stands only
+// while the leave does.
+func (s *State) Accept(machine string, permit, id, start uint64, now Micros) error {
+	x := s.On(machine)
+	if x == nil || permit < s.Fences[machine] || x.Permit != permit {
+		return ErrPermit
+	}
+	if x.Phase != Permitted {
+		return ErrPhase
+	}
+	x.Holder, x.Start = id, start
+	x.to(Emptying, now)
+	return nil
+}
+
+// Empty is a front's word that it holds no request any more.
+func (s *State) Empty(machine string, permit, id uint64, now Micros) error {
+	x := s.On(machine)
+	if x == nil || x.Permit != permit || x.Holder != id {
+		return ErrPermit
+	}
+	if x.Phase != Emptying {
+		return ErrPhase
+	}
+	x.to(Out, now)
+	return nil
+}
+
+// Back is a front's word that it takes clients again.
+func (s *State) Back(machine string, permit, id uint64, now Micros) error {
+	x := s.On(machine)
+	if x == nil || x.Permit != permit {
+		return ErrPermit
+	}
+	if !x.Phase.IsOut() || x.Phase == Returning {
+		return ErrPhase
+	}
+	x.Holder = id
+	x.to(Returning, now)
+	return nil
+}
+
+// Leave is a front's word, for a box in work, that it sends nothing new there and
+// has nothing open there.
+func (s *State) Leave(machine string, permit uint64, front string, now Micros) error {
+	x := s.On(machine)
+	if x == nil || x.Kind != ABox || x.Permit != permit {
+		return ErrPermit
+	}
+	if x.Phase != Permitted && x.Phase != Emptying {
+		return ErrPhase
+	}
+	if i, ok := slices.BinarySearch(x.Left, front); !ok {
+		x.Left = slices.Insert(x.Left, i, front)
+	}
+	return nil
+}
+
+// Rejoined is told when a front came under a new incarnation, or its process
+// started anew: what the one before confirmed of boxes counts no more.
+func (s *State) Rejoined(front string) {
+	for i := range s.Items {
+		if j, ok := slices.BinarySearch(s.Items[i].Left, front); ok && s.Items[i].Phase < Out {
+			s.Items[i].Left = slices.Delete(s.Items[i].Left, j, j+1)
+		}
+	}
+}
+
+// Zone is where a work's machine stands.
+func (x *Item) zone(fleet Fleet) string {
+	if m := fleet.Find(x.Machine); x.Kind == AFront && m != nil {
+		return m.Zone
+	}
+	return x.Zone
+}
+
+// usage is what is out now, by every reason.
+type usage struct {
+	out, fronts, lost int
+	zones             map[string]int
+	machines          map[string]bool
+	voters, heard     int // heard: those that are and stay in
+}
+
+// use counts. What has leave counts as out already: it may be accepted.
+func (s *State) use(fleet Fleet) usage {
+	u := usage{zones: map[string]int{}, machines: map[string]bool{}}
+	count := func(name, zone string, front bool) {
+		if u.machines[name] {
+			return
+		}
+		u.machines[name] = true
+		u.out++
+		u.zones[zone]++
+		if front {
+			u.fronts++
+		}
+	}
+	for i := range s.Items {
+		if x := &s.Items[i]; x.Phase == Permitted || x.Phase.IsOut() {
+			count(x.Machine, x.zone(fleet), x.Kind == AFront)
+		}
+	}
+	for _, m := range fleet {
+		if m.Lost && !u.machines[m.Name] {
+			u.lost++
+		}
+		if m.Lost || m.Away {
+			count(m.Name, m.Zone, true)
+		}
+		if m.Votes {
+			u.voters++
+			if !u.machines[m.Name] {
+				u.heard++
+			}
+		}
+	}
+	return u
+}
+
+// score orders what waits: importance, and a step of it for every span waited.
+func (x *Item) score(r Rules, now Micros) int64 {
+	return int64(x.Importance) + min(mostAge, (now-x.Asked)/max(1, r.AgeStep))
+}
+
+// queue is what waits, the next first.
+func (s *State) queue(now Micros) (list []*Item) {
+	for i := range s.Items {
+		if x := &s.Items[i]; x.Phase == Asked {
+			list = append(list, x)
+		}
+	}
+	slices.SortStableFunc(list, func(a, b *Item) int {
+		if a.Urgent != b.Urgent {
+			if a.Urgent {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Or(cmp.Compare(b.score(s.Rules, now), a.score(s.Rules, now)), cmp.Compare(a.ID, b.ID))
+	})
+	return list
+}
+
+const seatFirst = "its seat in the council goes to another front first"
+
+// bar tells why a work can't have leave now; empty: it can.
+func (s *State) bar(x *Item, u *usage, fleet Fleet) string {
+	m := fleet.Find(x.Machine)
+	zone := x.zone(fleet)
+	switch {
+	case s.Hold != "":
+		return "held: " + s.Hold
+	case x.Kind == AFront && m == nil:
+		return "the front has left the fleet"
+	case x.Kind == AFront && m.Lost:
+		return "the front is not heard, so it can't accept"
+	case u.lost*100 >= s.Rules.Hurt*len(fleet) && u.lost > 0 && !x.Urgent:
+		return fmt.Sprintf("the fleet is hurt: %d of %d fronts are lost", u.lost, len(fleet))
+	}
+	if u.machines[x.Machine] { // a front that says it is away already counts
+		return s.apart(x, u, zone)
+	}
+	switch {
+	case u.out+1 > s.Rules.Out:
+		return fmt.Sprintf("%d machines are out or lost, %d may be", u.out, s.Rules.Out)
+	case u.zones[zone]+1 > s.Rules.Zone:
+		return fmt.Sprintf("%d machines of zone %s are out or lost, %d may be", u.zones[zone], zone, s.Rules.Zone)
+	case x.Kind == AFront && u.fronts+1 > max(1, len(fleet)*s.Rules.Percent/100):
+		return fmt.Sprintf("%d of %d fronts are out or lost, %d%% may be", u.fronts, len(fleet), s.Rules.Percent)
+	case x.Kind == AFront && m.Yield:
+		return seatFirst
+	case x.Kind == AFront && m.Votes && u.voters > 1 && u.heard-1 < u.voters/2+1:
+		return fmt.Sprintf("it votes, and %d of %d voters would be left, no majority", u.heard-1, u.voters)
+	}
+	return s.apart(x, u, zone)
+}
+
+// apart tells what stands against a work beside the budgets.
+func (s *State) apart(x *Item, u *usage, zone string) string {
+	for _, other := range x.Apart {
+		if other != x.Machine && u.machines[other] {
+			return other + " is out, and both must not be"
+		}
+	}
+	for i := range s.Items {
+		y := &s.Items[i]
+		if y.Machine != x.Machine && (y.Phase == Permitted || y.Phase.IsOut()) && slices.Contains(y.Apart, x.Machine) {
+			return y.Machine + " is out, and both must not be"
+		}
+	}
+	if x.ZoneWise {
+		for z, n := range u.zones {
+			if z != zone && n > 0 {
+				return "machines of another zone are out, and a zone at a time was asked for"
+			}
+		}
+	}
+	return ""
+}
+
+// Step draws the conclusions of a moment: bounds that have passed, works that are
+// over, leave for those whose turn it is. It must run after every change, and
+// gives what has happened, a line each.
+func (s *State) Step(fleet Fleet, now Micros) (told []string) {
+	tell := func(x *Item, what string) {
+		told = append(told, fmt.Sprintf("work %d on %s: %s", x.ID, x.Machine, what))
+	}
+	for _, id := range s.ids() {
+		x := s.Find(id)
+		m := fleet.Find(x.Machine)
+		waited := now - x.Since
+		switch x.Phase {
+		case Asked:
+			if x.Latest > 0 && now-x.Asked > x.Latest {
+				tell(x, "refused: its latest moment has passed")
+				s.end(x, Refused, "its latest moment has passed", now)
+			} else if x.Kind == AFront && m == nil {
+				tell(x, "refused: the front has left the fleet")
+				s.end(x, Refused, "the front has left the fleet", now)
+			}
+		case Permitted:
+			switch {
+			case x.Kind == ABox:
+				if s.left(x, fleet) {
+					tell(x, "all fronts have left it")
+					x.to(Out, now)
+				}
+			case waited > s.Rules.Accept || m == nil || m.Lost:
+				s.fence(x)
+				x.Note = fmt.Sprintf("leave %d was not accepted and was taken back", x.Permit)
+				tell(x, x.Note)
+				x.to(Asked, now)
+			}
+		case Emptying:
+			if !x.Overdue && waited > s.Rules.Empty {
+				x.Overdue, x.Note = true, "emptying takes longer than it may"
+				tell(x, x.Note)
+			}
+		case Out:
+			if x.Restart && m != nil && !m.Lost && (m.ID != x.Holder || m.Start != x.Start) {
+				tell(x, "its process has started anew")
+				x.Holder = m.ID
+				x.to(Returning, now)
+			} else if !x.Overdue && waited > x.Span {
+				x.Overdue, x.Note = true, "out for longer than was asked"
+				tell(x, x.Note)
+			}
+		case Returning:
+			ready := x.Kind == ABox || m != nil && !m.Lost && !m.Away
+			if ready && waited >= s.Rules.Cold {
+				tell(x, "done")
+				s.end(x, Done, "", now)
+			} else if !ready && !x.Overdue && waited > s.Rules.Back {
+				x.Overdue, x.Note = true, "coming back takes longer than it may"
+				tell(x, x.Note)
+			}
+		}
+	}
+	u := s.use(fleet)
+	for _, x := range s.queue(now) {
+		why := s.bar(x, &u, fleet)
+		if why == "" {
+			s.Last++
+			x.Permit, x.Left, x.Holder, x.Start = s.Last, nil, 0, 0
+			x.to(Permitted, now)
+			tell(x, fmt.Sprintf("leave %d", x.Permit))
+			u = s.use(fleet)
+		} else if now-x.Asked > s.Rules.Patience && s.Hold == "" && !s.stuck(x, fleet) {
+			break // nothing goes before it any more
+		}
+	}
+	return told
+}
+
+// stuck tells that a work waits for something of its own, so that others need not
+// wait with it.
+func (s *State) stuck(x *Item, fleet Fleet) bool {
+	m := fleet.Find(x.Machine)
+	return x.Kind == AFront && (m == nil || m.Lost)
+}
+
+// left tells whether every front has confirmed that it has left a box.
+func (s *State) left(x *Item, fleet Fleet) bool {
+	for _, m := range fleet {
+		if _, ok := slices.BinarySearch(x.Left, m.Name); !ok {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *State) ids() (ids []uint64) {
+	for _, x := range s.Items {
+		ids = append(ids, x.ID)
+	}
+	return ids
+}
+
+// Line is one work of a plan, with what it waits for.
+type Line struct {
+	Item
+	Place int    // in the order, from 1; 0: it is under way
+	Waits string // for what; empty: for nothing
+}
+
+// Plan is who goes when: what is under way, then what waits in its order, each with
+// what stands in its way now.
+func (s *State) Plan(fleet Fleet, now Micros) (plan []Line) {
+	u := s.use(fleet)
+	for i := range s.Items {
+		if x := &s.Items[i]; x.Phase != Asked {
+			plan = append(plan, Line{Item: *x, Waits: s.waits(x, fleet)})
+		}
+	}
+	for i, x := range s.queue(now) {
+		plan = append(plan, Line{Item: *x, Place: i + 1, Waits: cmp.Or(s.bar(x, &u, fleet), "its turn")})
+	}
+	return plan
+}
+
+// waits tells what a work under way waits for.
+func (s *State) waits(x *Item, fleet Fleet) string {
+	late := ""
+	if x.Overdue {
+		late = " (" + x.Note + ")"
+	}
+	switch x.Phase {
+	case Permitted:
+		if x.Kind == ABox {
+			var missing []string
+			for _, m := range fleet {
+				if _, ok := slices.BinarySearch(x.Left, m.Name); !ok {
+					if m.Lost {
+						m.Name += " (not heard)"
+					}
+					missing = append(missing, m.Name)
+				}
+			}
+			n := len(missing)
+			if n > 5 {
+				missing = append(missing[:5], "...")
+			}
+			return fmt.Sprintf("%d fronts to leave it: %s", n, strings.Join(missing, ", "))
+		}
+		return "the front to accept"
+	case Emptying:
+		return "its open requests to end" + late
+	case Out:
+		if x.Restart {
+			return "its process to start anew" + late
+		}
+		return "a person's word that it is done" + late
+	case Returning:
+		return "it to be ready and warm" + late
+	}
+	return ""
+}
+
+// Why says in a sentence what becomes of a machine's work.
+func (s *State) Why(machine string, fleet Fleet, now Micros) string {
+	for _, l := range s.Plan(fleet, now) {
+		if l.Machine != machine {
+			continue
+		}
+		if l.Place > 0 {
+			return fmt.Sprintf("%s waits as number %d (work %d, asked %d s ago): %s.", machine, l.Place, l.ID, (now-l.Asked)/second, l.Waits)
+		}
+		return fmt.Sprintf("%s is %s under permit %d (work %d) for %d s and waits for %s.", machine, l.Phase, l.Permit, l.ID, (now-l.Since)/second, l.Waits)
+	}
+	for i := len(s.Ended) - 1; i >= 0; i-- {
+		if x := s.Ended[i]; x.Machine == machine {
+			text := fmt.Sprintf("%s has no work; its last one (work %d) was %s %d s ago", machine, x.ID, x.Phase, (now-x.Since)/second)
+			if x.Note != "" {
+				text += ": " + x.Note
+			}
+			return text + "."
+		}
+	}
+	return machine + " has no work."
+}
+
+// Soon tells whether a front is about to go out, or is: it should hold no seat that
+// another can have.
+func (s *State) Soon(front string, fleet Fleet, now Micros) bool {
+	if x := s.On(front); x != nil && x.Kind == AFront && x.Phase != Asked {
+		return true
+	}
+	u := s.use(fleet)
+	for _, x := range s.queue(now) {
+		if s.bar(x, &u, fleet) == seatFirst { // one seat at a time
+			return x.Machine == front
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/fleet/agree/duty.go
@@ -0,0 +1,108 @@
+package agree
+
+import (
+	"cherryramp/internal/decide/replica"
+	"cherryramp/internal/decide/work"
+)
+
+// duty is what the fleet wants of this front for work on its own machine.
+type duty struct {
+	permit uint64 // that it is out under, or about to be; 0: none
+	out    bool   // it is to take no clients
+	sent   map[string]sent
+}
+
+// sent is a report that was made, so that it is not made at every tick.
+type sent struct {
+	permit uint64
+	at     Micros
+}
+
+// Out tells whether this front is to take no clients, and under which permit.
+func (n *Node) Out() (out bool, permit uint64) { return n.duty.out, n.duty.permit }
+
+// Host tells what the front says of itself: that it takes no clients, and that it
+// holds no request any more.
+func (n *Node) Host(away, empty bool) { n.away, n.empty = away, empty }
+
+// Boxes gives the boxes that this front is to leave, by name.
+func (n *Node) Boxes() (list []string) {
+	for _, x := range n.rep.State().Work.Items {
+		if x.Kind == work.ABox && x.Phase != work.Asked && !x.Phase.Ended() && x.Phase != work.Returning {
+			list = append(list, x.Machine)
+		}
+	}
+	return list
+}
+
+// LeftBox tells whether the front sends nothing new to a box and has nothing open there.
+func (n *Node) LeftBox(box string, left bool) {
+	if left {
+		n.boxes[box] = true
+	} else {
+		delete(n.boxes, box)
+	}
+}
+
+// Rejoin tells that a person has the front take clients again: what it was out
+// for is given back.
+func (n *Node) Rejoin() {
+	if n.duty.permit != 0 && n.duty.out {
+		n.duty.out = false
+		n.report(replica.Back, n.cfg.Name, n.duty.permit)
+	}
+}
+
+// dutyStep sees what the state wants of this front. Leave is only asked to be
+// accepted here; the front goes out once its acceptance has been applied.
+func (n *Node) dutyStep() {
+	s := n.rep.State()
+	x := s.Work.On(n.cfg.Name)
+	n.duty.out, n.duty.permit = false, 0
+	if x != nil && x.Kind == work.AFront && n.stale == nil {
+		n.duty.permit = x.Permit
+		switch x.Phase {
+		case work.Permitted:
+			// A leader hands over before its turn, where there is anybody to hand over to.
+			if !n.leads || n.successor() == 0 {
+				n.report(replica.Accepted, x.Machine, x.Permit)
+			}
+		case work.Emptying:
+			n.duty.out = x.Holder == n.id
+			if n.duty.out && n.away && n.empty {
+				n.report(replica.Emptied, x.Machine, x.Permit)
+			}
+			if x.Holder == n.id && x.Start != n.cfg.Start { // it crashed on its way out, and is empty
+				n.report(replica.Emptied, x.Machine, x.Permit)
+			}
+		case work.Out:
+			n.duty.out = true
+		}
+	}
+	for _, x := range s.Work.Items {
+		if x.Kind == work.ABox && x.Phase == work.Permitted && n.boxes[x.Machine] {
+			n.report(replica.Left, x.Machine, x.Permit)
+		}
+	}
+}
+
+// report tells the fleet of a permit, and again while nothing has come of it.
+func (n *Node) report(what, machine string, permit uint64) {
+	if n.duty.sent == nil {
+		n.duty.sent = map[string]sent{}
+	}
+	key := what + " " + machine
+	if last, ok := n.duty.sent[key]; ok && last.permit == permit && n.now-last.at < n.span(3*againTicks) {
+		return
+	}
+	if len(n.duty.sent) > 1000 {
+		clear(n.duty.sent)
+	}
+	n.duty.sent[key] = sent{permit, n.now}
+	n.Submit(replica.Command{Report: []replica.Report{{What: what, Machine: machine, Permit: permit, Front: n.cfg.Name, ID: n.id,
+		Start: n.cfg.Start}}}, n.span(3*againTicks), func(w replica.Word, err error) {
+		if w.Err != "" && what == replica.Accepted {
+			n.tell("the acceptance of permit %d came to nothing: %s", permit, w.Err)
+		}
+	})
+}
--- /dev/null
+++ b/internal/fleet/agree/feed.go
@@ -0,0 +1,280 @@
+package agree
+
+import (
+	"slices"
+
+	"go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/protobuf/proto"
+
+	"cherryramp/internal/decide/council"
+	"cherryramp/internal/decide/replica"
+)
+
+// attach has a front that takes no part in the agreement, or hears of no leader, ask
+// to be fed: by voters first, in an order of its own, and by those that they name.
+func (n *Node) attach() {
+	lead, _ := n.Leader()
+	if n.seat() && lead != 0 && n.feeder == "" {
+		n.fed = n.now
+		return
+	}
+	if n.seat() && lead != 0 && n.now-n.fed > 0 && !n.leads && n.nameOf(lead) != "" && n.feeder != "" && n.conf != nil &&
+		slices.Contains(n.conf.GetVoters(), n.id) {
+		n.detach() // it votes again, and hears the leader itself
+		return
+	}
+	if n.leads || n.seat() && n.now-n.fed < n.span(feederTicks) {
+		return
+	}
+	if n.feeder != "" && n.now-n.fed > n.span(feederTicks) {
+		n.detach()
+		n.tried++
+	}
+	to := n.feeder
+	if to == "" {
+		list := n.feeders()
+		if len(list) == 0 {
+			return
+		}
+		if n.asked != 0 { // the one before has not answered
+			n.tried++
+		}
+		to = list[n.tried%len(list)]
+		n.asked = n.now
+	}
+	n.send(to, KindAsk, encode(Ask{ID: n.id, Next: n.applied + 1}))
+}
+
+func (n *Node) detach() { n.feeder, n.path, n.asked = "", nil, 0 }
+
+// feeders are those that may feed this front.
+func (n *Node) feeders() (list []string) {
+	s := n.rep.State()
+	for _, f := range s.Council.Fronts {
+		if s.Seats.Has(f.ID) && !f.Lost && f.Name != n.cfg.Name {
+			list = append(list, f.Name)
+		}
+	}
+	if len(list) == 0 {
+		for _, a := range n.cfg.First {
+			if a.Name != n.cfg.Name {
+				list = append(list, a.Name)
+			}
+		}
+	}
+	byRank(n.cfg.Name, list)
+	for _, name := range n.referred {
+		if !slices.Contains(list, name) && name != n.cfg.Name {
+			list = append(list, name)
+		}
+	}
+	return list
+}
+
+// feeding takes the answer of one that was asked.
+func (n *Node) feeding(from string, f Fed) {
+	switch {
+	case f.Full || slices.Contains(f.Path, n.cfg.Name):
+		n.referred = f.Try[:min(len(f.Try), 16)]
+		if from == n.feeder {
+			n.detach()
+		}
+		n.asked, n.tried = 0, n.tried+1
+	case n.feeder == "" || n.feeder == from:
+		n.feeder, n.path, n.fed, n.asked = from, f.Path, n.now, 0
+	}
+}
+
+// feed answers one that asks to be fed.
+func (n *Node) feed(from string, a Ask) {
+	i := slices.IndexFunc(n.children, func(c *child) bool { return c.name == from })
+	lead, _ := n.Leader()
+	attached := n.feeder != "" && n.now-n.fed < n.span(feederTicks)
+	if lead == 0 || !n.seat() && !attached || len(n.path) >= mostPath || slices.Contains(n.path, from) || n.rep.State().Fleet == 0 {
+		if i >= 0 {
+			n.children = slices.Delete(n.children, i, i+1)
+		}
+		n.send(from, KindFed, encode(Fed{Full: true}))
+		return
+	}
+	if i < 0 {
+		n.children = slices.DeleteFunc(n.children, func(c *child) bool { return n.now-c.asked > n.span(feederTicks) })
+		if len(n.children) >= n.cfg.FanOut {
+			var names []string
+			for _, c := range n.children {
+				names = append(names, c.name)
+			}
+			byRank(from, names)
+			n.send(from, KindFed, encode(Fed{Full: true, Try: names}))
+			return
+		}
+		i = len(n.children)
+		n.children = append(n.children, &child{name: from})
+	}
+	c := n.children[i]
+	c.id, c.next, c.asked = a.ID, a.Next, n.now
+	path := append([]string{n.cfg.Name}, n.path...)
+	n.send(from, KindFed, encode(Fed{Path: path}))
+	n.give(c)
+}
+
+// feedAll passes on what has just been applied.
+func (n *Node) feedAll() {
+	n.children = slices.DeleteFunc(n.children, func(c *child) bool { return n.now-c.asked > n.span(feederTicks) })
+	for _, c := range n.children {
+		n.give(c)
+	}
+}
+
+// give sends a child what it lacks of the entries applied here: a message that the
+// leader of this term could have sent itself, since all in it is committed. One
+// whose entries are no longer kept gets a snapshot.
+func (n *Node) give(c *child) {
+	lead, term := n.Leader()
+	if n.seatOf(c.id) && n.conf != nil && n.leads || lead == 0 || c.next > n.applied+1 {
+		return
+	}
+	first, _ := n.store.FirstIndex()
+	m := &raftpb.Message{To: new(c.id), From: new(lead), Term: new(term)}
+	if c.next < first {
+		if n.stale != nil || n.conf == nil {
+			return
+		}
+		m.Type = raftpb.MsgSnap.Enum()
+		m.Snapshot = &raftpb.Snapshot{Data: n.rep.Snapshot(), Metadata: &raftpb.SnapshotMetadata{ConfState: n.conf,
+			Index: new(n.applied), Term: new(n.Term(n.applied))}}
+		c.next = n.applied + 1
+	} else {
+		var entries []*raftpb.Entry
+		if c.next <= n.applied {
+			var err error
+			if entries, err = n.store.Entries(c.next, n.applied+1, mostFeed); err != nil {
+				return
+			}
+		}
+		m.Type = raftpb.MsgApp.Enum()
+		m.Index, m.LogTerm, m.Entries = new(c.next-1), new(n.Term(c.next-1)), entries
+		m.Commit = new(min(n.applied, c.next-1+uint64(len(entries))))
+		c.next += uint64(len(entries))
+	}
+	b, err := proto.Marshal(m)
+	if err != nil {
+		return
+	}
+	n.send(c.name, KindFeed, b)
+}
+
+// lead is what a leader does at every tick: it hands over before its own turn,
+// tells time and contacts, and has the council's seats changed.
+func (n *Node) lead() {
+	if n.leads = n.Leads(); !n.leads {
+		return
+	}
+	s := n.rep.State()
+	if n.ticks%beatTicks != 0 || s.Fleet == 0 || n.stale != nil {
+		return
+	}
+	n.heard[n.cfg.Name] = heard{id: n.id, start: n.cfg.Start, at: n.now, away: n.away, applied: n.applied}
+	var contacts []replica.Contact
+	for _, f := range s.Council.Fronts {
+		h, ok := n.heard[f.Name]
+		if !f.Lost && (!ok || h.id != f.ID) { // it has only just come
+			h, ok = heard{id: f.ID, start: f.Start, at: n.now, away: f.Away}, true
+			n.heard[f.Name] = h
+		}
+		lost := !ok || h.id != f.ID || n.now-h.at > n.cfg.Lost
+		away := f.Away
+		if ok && h.id == f.ID && h.start == f.Start {
+			away = h.away
+		}
+		if lost != f.Lost || away != f.Away {
+			contacts = append(contacts, replica.Contact{Name: f.Name, ID: f.ID, Lost: lost, Away: away})
+		}
+	}
+	if len(contacts) > 0 || n.timeMatters() && n.now-n.facts >= n.span(beatTicks) {
+		if _, done := n.rep.Seen(n.factsID); done || n.factsID == (replica.ID{}) || n.now-n.facts > n.span(againTicks) {
+			n.number++
+			n.factsID = replica.ID{Front: n.id, Start: n.cfg.Start, N: n.number}
+			c := replica.Command{ID: n.factsID, Facts: &replica.Facts{Span: n.now - n.facts, Contact: contacts}}
+			if b, err := replica.Encode(c); err == nil && n.raw.Propose(b) == nil {
+				n.facts = n.now
+			}
+		}
+	}
+	n.handOver()
+	n.seats()
+}
+
+// timeMatters tells whether anything in the state waits for time to pass.
+func (n *Node) timeMatters() bool {
+	s := n.rep.State()
+	return len(s.Work.Items) > 0 ||
+		slices.ContainsFunc(s.Council.Fronts, func(f council.Front) bool { return f.Lost && s.Seats.Has(f.ID) })
+}
+
+// handOver gives the lead to another voter before this front goes out.
+func (n *Node) handOver() {
+	own := n.rep.State().Council.Find(n.cfg.Name)
+	if own == nil || !n.rep.Avoid(own) && !own.Leaving || n.now-n.handed < n.span(electionTicks) {
+		return
+	}
+	if to := n.successor(); to != 0 {
+		n.handed = n.now
+		n.tell("%s is handed the lead: this front goes out", n.nameOf(to))
+		n.raw.TransferLeader(to)
+	}
+}
+
+// successor is the voter that should lead next: heard, staying, and with the most entries.
+func (n *Node) successor() (best uint64) {
+	s := n.rep.State()
+	most := uint64(0)
+	for id, p := range n.raw.Status().Progress {
+		f := s.Council.ByID(id)
+		if f == nil || id == n.id || p.IsLearner || f.Lost || f.Leaving || n.rep.Avoid(f) {
+			continue
+		}
+		if best == 0 || p.Match > most || p.Match == most && id < best {
+			best, most = id, p.Match
+		}
+	}
+	return best
+}
+
+// seats has the council's next change proposed, one at a time.
+func (n *Node) seats() {
+	if n.conf2 > n.applied && n.now-n.confAt < n.span(feederTicks) || n.now-n.confAt < n.span(beatTicks) {
+		return
+	}
+	s := n.rep.State()
+	progress := n.raw.Status().Progress
+	m := s.Council.Next(s.Seats, council.Config{Grace: n.cfg.Grace}, council.View{Now: s.Now, Leader: n.id,
+		Caught: func(id uint64) bool { return progress[id].Match+16 >= n.last() }, Avoid: n.rep.Avoid,
+		Near: func(f *council.Front) bool {
+			h := n.heard[f.Name]
+			return h.id == f.ID && h.applied+nearEntries >= n.applied
+		}})
+	n.changing = m.Why
+	cc := &raftpb.ConfChangeV2{}
+	change := func(t raftpb.ConfChangeType, id uint64) {
+		cc.Changes = append(cc.Changes, &raftpb.ConfChangeSingle{Type: t.Enum(), NodeId: new(id)})
+	}
+	switch m.Kind {
+	case council.Stay:
+		return
+	case council.Learn:
+		change(raftpb.ConfChangeAddLearnerNode, m.Add)
+	case council.Promote:
+		change(raftpb.ConfChangeAddNode, m.Add)
+		if m.Drop != 0 {
+			change(raftpb.ConfChangeRemoveNode, m.Drop)
+		}
+	case council.Drop:
+		change(raftpb.ConfChangeRemoveNode, m.Drop)
+	}
+	n.confAt = n.now
+	if err := n.raw.ProposeConfChange(cc); err == nil {
+		n.conf2 = n.last() + 1
+		n.tell("council: %s", m.Why)
+	}
+}
--- /dev/null
+++ b/internal/fleet/agree/messages.go
@@ -0,0 +1,233 @@
+package agree
+
+import (
+	"fmt"
+	"slices"
+
+	"github.com/fxamacker/cbor/v2"
+	"go.etcd.io/raft/v3"
+	"go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/protobuf/proto"
+
+	"cherryramp/internal/decide/replica"
+)
+
+// Kind is what a message between two fronts is.
+type Kind uint8
+
+// The kinds.
+const (
+	KindRaft    Kind = iota + 1 // the agreement library's own, as it marshals them
+	KindPropose                 // a command on its way to the leader
+	KindBeat                    // a front is there, and those below it
+	KindAsk                     // feed me, from this entry on
+	KindFeed                    // entries that are committed, as the leader's own message
+	KindFed                     // you are fed, from below this path; or ask another one
+	KindProbe                   // do you belong to a fleet?
+	KindTell                    // the answer
+)
+
+// Beat tells that a front is there, and who is below it.
+type Beat struct {
+	Name    string `cbor:"1,keyasint"`
+	ID      uint64 `cbor:"2,keyasint"`
+	Start   uint64 `cbor:"3,keyasint"`
+	Away    bool   `cbor:"4,keyasint,omitempty"`
+	Applied uint64 `cbor:"5,keyasint"`
+	Age     Micros `cbor:"6,keyasint,omitempty"` // since it was heard by who tells
+	Below   []Beat `cbor:"7,keyasint,omitempty"`
+}
+
+// Ask asks to be fed.
+type Ask struct {
+	ID   uint64 `cbor:"1,keyasint"`
+	Next uint64 `cbor:"2,keyasint"`
+}
+
+// Fed is the answer.
+type Fed struct {
+	Path []string `cbor:"1,keyasint,omitempty"` // who feeds, and above it
+	Try  []string `cbor:"2,keyasint,omitempty"` // no place: ask these
+	Full bool     `cbor:"3,keyasint,omitempty"`
+}
+
+// Tell is what a front says of its past.
+type Tell struct {
+	Fleet uint64   `cbor:"1,keyasint"` // 0: it knows of none
+	First []string `cbor:"2,keyasint"` // its named first members, in order
+}
+
+var (
+	encoder = must(cbor.EncOptions{Sort: cbor.SortCanonical}.EncMode())
+	decoder = must(cbor.DecOptions{DupMapKey: cbor.DupMapKeyEnforcedAPF, IndefLength: cbor.IndefLengthForbidden, TagsMd: cbor.TagsForbidden,
+		MaxNestedLevels: 8, MaxArrayElements: 4096, MaxMapPairs: 64, UTF8: cbor.UTF8RejectInvalid}.DecMode())
+)
+
+func must[T any](x T, err error) T {
+	if err != nil {
+		panic(err) // the options are constants
+	}
+	return x
+}
+
+func encode(x any) []byte {
+	b, err := encoder.Marshal(x)
+	if err != nil {
+		panic(fmt.Sprintf("fleet: %v", err)) // plain values always encode
+	}
+	return b
+}
+
+func decodeChange(e *raftpb.Entry) (raftpb.ConfChangeI, error) {
+	if e.GetType() == raftpb.EntryConfChange {
+		cc := &raftpb.ConfChange{}
+		return cc, proto.Unmarshal(e.GetData(), cc)
+	}
+	cc := &raftpb.ConfChangeV2{}
+	return cc, proto.Unmarshal(e.GetData(), cc)
+}
+
+// wrap puts the agreement's message on its way. What a front that is fed would
+// answer to the leader stays here: it asks its feeder instead.
+func (n *Node) wrap(list []Send, m *raftpb.Message) []Send {
+	to := n.nameOf(m.GetTo())
+	if to == "" || to == n.cfg.Name || !n.seat() && m.GetType() == raftpb.MsgAppResp && n.feeder != "" {
+		if m.GetType() == raftpb.MsgSnap {
+			n.raw.ReportSnapshot(m.GetTo(), raft.SnapshotFailure)
+		}
+		return list
+	}
+	b, err := proto.Marshal(m)
+	if err != nil {
+		panic(fmt.Sprintf("fleet: %v", err)) // its messages always encode
+	}
+	if m.GetType() == raftpb.MsgSnap { // whether it came, the next answers tell
+		n.raw.ReportSnapshot(m.GetTo(), raft.SnapshotFinish)
+	}
+	return append(list, Send{To: to, Kind: KindRaft, Payload: b})
+}
+
+// Receive takes a message in from another front, whose name its keys have proven.
+// The error tells of one that can't be read.
+func (n *Node) Receive(from string, kind Kind, payload []byte) error {
+	switch kind {
+	case KindRaft, KindFeed:
+		m := &raftpb.Message{}
+		if err := proto.Unmarshal(payload, m); err != nil {
+			return fmt.Errorf("fleet: from %s: %w", from, err)
+		}
+		n.raft(from, kind, m)
+	case KindPropose:
+		c, err := replica.Decode(payload)
+		if err != nil {
+			return fmt.Errorf("fleet: from %s: %w", from, err)
+		}
+		if _, ok := n.rep.Seen(c.ID); !ok { // whoever waits for it sees it in the log
+			n.forward(payload)
+		}
+	case KindBeat:
+		return receive(payload, func(b Beat) { n.beaten(from, b) })
+	case KindAsk:
+		return receive(payload, func(a Ask) { n.feed(from, a) })
+	case KindFed:
+		return receive(payload, func(f Fed) { n.feeding(from, f) })
+	case KindProbe, KindTell:
+		return receive(payload, func(t Tell) { n.toldBy(from, kind, t) })
+	default:
+		return fmt.Errorf("fleet: from %s: message of kind %d", from, kind)
+	}
+	return nil
+}
+
+func receive[T any](payload []byte, take func(T)) error {
+	var x T
+	if err := decoder.Unmarshal(payload, &x); err != nil {
+		return fmt.Errorf("fleet: %w", err)
+	}
+	take(x)
+	return nil
+}
+
+// raft steps the agreement. What is not for this incarnation is dropped: a front
+// that lost its disk must not answer for the one it was.
+func (n *Node) raft(from string, kind Kind, m *raftpb.Message) {
+	if m.GetTo() != n.id {
+		return
+	}
+	if kind == KindRaft {
+		n.names[m.GetFrom()] = from
+		if len(n.names) > 4096 {
+			clear(n.names)
+		}
+	} else if from == n.feeder {
+		n.fed = n.now
+	}
+	if kind == KindFeed && m.GetType() == raftpb.MsgSnap {
+		n.fedSnapshot = m
+		return
+	}
+	before := n.raw.BasicStatus()
+	_ = n.raw.Step(m) // what does not fit is dropped, as by a network
+	if after := n.raw.BasicStatus(); after.Lead != before.Lead && after.Lead != 0 && after.Lead != n.id {
+		n.tell("%s leads in term %d", n.nameOf(after.Lead), after.GetTerm())
+	}
+}
+
+// beat tells that this front is there: a voter to the leader, others to who feeds them.
+func (n *Node) beat() {
+	b := Beat{Name: n.cfg.Name, ID: n.id, Start: n.cfg.Start, Away: n.away, Applied: n.applied}
+	to := n.feeder
+	if lead, _ := n.Leader(); n.seat() || to == "" {
+		to = n.nameOf(lead)
+	}
+	if n.leads || to == "" || to == n.cfg.Name {
+		return
+	}
+	for _, c := range n.children {
+		if h, ok := n.heard[c.name]; ok && n.now-h.at < n.cfg.Lost {
+			b.Below = append(b.Below, Beat{Name: c.name, ID: h.id, Start: h.start, Away: h.away, Applied: h.applied, Age: n.now - h.at})
+		}
+	}
+	// And those below them, as they told.
+	for name, h := range n.heard {
+		if n.now-h.at < n.cfg.Lost && !slices.ContainsFunc(n.children, func(c *child) bool { return c.name == name }) {
+			b.Below = append(b.Below, Beat{Name: name, ID: h.id, Start: h.start, Away: h.away, Applied: h.applied, Age: n.now - h.at})
+		}
+	}
+	slices.SortFunc(b.Below, func(x, y Beat) int { return compare(x.Name, y.Name) })
+	n.send(to, KindBeat, encode(b))
+}
+
+func compare(a, b string) int {
+	if a < b {
+		return -1
+	}
+	if a > b {
+		return 1
+	}
+	return 0
+}
+
+// beaten takes a beat in.
+func (n *Node) beaten(from string, b Beat) {
+	if b.Name != from {
+		return
+	}
+	note := func(b Beat) {
+		at := n.now - max(0, b.Age)
+		if old, ok := n.heard[b.Name]; !ok || old.at <= at {
+			n.heard[b.Name] = heard{id: b.ID, start: b.Start, at: at, away: b.Away, applied: b.Applied}
+		}
+	}
+	note(b)
+	for _, x := range b.Below {
+		if x.Name != n.cfg.Name {
+			note(x)
+		}
+	}
+	for name, h := range n.heard { // who has gone for long
+		if n.now-h.at > 10*n.cfg.Lost {
+			delete(n.heard, name)
+		}
+	}
+}
--- /dev/null
+++ b/lab/fleet/check.go
@@ -0,0 +1,134 @@
+package fleet
+
+import (
+	"fmt"
+	"hash/fnv"
+
+	"cherryramp/internal/decide/work"
+)
+
+// Checker holds the promises against what a world's fronts show. It asks for no
+// decision: it counts who is out, and compares what they hold.
+type Checker struct {
+	w       *World
+	broken  []string
+	state   map[uint64]uint64 // by index: the digest of what is held there
+	leaders map[uint64]uint64 // by term
+	permits map[uint64]string // by number: the machine
+	applied map[string]uint64 // by front
+	out     map[string]string // fronts that are truly out: their zones
+	Most    int               // out at once
+	Checked int
+}
+
+func newChecker(w *World) *Checker {
+	return &Checker{w: w, state: map[uint64]uint64{}, leaders: map[uint64]uint64{}, permits: map[uint64]string{},
+		applied: map[string]uint64{}, out: map[string]string{}}
+}
+
+// Failed tells whether a promise was broken.
+func (c *Checker) Failed() bool { return len(c.broken) > 0 }
+
+// Broken is the promises that were.
+func (c *Checker) Broken() []string { return c.broken }
+
+func (c *Checker) fail(format string, args ...any) {
+	if len(c.broken) < 10 {
+		c.broken = append(c.broken, fmt.Sprintf(format, args...))
+		c.w.log("BROKEN: "+format, args...)
+	}
+}
+
+// seen compares what a front holds with what others held at the same entry, and
+// looks at who leads.
+func (c *Checker) seen(f *Front) {
+	n := f.node
+	if n.Leads() {
+		id, term := n.Leader()
+		if other, ok := c.leaders[term]; ok && other != id {
+			c.fail("two lead in term %d: %x and %x", term, other, id)
+		}
+		c.leaders[term] = id
+	}
+	at := n.Applied()
+	if at == c.applied[f.Name] || n.Stale() != nil {
+		return
+	}
+	c.applied[f.Name] = at
+	c.Checked++
+	h := fnv.New64a()
+	_, _ = h.Write(n.Replica().Snapshot())
+	sum := h.Sum64()
+	if other, ok := c.state[at]; ok && other != sum {
+		c.fail("%s holds something else at entry %d than another", f.Name, at)
+	}
+	c.state[at] = sum
+	if len(c.state) > 20000 {
+		clear(c.state)
+	}
+	for _, x := range n.Replica().State().Work.Items {
+		c.permit(x)
+	}
+}
+
+// permit: no number for two machines.
+func (c *Checker) permit(x work.Item) {
+	if x.Permit == 0 {
+		return
+	}
+	if m, ok := c.permits[x.Permit]; ok && m != x.Machine {
+		c.fail("permit %d is %s's and %s's", x.Permit, m, x.Machine)
+	}
+	c.permits[x.Permit] = x.Machine
+}
+
+// host counts who is truly out under a permit.
+func (c *Checker) host(f *Front) {
+	if f.out {
+		c.out[f.Name] = f.Zone
+	} else {
+		delete(c.out, f.Name)
+		return
+	}
+	zones := map[string]int{}
+	for _, z := range c.out {
+		zones[z]++
+	}
+	r := c.w.spec.Rules
+	c.Most = max(c.Most, len(c.out))
+	if len(c.out) > r.Out {
+		c.fail("%d fronts are out under a permit, %d may be: %v", len(c.out), r.Out, c.out)
+	}
+	if zones[f.Zone] > r.Zone {
+		c.fail("%d fronts of zone %s are out under a permit, %d may be", zones[f.Zone], f.Zone, r.Zone)
+	}
+	if most := max(1, len(c.w.Fronts)*r.Percent/100); len(c.out) > most {
+		c.fail("%d fronts are out under a permit, %d%% of %d may be", len(c.out), r.Percent, len(c.w.Fronts))
+	}
+}
+
+// down: a front that was out under a permit and died is out still, until it is
+// back or was declared lost.
+func (c *Checker) down(*Front) {}
+
+// End tells what must hold once contact is back: every front that is up holds the
+// same, and every work that was asked for has ended.
+func (c *Checker) End() {
+	var last *Front
+	for _, f := range c.w.Fronts {
+		if f.node == nil {
+			continue
+		}
+		if last != nil && f.node.Applied() != last.node.Applied() {
+			c.fail("%s is at entry %d, %s at %d, with contact back", f.Name, f.node.Applied(), last.Name, last.node.Applied())
+		}
+		last = f
+	}
+	if last == nil {
+		return
+	}
+	s := last.node.Replica().State()
+	for _, x := range s.Work.Items {
+		c.fail("work %d on %s has not ended: %s", x.ID, x.Machine, s.Work.Why(x.Machine, last.node.Replica().Fleet(), s.Now))
+	}
+}
--- /dev/null
+++ b/lab/fleet/virtual.go
@@ -0,0 +1,531 @@
+// Package fleet plays a fleet of fronts that act together, with faults between
+// them: the same nodes in virtual time, hundreds of them, and started processes of
+// the built program. Its checkers know only what is promised.
+package fleet
+
+import (
+	"container/heap"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"io"
+	mathrand "math/rand/v2"
+	"slices"
+	"sync"
+
+	"cherryramp/internal/decide/replica"
+	"cherryramp/internal/decide/work"
+	"cherryramp/internal/fleet/agree"
+)
+
+// Micros is a moment or a span of virtual time, in microseconds.
+type Micros = int64
+
+// Milli and Second are spans.
+const (
+	Milli  Micros = 1000
+	Second Micros = 1_000_000
+)
+
+// seeded is a random source in place of the system's: the agreement library draws
+// its election time-outs from crypto/rand.Reader, and virtual time must play the
+// same day for the same seed. It is for the process that plays.
+type seeded struct{ c *mathrand.ChaCha8 }
+
+func (s seeded) Read(p []byte) (int, error) { return s.c.Read(p) }
+
+var seeding sync.Mutex
+
+// seedLibrary has the agreement library draw from a seed until undone.
+func seedLibrary(seed uint64) (undo func()) {
+	seeding.Lock()
+	before := rand.Reader
+	var b [32]byte
+	binary.LittleEndian.PutUint64(b[:], seed)
+	rand.Reader = seeded{mathrand.NewChaCha8(b)}
+	return func() { rand.Reader = before; seeding.Unlock() }
+}
+
+// Spec is a fleet in virtual time.
+type Spec struct {
+	Fronts  int
+	Zones   int
+	First   int // named first members; 0: three, or as many as there are
+	Seed    uint64
+	Rules   work.Rules // zero: the defaults, with short spans
+	Without replica.Rule
+	FanOut  int
+}
+
+// event is something that happens at a moment.
+type event struct {
+	at  Micros
+	seq uint64
+	do  func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+
+// Push is part of heap.Interface.
+func (e *events) Push(x any) { *e = append(*e, x.(event)) }
+
+// Pop is part of heap.Interface.
+func (e *events) Pop() any {
+	old := *e
+	x := old[len(old)-1]
+	old[len(old)-1] = event{}
+	*e = old[:len(old)-1]
+	return x
+}
+
+// Front is one front of the world.
+type Front struct {
+	w        *World
+	cfg      agree.Config
+	Name     string
+	Zone     string
+	node     *agree.Node
+	disk     [][]byte // what is durable
+	life     uint64   // counts starts, so that nothing of the one before reaches the next
+	paused   bool
+	held     []func() // what came while it was paused
+	rate     float64  // of its clock
+	offset   Micros
+	slow     Micros // that its disk takes
+	full     bool   // its disk takes nothing
+	open     int    // requests, as its host counts them
+	out      bool   // it takes no clients
+	outAs    uint64
+	emptyAt  Micros
+	stuck    bool // it never comes empty by itself
+	Restarts int
+	died     int
+}
+
+// World is a fleet in virtual time.
+type World struct {
+	spec     Spec
+	r        *mathrand.Rand
+	now      Micros
+	seq      uint64
+	queue    events
+	Fronts   []*Front
+	byName   map[string]*Front
+	cut      map[[2]string]bool // one-way
+	delay    Micros
+	jitter   Micros
+	loss     float64
+	double   float64
+	last     map[[2]string]Micros
+	Sent     map[string]int // messages by front
+	Bytes    map[string]int
+	Checks   *Checker
+	Log      []string
+	Verbose  func(string)
+	restarts bool // whoever is out is restarted once it may be
+}
+
+// NewWorld makes a world in which nothing is started yet.
+func NewWorld(s Spec) *World {
+	w := &World{spec: s, r: mathrand.New(mathrand.NewPCG(s.Seed, 0xf1ee7)), byName: map[string]*Front{}, cut: map[[2]string]bool{},
+		delay: Milli, jitter: Milli, last: map[[2]string]Micros{}, Sent: map[string]int{}, Bytes: map[string]int{}, restarts: true}
+	w.Checks = newChecker(w)
+	if s.Rules == (work.Rules{}) {
+		w.spec.Rules = ShortRules()
+	}
+	var first []agree.Address
+	if s.First == 0 {
+		s.First = min(3, s.Fronts)
+	}
+	for i := range s.First {
+		first = append(first, agree.Address{Name: name(i), Address: "virtual"})
+	}
+	for i := range s.Fronts {
+		f := &Front{w: w, Name: name(i), Zone: fmt.Sprintf("z%d", i%max(1, s.Zones)), rate: 1 + 1e-4*(2*w.r.Float64()-1),
+			offset: Micros(w.r.Int64N(1_000_000_000))}
+		f.cfg = agree.Config{Fleet: "virtual", Name: f.Name, Zone: f.Zone, Machine: f.Name, Address: "virtual", Build: "v1", First: first,
+			Rules: w.spec.Rules, Draw: w.draw, Tick: 100 * Milli, Lost: 3 * Second, Grace: 30 * Second, FanOut: max(1, s.FanOut), Snapshot: 200}
+		if s.FanOut == 0 {
+			f.cfg.FanOut = 8
+		}
+		w.Fronts = append(w.Fronts, f)
+		w.byName[f.Name] = f
+	}
+	return w
+}
+
+// ShortRules are the defaults with spans that fit a short day.
+func ShortRules() work.Rules {
+	r := work.Defaults()
+	r.Accept, r.Empty, r.Back, r.Cold = 5*Second, 10*Second, 10*Second, 2*Second
+	return r
+}
+
+func name(i int) string { return fmt.Sprintf("n%d", i) }
+
+func (w *World) draw() uint64 { return max(1, w.r.Uint64()) }
+
+func (w *World) at(at Micros, do func()) {
+	w.seq++
+	heap.Push(&w.queue, event{at: max(at, w.now), seq: w.seq, do: do})
+}
+
+// After has something done after a span.
+func (w *World) After(span Micros, do func()) { w.at(w.now+span, do) }
+
+// Now is the virtual moment.
+func (w *World) Now() Micros { return w.now }
+
+func (w *World) log(format string, args ...any) {
+	line := fmt.Sprintf("%9.3f  ", float64(w.now)/1e6) + fmt.Sprintf(format, args...)
+	if w.Log = append(w.Log, line); len(w.Log) > 4000 {
+		w.Log = slices.Delete(w.Log, 0, 1000)
+	}
+	if w.Verbose != nil {
+		w.Verbose(line)
+	}
+}
+
+// Run plays until a moment.
+func (w *World) Run(until Micros) {
+	undo := seedLibrary(w.spec.Seed ^ uint64(w.seq))
+	defer undo()
+	for len(w.queue) > 0 && w.queue[0].at <= until && !w.Checks.Failed() {
+		e := heap.Pop(&w.queue).(event)
+		w.now = e.at
+		e.do()
+	}
+	w.now = max(w.now, until)
+}
+
+// RunUntil plays until something holds, or a span has passed.
+func (w *World) RunUntil(within Micros, holds func() bool) bool {
+	for end := w.now + within; w.now < end && !w.Checks.Failed(); {
+		if holds() {
+			return true
+		}
+		w.Run(w.now + 50*Milli)
+	}
+	return holds()
+}
+
+// clock is the front's own.
+func (f *Front) clock() Micros { return f.offset + Micros(f.rate*float64(f.w.now)) }
+
+// Start starts a front on what its disk holds.
+func (f *Front) Start() {
+	if f.node != nil {
+		return
+	}
+	f.life++
+	f.Restarts++
+	r := &agree.Recovered{}
+	for _, record := range f.disk {
+		if err := r.Take(record); err != nil {
+			f.w.log("%s can't start: %v", f.Name, err)
+			return
+		}
+	}
+	if r.Identity.ID == 0 {
+		r.Identity = agree.Identity{Name: f.Name, ID: f.w.draw()}
+		f.disk = [][]byte{agree.IdentityRecord(r.Identity)}
+	}
+	f.cfg.Start = f.w.draw()
+	n, err := agree.New(f.cfg, r, f.clock())
+	if err != nil {
+		f.w.log("%s can't start: %v", f.Name, err)
+		return
+	}
+	n.Replica().Without(f.w.spec.Without)
+	f.node, f.out, f.open, f.paused, f.held = n, false, f.w.r.IntN(5), false, nil
+	f.w.log("%s starts (incarnation %x)", f.Name, r.Identity.ID)
+	f.tick(f.life)
+}
+
+func (f *Front) tick(life uint64) {
+	if f.life != life || f.node == nil {
+		return
+	}
+	f.w.After(f.cfg.Tick/2, func() { f.tick(life) })
+	f.do(life, func() {
+		f.host()
+		f.node.Tick(f.clock())
+		f.pump()
+	})
+}
+
+// do has something done by the front, once it is no longer stopped.
+func (f *Front) do(life uint64, what func()) {
+	if f.life != life || f.node == nil {
+		return
+	}
+	if f.paused {
+		if len(f.held) < 5000 {
+			f.held = append(f.held, what)
+		}
+		return
+	}
+	what()
+}
+
+// host is what the program round the node does: it empties and fills the front.
+func (f *Front) host() {
+	out, permit := f.node.Out()
+	switch {
+	case out && !f.out:
+		f.out, f.outAs, f.emptyAt = true, permit, f.w.now+Micros(f.w.r.Int64N(int64(2*Second)))
+		f.w.log("%s goes out under permit %d", f.Name, permit)
+	case !out && f.out:
+		f.out = false
+		f.w.log("%s takes clients again", f.Name)
+	}
+	f.w.Checks.host(f)
+	f.node.Host(f.out, f.out && f.w.now >= f.emptyAt && !f.stuck)
+	for _, b := range f.node.Boxes() {
+		f.node.LeftBox(b, true)
+	}
+}
+
+// pump writes and sends what the node has for it.
+func (f *Front) pump() {
+	for _, line := range f.node.Told() {
+		f.w.log("%s: %s", f.Name, line)
+	}
+	f.w.Checks.seen(f)
+	out, ok := f.node.Ready()
+	if !ok {
+		return
+	}
+	life, n := f.life, f.node
+	done := func() {
+		f.do(life, func() {
+			if len(out.Records) > 0 && f.full {
+				f.w.After(Second, func() { f.do(life, func() { f.retry(out) }) })
+				return
+			}
+			f.keep(out)
+			f.finish(n, out)
+		})
+	}
+	if len(out.Records) == 0 && out.Rewrite == nil {
+		f.finish(n, out)
+		return
+	}
+	f.w.After(f.slow+100+Micros(f.w.r.Int64N(500)), done)
+}
+
+func (f *Front) retry(out agree.Output) {
+	if f.full {
+		life := f.life
+		f.w.After(Second, func() { f.do(life, func() { f.retry(out) }) })
+		return
+	}
+	f.keep(out)
+	f.finish(f.node, out)
+}
+
+func (f *Front) keep(out agree.Output) {
+	if out.Rewrite != nil {
+		f.disk = slices.Clone(out.Rewrite)
+		return
+	}
+	f.disk = append(f.disk, out.Records...)
+}
+
+func (f *Front) finish(n *agree.Node, out agree.Output) {
+	for _, s := range out.Sends {
+		f.w.send(f, s)
+	}
+	if err := n.Done(out); err != nil {
+		f.w.Checks.fail("%s: %v", f.Name, err)
+		return
+	}
+	f.pump()
+}
+
+// send brings a message on its way.
+func (w *World) send(f *Front, s agree.Send) {
+	w.Sent[f.Name]++
+	w.Bytes[f.Name] += len(s.Payload) + 16
+	to, pair := w.byName[s.To], [2]string{f.Name, s.To}
+	if to == nil || w.cut[pair] || w.loss > 0 && w.r.Float64() < w.loss {
+		return
+	}
+	times := 1
+	if w.double > 0 && w.r.Float64() < w.double {
+		times = 2
+	}
+	for range times {
+		due := w.now + w.delay + Micros(w.r.Int64N(int64(w.jitter)+1))
+		if w.double == 0 { // in order, as on one connection
+			due = max(due, w.last[pair])
+			w.last[pair] = due
+		}
+		life := to.life
+		w.at(due, func() {
+			if w.cut[pair] {
+				return
+			}
+			to.do(life, func() {
+				if err := to.node.Receive(f.Name, s.Kind, s.Payload); err != nil {
+					w.Checks.fail("%s can't read a message of %s: %v", to.Name, f.Name, err)
+				}
+				to.pump()
+			})
+		})
+	}
+}
+
+// Crash ends a front at once; what was not durable is gone.
+func (f *Front) Crash() {
+	if f.node == nil {
+		return
+	}
+	f.w.log("%s crashes", f.Name)
+	f.node, f.paused, f.held = nil, false, nil
+	f.life++
+	f.died++
+	f.w.Checks.down(f)
+}
+
+// Wipe crashes a front and empties its disk.
+func (f *Front) Wipe() {
+	f.Crash()
+	f.disk = nil
+	f.w.log("%s's disk is wiped", f.Name)
+}
+
+// Pause stops a front's process, or has it go on.
+func (f *Front) Pause(on bool) {
+	if f.node == nil || f.paused == on {
+		return
+	}
+	f.paused = on
+	f.w.log("%s %s", f.Name, map[bool]string{true: "is stopped", false: "goes on"}[on])
+	if !on {
+		held := f.held
+		f.held = nil
+		for _, do := range held {
+			f.do(f.life, do)
+		}
+	}
+}
+
+// Up tells whether a front runs.
+func (f *Front) Up() bool { return f.node != nil }
+
+// Node is the front's node; nil while it is down.
+func (f *Front) Node() *agree.Node { return f.node }
+
+// Cut has nothing come from one front to another, or again.
+func (w *World) Cut(from, to string, on bool) {
+	if on {
+		w.cut[[2]string{from, to}] = true
+	} else {
+		delete(w.cut, [2]string{from, to})
+	}
+}
+
+// Part parts the fronts into groups that hear nothing of each other; none: all
+// hear all.
+func (w *World) Part(groups ...[]string) {
+	clear(w.cut)
+	if len(groups) == 0 {
+		w.log("all hear all")
+		return
+	}
+	w.log("parted: %v", groups)
+	for _, a := range w.Fronts {
+		for _, b := range w.Fronts {
+			together := slices.ContainsFunc(groups, func(g []string) bool { return slices.Contains(g, a.Name) && slices.Contains(g, b.Name) })
+			if a != b && !together {
+				w.cut[[2]string{a.Name, b.Name}] = true
+			}
+		}
+	}
+}
+
+// Leader is the front that leads in the newest term; nil: none does.
+func (w *World) Leader() (best *Front) {
+	most := uint64(0)
+	for _, f := range w.Fronts {
+		if f.node != nil && f.node.Leads() {
+			if _, term := f.node.Leader(); term > most {
+				best, most = f, term
+			}
+		}
+	}
+	return best
+}
+
+// Ask has a front asked for a work, and tells its word.
+func (w *World) Ask(at *Front, x work.Item, done func(replica.Word, error)) {
+	w.order(at, replica.Command{Ask: &replica.Ask{Work: x}}, done)
+}
+
+// Order has a front told a person's word.
+func (w *World) Order(at *Front, o replica.Order, done func(replica.Word, error)) {
+	w.order(at, replica.Command{Order: &o}, done)
+}
+
+var errDown = errors.New("the front is down")
+
+func (w *World) order(at *Front, c replica.Command, done func(replica.Word, error)) {
+	if at.node == nil || at.paused {
+		done(replica.Word{}, errDown)
+		return
+	}
+	at.node.Submit(c, 10*Second, done)
+	at.pump()
+}
+
+// Settled tells whether all fronts that are up hold the same, are of the fleet as
+// they are, and the council has all the seats that it wants.
+func (w *World) Settled() bool {
+	l := w.Leader()
+	if l == nil {
+		return false
+	}
+	s := l.node.Replica().State()
+	for _, f := range w.Fronts {
+		if f.node == nil {
+			continue
+		}
+		own := s.Council.Find(f.Name)
+		if own == nil || own.ID != f.node.ID() || own.Lost || f.node.Applied() != l.node.Applied() {
+			return false
+		}
+	}
+	return len(s.Seats.Voters) == s.Council.Target() && !s.Seats.Joint
+}
+
+// Digest is over what all fronts hold, for a comparison of two runs.
+func (w *World) Digest() string {
+	h := sha256.New()
+	for _, f := range w.Fronts {
+		_, _ = fmt.Fprintf(h, "%s %d %d\n", f.Name, f.life, w.Sent[f.Name])
+		if f.node != nil {
+			_, _ = h.Write(f.node.Replica().Snapshot())
+		}
+		for _, r := range f.disk {
+			_, _ = h.Write(r)
+		}
+	}
+	return hex.EncodeToString(h.Sum(nil)[:8])
+}
+
+// Dump writes the last lines of what happened.
+func (w *World) Dump(to io.Writer, lines int) {
+	for _, l := range w.Log[max(0, len(w.Log)-lines):] {
+		_, _ = fmt.Fprintln(to, l)
+	}
+}
--- /dev/null
+++ b/lab/fleet/virtual_test.go
@@ -0,0 +1,77 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+
+	"cherryramp/internal/decide/replica"
+	"cherryramp/internal/decide/work"
+)
+
+// up starts a world's fronts and waits until all are of the fleet and all seats taken.
+func up(t *testing.T, s Spec) *World {
+	t.Helper()
+	w := NewWorld(s)
+	for _, f := range w.Fronts {
+		f.Start()
+	}
+	if !w.RunUntil(60*Second, w.Settled) {
+		w.Dump(t.Output(), 60)
+		t.Fatal("the fleet does not come together")
+	}
+	return w
+}
+
+func ended(t *testing.T, w *World) {
+	t.Helper()
+	if w.Checks.Failed() {
+		w.Dump(t.Output(), 80)
+		t.Fatal(w.Checks.Broken())
+	}
+}
+
+func TestFleetComesTogether(t *testing.T) {
+	for _, n := range []int{1, 2, 3, 5, 12, 40} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			w := up(t, Spec{Fronts: n, Zones: 3, Seed: uint64(n)})
+			ended(t, w)
+			t.Logf("%d fronts after %.1f s, %d voters", n, float64(w.Now())/1e6, len(w.Leader().node.Replica().State().Seats.Voters))
+		})
+	}
+}
+
+// One front is taken out by a permit and brought back, the leader killed in the
+// middle.
+func TestOutAndBack(t *testing.T) {
+	w := up(t, Spec{Fronts: 3, Zones: 3, Seed: 4})
+	leader := w.Leader()
+	target := w.Fronts[0]
+	if target == leader {
+		target = w.Fronts[1]
+	}
+	w.Ask(target, work.Item{Machine: target.Name, Span: 60 * Second}, func(word replica.Word, err error) {
+		if err != nil || word.Err != "" {
+			t.Errorf("ask: %+v, %v", word, err)
+		}
+	})
+	if !w.RunUntil(30*Second, func() bool { return target.out }) {
+		w.Dump(t.Output(), 60)
+		t.Fatal("it does not go out")
+	}
+	leader.Crash()
+	w.Run(w.Now() + 5*Second)
+	leader.Start()
+	if !w.RunUntil(30*Second, func() bool {
+		x := target.node.Replica().State().Work.On(target.Name)
+		return x != nil && x.Phase == work.Out
+	}) {
+		w.Dump(t.Output(), 60)
+		t.Fatal("it does not come empty")
+	}
+	w.Order(target, replica.Order{What: replica.Finish, Work: 1}, func(replica.Word, error) {})
+	if !w.RunUntil(30*Second, func() bool { return target.node.Replica().State().Work.On(target.Name) == nil }) {
+		w.Dump(t.Output(), 60)
+		t.Fatal("it does not come back")
+	}
+	ended(t, w)
+}
