--- a/internal/decide/council/council.go
+++ b/internal/decide/council/council.go
@@ -71,7 +71,8 @@
 
 // Join takes a front in, or takes in what has changed of one: its address, its
 // build, its process. Under a new incarnation it takes the place of the one it
-// was, which counts for nothing from then on.
+// was, which counts for nothing from then on. A new process counts as away until it
+// is heard to take clients.
 func (s *State) Join(f Front, now Micros) error {
 	for _, x := range []string{f.Name, f.Zone, f.Machine, f.Address} {
 		if x == "" || len(x) > MostName {
@@ -81,7 +82,7 @@
 	if f.ID == 0 || len(f.Build) > MostName {
 		return ErrName
 	}
-	f.Lost, f.Since = false, now
+	f.Lost, f.Away, f.Since = false, true, now // until it is heard to take clients
 	if old := s.Find(f.Name); old != nil {
 		if same := *old; same.ID == f.ID && same.Start == f.Start {
 			f.Since, f.Lost, f.Away = same.Since, same.Lost, same.Away
--- a/internal/decide/work/work.go
+++ b/internal/decide/work/work.go
@@ -97,6 +97,7 @@
 	Note       string   `cbor:"19,keyasint,omitempty"` // why it ended, or what is unusual
 	Left       []string `cbor:"20,keyasint,omitempty"` // of a box: the fronts that have confirmed, by name, ordered
 	Overdue    bool     `cbor:"21,keyasint,omitempty"`
+	Tries      int      `cbor:"22,keyasint,omitempty"` // leaves that were not accepted
 }
 
 // Rules are the budgets and bounds, replicated so that all replicas use the same.
@@ -414,18 +415,18 @@
 		}
 	}
 	for _, m := range fleet {
+		if m.Votes {
+			u.voters++
+			if !u.machines[m.Name] && !m.Lost { // one that is away by itself votes all the same
+				u.heard++
+			}
+		}
 		if m.Lost && !u.machines[m.Name] {
 			u.lost++
 		}
 		if m.Lost || m.Away {
 			count(m.Name, m.Zone, true)
 		}
-		if m.Votes {
-			u.voters++
-			if !u.machines[m.Name] {
-				u.heard++
-			}
-		}
 	}
 	return u
 }
@@ -457,7 +458,7 @@
 const seatFirst = "its seat in the council goes to another front first"
 
 // bar tells why a work can't have leave now; empty: it can.
-func (s *State) bar(x *Item, u *usage, fleet Fleet) string {
+func (s *State) bar(x *Item, u *usage, fleet Fleet, now Micros) string {
 	m := fleet.Find(x.Machine)
 	zone := x.zone(fleet)
 	switch {
@@ -470,16 +471,20 @@
 	case u.lost*100 >= s.Rules.Hurt*len(fleet) && u.lost > 0 && !x.Urgent:
 		return fmt.Sprintf("the fleet is hurt: %d of %d fronts are lost", u.lost, len(fleet))
 	}
-	if u.machines[x.Machine] { // a front that says it is away already counts
-		return s.apart(x, u, zone)
+	if wait := s.again(x); now < wait {
+		return fmt.Sprintf("%s; it is asked again in %d s", x.Note, (wait-now)/second+1)
+	}
+	others, sameZone, fronts := u.out, u.zones[zone], u.fronts
+	if u.machines[x.Machine] { // it says that it is away, and so counts already
+		others, sameZone, fronts = others-1, sameZone-1, fronts-1
 	}
 	switch {
-	case u.out+1 > s.Rules.Out:
-		return fmt.Sprintf("%d machines are out or lost, %d may be", u.out, s.Rules.Out)
-	case u.zones[zone]+1 > s.Rules.Zone:
-		return fmt.Sprintf("%d machines of zone %s are out or lost, %d may be", u.zones[zone], zone, s.Rules.Zone)
-	case x.Kind == AFront && u.fronts+1 > max(1, len(fleet)*s.Rules.Percent/100):
-		return fmt.Sprintf("%d of %d fronts are out or lost, %d%% may be", u.fronts, len(fleet), s.Rules.Percent)
+	case others+1 > s.Rules.Out:
+		return fmt.Sprintf("%d machines are out or lost, %d may be", others, s.Rules.Out)
+	case sameZone+1 > s.Rules.Zone:
+		return fmt.Sprintf("%d machines of zone %s are out or lost, %d may be", sameZone, zone, s.Rules.Zone)
+	case x.Kind == AFront && fronts+1 > max(1, len(fleet)*s.Rules.Percent/100):
+		return fmt.Sprintf("%d of %d fronts are out or lost, %d%% may be", fronts, len(fleet), s.Rules.Percent)
 	case x.Kind == AFront && m.Yield:
 		return seatFirst
 	case x.Kind == AFront && m.Votes && u.voters > 1 && u.heard-1 < u.voters/2+1:
@@ -488,6 +493,15 @@
 	return s.apart(x, u, zone)
 }
 
+// again is when a work whose leave was not accepted may have the next: it waits twice
+// as long after each, so that a front that hears and is not heard costs little.
+func (s *State) again(x *Item) Micros {
+	if x.Tries == 0 {
+		return 0
+	}
+	return x.Since + s.Rules.Accept<<(x.Tries-1)
+}
+
 // apart tells what stands against a work beside the budgets.
 func (s *State) apart(x *Item, u *usage, zone string) string {
 	for _, other := range x.Apart {
@@ -541,11 +555,15 @@
 			case waited > s.Rules.Accept || m == nil || m.Lost:
 				s.fence(x)
 				x.Note = fmt.Sprintf("leave %d was not accepted and was taken back", x.Permit)
+				x.Tries = min(x.Tries+1, 8)
 				tell(x, x.Note)
 				x.to(Asked, now)
 			}
 		case Emptying:
-			if !x.Overdue && waited > s.Rules.Empty {
+			if x.Kind == AFront && m != nil && !m.Lost && (m.ID != x.Holder || m.Start != x.Start) {
+				tell(x, "its process ended on its way out")
+				x.to(Out, now)
+			} else if !x.Overdue && waited > s.Rules.Empty {
 				x.Overdue, x.Note = true, "emptying takes longer than it may"
 				tell(x, x.Note)
 			}
@@ -571,14 +589,14 @@
 	}
 	u := s.use(fleet)
 	for _, x := range s.queue(now) {
-		why := s.bar(x, &u, fleet)
+		why := s.bar(x, &u, fleet, now)
 		if why == "" {
 			s.Last++
 			x.Permit, x.Left, x.Holder, x.Start = s.Last, nil, 0, 0
 			x.to(Permitted, now)
 			tell(x, fmt.Sprintf("leave %d", x.Permit))
 			u = s.use(fleet)
-		} else if now-x.Asked > s.Rules.Patience && s.Hold == "" && !s.stuck(x, fleet) {
+		} else if now-x.Asked > s.Rules.Patience && s.Hold == "" && !s.stuck(x, fleet, now) {
 			break // nothing goes before it any more
 		}
 	}
@@ -587,9 +605,9 @@
 
 // stuck tells that a work waits for something of its own, so that others need not
 // wait with it.
-func (s *State) stuck(x *Item, fleet Fleet) bool {
+func (s *State) stuck(x *Item, fleet Fleet, now Micros) bool {
 	m := fleet.Find(x.Machine)
-	return x.Kind == AFront && (m == nil || m.Lost)
+	return x.Kind == AFront && (m == nil || m.Lost || now < s.again(x))
 }
 
 // left tells whether every front has confirmed that it has left a box.
@@ -626,7 +644,7 @@
 		}
 	}
 	for i, x := range s.queue(now) {
-		plan = append(plan, Line{Item: *x, Place: i + 1, Waits: cmp.Or(s.bar(x, &u, fleet), "its turn")})
+		plan = append(plan, Line{Item: *x, Place: i + 1, Waits: cmp.Or(s.bar(x, &u, fleet, now), "its turn")})
 	}
 	return plan
 }
@@ -700,7 +718,7 @@
 	}
 	u := s.use(fleet)
 	for _, x := range s.queue(now) {
-		if s.bar(x, &u, fleet) == seatFirst { // one seat at a time
+		if s.bar(x, &u, fleet, now) == seatFirst { // one seat at a time
 			return x.Machine == front
 		}
 	}
--- a/internal/fleet/agree/duty.go
+++ b/internal/fleet/agree/duty.go
@@ -59,6 +59,9 @@
 	s := n.rep.State()
 	x := s.Work.On(n.cfg.Name)
 	n.duty.out, n.duty.permit = false, 0
+	if !n.fresh && !n.leads { // what this front last knew may be long over
+		return
+	}
 	if x != nil && x.Kind == work.AFront && n.stale == nil {
 		n.duty.permit = x.Permit
 		switch x.Phase {
@@ -72,9 +75,6 @@
 			if n.duty.out && n.away && n.empty {
 				n.report(replica.Emptied, x.Machine, x.Permit)
 			}
-			if x.Holder == n.id && x.Start != n.cfg.Start { // it crashed on its way out, and is empty
-				n.report(replica.Emptied, x.Machine, x.Permit)
-			}
 		case work.Out:
 			n.duty.out = true
 		}
--- a/internal/fleet/agree/feed.go
+++ b/internal/fleet/agree/feed.go
@@ -13,17 +13,8 @@
 // attach has a front that takes no part in the agreement, or hears of no leader, ask
 // to be fed: by voters first, in an order of its own, and by those that they name.
 func (n *Node) attach() {
-	lead, _ := n.Leader()
-	if n.seat() && lead != 0 && n.feeder == "" {
-		n.fed = n.now
-		return
-	}
-	if n.seat() && lead != 0 && n.now-n.fed > 0 && !n.leads && n.nameOf(lead) != "" && n.feeder != "" && n.conf != nil &&
-		slices.Contains(n.conf.GetVoters(), n.id) {
-		n.detach() // it votes again, and hears the leader itself
-		return
-	}
-	if n.leads || n.seat() && n.now-n.fed < n.span(feederTicks) {
+	if n.led() {
+		n.detach()
 		return
 	}
 	if n.feeder != "" && n.now-n.fed > n.span(feederTicks) {
@@ -45,6 +36,11 @@
 	n.send(to, KindAsk, encode(Ask{ID: n.id, Next: n.applied + 1}))
 }
 
+// led tells whether this front leads, or has a seat and hears the leader itself.
+func (n *Node) led() bool {
+	return n.leads || n.seat() && n.now-n.ledAt < n.span(feederTicks)
+}
+
 func (n *Node) detach() { n.feeder, n.path, n.asked = "", nil, 0 }
 
 // feeders are those that may feed this front.
@@ -88,9 +84,8 @@
 // feed answers one that asks to be fed.
 func (n *Node) feed(from string, a Ask) {
 	i := slices.IndexFunc(n.children, func(c *child) bool { return c.name == from })
-	lead, _ := n.Leader()
 	attached := n.feeder != "" && n.now-n.fed < n.span(feederTicks)
-	if lead == 0 || !n.seat() && !attached || len(n.path) >= mostPath || slices.Contains(n.path, from) || n.rep.State().Fleet == 0 {
+	if lead, _ := n.Leader(); lead == 0 || !n.led() && !attached || len(n.path) >= mostPath || slices.Contains(n.path, from) || n.rep.State().Fleet == 0 {
 		if i >= 0 {
 			n.children = slices.Delete(n.children, i, i+1)
 		}
@@ -131,7 +126,7 @@
 // whose entries are no longer kept gets a snapshot.
 func (n *Node) give(c *child) {
 	lead, term := n.Leader()
-	if n.seatOf(c.id) && n.conf != nil && n.leads || lead == 0 || c.next > n.applied+1 {
+	if seated(n.conf, c.id) && n.leads || lead == 0 || c.next > n.applied+1 {
 		return
 	}
 	first, _ := n.store.FirstIndex()
--- a/internal/fleet/agree/messages.go
+++ b/internal/fleet/agree/messages.go
@@ -91,7 +91,7 @@
 // answer to the leader stays here: it asks its feeder instead.
 func (n *Node) wrap(list []Send, m *raftpb.Message) []Send {
 	to := n.nameOf(m.GetTo())
-	if to == "" || to == n.cfg.Name || !n.seat() && m.GetType() == raftpb.MsgAppResp && n.feeder != "" {
+	if to == "" || to == n.cfg.Name || !n.led() && m.GetType() == raftpb.MsgAppResp && n.feeder != "" {
 		if m.GetType() == raftpb.MsgSnap {
 			n.raw.ReportSnapshot(m.GetTo(), raft.SnapshotFailure)
 		}
@@ -162,7 +162,15 @@
 	} else if from == n.feeder {
 		n.fed = n.now
 	}
-	if kind == KindFeed && m.GetType() == raftpb.MsgSnap {
+	switch m.GetType() {
+	case raftpb.MsgApp, raftpb.MsgHeartbeat, raftpb.MsgSnap:
+		if kind == KindRaft {
+			n.ledAt = n.now
+		}
+		// What was committed when this life first heard is applied before it acts.
+		n.fresh = n.fresh || n.applied > 0 && n.applied >= m.GetCommit() && m.GetType() != raftpb.MsgSnap
+	}
+	if c := m.GetSnapshot().GetMetadata().GetConfState(); kind == KindFeed && m.GetType() == raftpb.MsgSnap && !seated(c, n.id) {
 		n.fedSnapshot = m
 		return
 	}
@@ -177,7 +185,7 @@
 func (n *Node) beat() {
 	b := Beat{Name: n.cfg.Name, ID: n.id, Start: n.cfg.Start, Away: n.away, Applied: n.applied}
 	to := n.feeder
-	if lead, _ := n.Leader(); n.seat() || to == "" {
+	if lead, _ := n.Leader(); n.led() || to == "" {
 		to = n.nameOf(lead)
 	}
 	if n.leads || to == "" || to == n.cfg.Name {
--- a/internal/fleet/agree/node.go
+++ b/internal/fleet/agree/node.go
@@ -137,7 +137,9 @@
 
 	// Of a follower.
 	feeder   string
-	fed      Micros
+	fed      Micros // when its feeder was last heard
+	ledAt    Micros // when the leader itself was
+	fresh    bool   // in this life it has applied all that was committed when it first heard
 	asked    Micros
 	path     []string // above us, the nearest first
 	tried    int
@@ -177,7 +179,7 @@
 	if len(r.parts) > 0 {
 		return nil, fmt.Errorf("%w: a snapshot without its end", ErrRecord)
 	}
-	n := &Node{cfg: cfg, id: r.Identity.ID, now: now, ticked: now, fed: now, facts: now, store: raft.NewMemoryStorage(),
+	n := &Node{cfg: cfg, id: r.Identity.ID, now: now, ticked: now, fed: now, ledAt: now, facts: now, store: raft.NewMemoryStorage(),
 		rep: replica.New(), names: map[uint64]string{}, heard: map[string]heard{}, probed: map[string]probed{},
 		boxes: map[string]bool{}}
 	if s := r.snapshot; s != nil {
@@ -212,7 +214,9 @@
 }
 
 // install takes a snapshot over that this front has no seat in: the agreement
-// library only takes those of its own members. What it had promised stays.
+// library only takes those of its own members. What it had promised stays; entries
+// behind the snapshot that it may have confirmed as a voter once do not count, since
+// its seat went before them.
 func (n *Node) install(s *raftpb.Snapshot, term uint64) error {
 	hard, _, err := n.store.InitialState()
 	if err != nil {
@@ -287,14 +291,11 @@
 }
 
 // seat tells whether this front takes part in the agreement itself.
-func (n *Node) seat() bool {
-	return n.conf != nil && (slices.Contains(n.conf.GetVoters(), n.id) || slices.Contains(n.conf.GetLearners(), n.id) ||
-		slices.Contains(n.conf.GetVotersOutgoing(), n.id))
-}
+func (n *Node) seat() bool { return seated(n.conf, n.id) }
 
-func (n *Node) seatOf(id uint64) bool {
-	return n.conf != nil && (slices.Contains(n.conf.GetVoters(), id) || slices.Contains(n.conf.GetLearners(), id) ||
-		slices.Contains(n.conf.GetVotersOutgoing(), id))
+// seated tells whether an incarnation votes or learns.
+func seated(c *raftpb.ConfState, id uint64) bool {
+	return slices.Contains(c.GetVoters(), id) || slices.Contains(c.GetLearners(), id) || slices.Contains(c.GetVotersOutgoing(), id)
 }
 
 func (n *Node) nameOf(id uint64) string {
@@ -381,7 +382,7 @@
 	switch name := n.nameOf(lead); {
 	case lead == n.id && n.seat():
 		_ = n.raw.Propose(data) // dropped ones are sent again
-	case n.seat() && name != "":
+	case n.led() && name != "":
 		n.send(name, KindPropose, data)
 	case n.feeder != "":
 		n.send(n.feeder, KindPropose, data)
@@ -437,7 +438,7 @@
 	}
 	if f := n.fedSnapshot; f != nil {
 		n.fedSnapshot = nil
-		if i := f.Snapshot.GetMetadata().GetIndex(); i > n.applied && !n.seat() {
+		if i := f.Snapshot.GetMetadata().GetIndex(); i > n.applied {
 			if err := n.install(f.Snapshot, f.GetTerm()); err != nil {
 				n.stale = err
 				n.tell("%v: this build takes no further part", err)
@@ -504,7 +505,7 @@
 		_ = n.raw.Campaign() // alone, it leads at once
 		do()
 	}
-	n.leads = n.raw.BasicStatus().RaftState == raft.StateLeader && n.led()
+	n.leads = n.raw.BasicStatus().RaftState == raft.StateLeader && n.begin()
 	if len(rd.CommittedEntries) > 0 {
 		n.feedAll()
 		n.dutyStep()
@@ -513,8 +514,8 @@
 	return nil
 }
 
-// led notes that leading has begun, from which moment on time is told.
-func (n *Node) led() bool {
+// begin notes that leading has begun, from which moment on time is told.
+func (n *Node) begin() bool {
 	if !n.leads {
 		n.facts, n.confAt, n.handed, n.conf2 = n.now, n.now, n.now, 0
 		n.heard = map[string]heard{}
--- /dev/null
+++ b/lab/fleet/chaos.go
@@ -0,0 +1,356 @@
+package fleet
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+
+	"cherryramp/internal/decide/replica"
+	"cherryramp/internal/decide/work"
+)
+
+// Day is what became of a random day.
+type Day struct {
+	Seed    uint64
+	Fronts  int
+	Asked   int
+	Ended   int
+	Most    int // fronts out at once
+	Checked int // states compared
+	Entries uint64
+	Digest  string
+	Broken  []string
+}
+
+// Chaos plays a random day: works asked for at any front, while fronts crash, stop,
+// lose their disks and contact; then all is well again, and what must hold then is
+// looked at. Span is the bad part's length.
+func Chaos(s Spec, span Micros, verbose func(string)) (Day, *World) {
+	r := rand.New(rand.NewPCG(s.Seed, 0xc4a05))
+	if s.Rules == (work.Rules{}) {
+		s.Rules = ShortRules()
+		s.Rules.Out = 1 + r.IntN(max(1, s.Fronts/4))
+		s.Rules.Zone = 1 + r.IntN(s.Rules.Out)
+		s.Rules.Percent = 20 + r.IntN(40)
+		s.Rules.Hurt = 20 + r.IntN(60)
+	}
+	w := NewWorld(s)
+	w.Verbose = verbose
+	c := &chaos{w: w, r: r, day: Day{Seed: s.Seed, Fronts: s.Fronts}, begun: map[uint64]Micros{}}
+	order := r.Perm(len(w.Fronts))
+	for _, i := range order {
+		f := w.Fronts[i]
+		w.After(Micros(r.Int64N(int64(3*Second))), f.Start)
+	}
+	w.RunUntil(90*Second, w.Settled)
+	c.asking(w.now + span)
+	c.end = w.now + span
+	w.Checks.onLeave = c.ambush
+	c.troubles(w.now + span)
+	w.Run(w.now + span)
+	c.heal()
+	// Once contact is back, everybody asked for is dealt with: what is out comes back.
+	ok := w.RunUntil(600*Second, func() bool { c.tend(); return c.over() && w.Settled() })
+	if !ok && !w.Checks.Failed() {
+		w.Checks.fail("600 s after contact was back the fleet is not well")
+	}
+	w.Run(w.now + 3*Second)
+	w.Checks.End()
+	if l := w.Leader(); l != nil {
+		c.day.Entries = l.node.Applied()
+		c.day.Ended = len(l.node.Replica().State().Work.Ended)
+	}
+	c.day.Most, c.day.Checked, c.day.Digest, c.day.Broken = w.Checks.Most, w.Checks.Checked, w.Digest(), w.Checks.Broken()
+	return c.day, w
+}
+
+type chaos struct {
+	w     *World
+	r     *rand.Rand
+	day   Day
+	wet   Micros
+	end   Micros
+	begun map[uint64]Micros // when a front was last restarted under a permit
+}
+
+// ambush has something go wrong at the very moment at which leave is given.
+func (c *chaos) ambush(x work.Item) {
+	w, f := c.w, c.w.byName[x.Machine]
+	if w.now >= c.end || f == nil || c.r.IntN(2) == 0 {
+		return
+	}
+	after := func(do func()) { w.After(Micros(c.r.Int64N(int64(20*Second))), do) }
+	w.After(Micros(c.r.Int64N(int64(10*Milli))), func() {
+		switch c.r.IntN(5) {
+		case 0:
+			f.Pause(true)
+			after(func() { f.Pause(false) })
+		case 1:
+			if l := w.Leader(); l != nil {
+				l.Crash()
+				after(l.Start)
+			}
+		case 2: // it hears, and is not heard
+			for _, o := range w.Fronts {
+				w.Cut(f.Name, o.Name, true)
+			}
+			after(func() { w.Part() })
+		case 3: // or nothing at all
+			for _, o := range w.Fronts {
+				w.Cut(f.Name, o.Name, true)
+				w.Cut(o.Name, f.Name, true)
+			}
+			after(func() { w.Part() })
+		case 4: // what it says comes late
+			w.delay = Micros(c.r.Int64N(int64(8 * Second)))
+			after(func() { w.delay = Milli })
+		}
+	})
+}
+
+func (c *chaos) front() *Front { return c.w.Fronts[c.r.IntN(len(c.w.Fronts))] }
+
+// asking has works asked for until a moment, some twice at two fronts, and persons
+// change their minds.
+func (c *chaos) asking(until Micros) {
+	w := c.w
+	w.After(Micros(c.r.Int64N(int64(8*Second))), func() {
+		if w.now >= until {
+			return
+		}
+		x := work.Item{Machine: c.front().Name, Span: Micros(1+c.r.IntN(20)) * Second, Importance: c.r.IntN(3),
+			Urgent: c.r.IntN(8) == 0, Restart: c.r.IntN(2) == 0, ZoneWise: c.r.IntN(6) == 0}
+		if c.r.IntN(6) == 0 {
+			x = work.Item{Machine: fmt.Sprintf("box%d", c.r.IntN(4)), Kind: work.ABox, Zone: c.front().Zone, Span: Second}
+		}
+		if c.r.IntN(5) == 0 {
+			x.Apart = []string{c.front().Name}
+		}
+		if c.r.IntN(6) == 0 {
+			x.Latest = Micros(1+c.r.IntN(60)) * Second
+		}
+		c.day.Asked++
+		for i := range 1 + c.r.IntN(2) {
+			x.Why = fmt.Sprintf("asking %d.%d", c.day.Asked, i)
+			w.Ask(c.front(), x, func(replica.Word, error) {})
+		}
+		if c.r.IntN(5) == 0 {
+			what := []string{replica.Cancel, replica.Finish, replica.Lost, replica.Hold, replica.Resume}[c.r.IntN(5)]
+			w.Order(c.front(), replica.Order{What: what, Work: uint64(1 + c.r.IntN(c.day.Asked))}, func(replica.Word, error) {})
+		}
+		c.tend()
+		c.asking(until)
+	})
+}
+
+// tend does what persons do: a front that is out is restarted or said to be done.
+func (c *chaos) tend() {
+	l := c.w.Leader()
+	if l == nil || c.w.now < c.wet {
+		return
+	}
+	c.wet = c.w.now + Second
+	s := l.node.Replica().State()
+	for _, x := range s.Work.Items {
+		if x.Phase != work.Out || s.Now-x.Since < min(x.Span, 5*Second) {
+			continue
+		}
+		if f := c.w.byName[x.Machine]; x.Restart && f != nil {
+			if f.Up() && !f.paused && (c.begun[x.Permit] == 0 || c.w.now-c.begun[x.Permit] > 20*Second) {
+				c.begun[x.Permit] = c.w.now
+				f.Crash()
+				c.w.After(Micros(c.r.Int64N(int64(2*Second))), f.Start)
+			}
+			continue
+		}
+		c.w.Order(l, replica.Order{What: replica.Finish, Work: x.ID}, func(replica.Word, error) {})
+	}
+}
+
+// troubles has things go wrong until a moment, and each of them end some time later.
+func (c *chaos) troubles(until Micros) {
+	w := c.w
+	w.After(Micros(c.r.Int64N(int64(4*Second))), func() {
+		if w.now >= until {
+			return
+		}
+		f := c.front()
+		after := func(do func()) { w.After(Micros(c.r.Int64N(int64(15*Second))), do) }
+		switch c.r.IntN(14) {
+		case 0, 1:
+			f.Crash()
+			after(f.Start)
+		case 2: // the leader
+			if l := w.Leader(); l != nil {
+				l.Crash()
+				after(l.Start)
+			}
+		case 3:
+			if c.wipeable(f) {
+				f.Wipe()
+				after(f.Start)
+			}
+		case 4:
+			f.Pause(true)
+			after(func() { f.Pause(false) })
+		case 5: // hears and is not heard, or the other way round
+			in := c.r.IntN(2) == 0
+			for _, o := range w.Fronts {
+				if in {
+					w.Cut(o.Name, f.Name, true)
+				} else {
+					w.Cut(f.Name, o.Name, true)
+				}
+			}
+			after(func() { w.Part() })
+		case 6: // two halves, or a pair that only hear each other
+			names := c.shuffled()
+			n := 1 + c.r.IntN(len(names))
+			w.Part(names[:n], names[n:])
+			after(func() { w.Part() })
+		case 7: // a bridge: both halves reach one
+			names := c.shuffled()
+			if n := len(names) / 2; n > 0 {
+				w.Part(append(slices.Clone(names[:n]), names[n]), names[n:])
+				after(func() { w.Part() })
+			}
+		case 8: // a zone at once
+			for _, o := range w.Fronts {
+				if o.Zone == f.Zone {
+					o.Crash()
+					after(o.Start)
+				}
+			}
+		case 9:
+			w.loss, w.double = 0.2*c.r.Float64(), 0.2*c.r.Float64()
+			w.delay, w.jitter = Micros(c.r.Int64N(int64(200*Milli))), Micros(c.r.Int64N(int64(Second)))
+			after(func() { w.loss, w.double, w.delay, w.jitter = 0, 0, Milli, Milli })
+		case 10:
+			f.slow = Micros(c.r.Int64N(int64(800 * Milli)))
+			after(func() { f.slow = 0 })
+		case 11:
+			f.full = true
+			after(func() { f.full = false })
+		case 12: // all at once, one with a torn end
+			for _, o := range w.Fronts {
+				o.Crash()
+				if len(o.disk) > 3 && o == f {
+					w.log("%s's journal had a torn end", o.Name)
+				}
+				after(o.Start)
+			}
+		case 13:
+			f.rate = 0.9 + 0.2*c.r.Float64()
+			f.offset += f.clockGap()
+		}
+		c.troubles(until)
+	})
+}
+
+// clockGap keeps a front's clock from going back where its rate changes.
+func (f *Front) clockGap() Micros { return Micros(0.2 * float64(f.w.now)) }
+
+// wipeable tells whether a front's disk may be lost: so many at a time that a
+// majority of the voters still has its own. More than that takes what was agreed
+// with it, and nothing promises otherwise.
+func (c *chaos) wipeable(f *Front) bool {
+	l := c.w.Leader()
+	if l == nil || len(c.w.Fronts) < 3 || len(f.disk) == 0 {
+		return false
+	}
+	s := l.node.Replica().State()
+	if len(s.Seats.Voters) < 3 || s.Seats.Joint {
+		return false
+	}
+	whole := 0
+	for _, o := range c.w.Fronts {
+		if own := s.Council.Find(o.Name); own != nil && s.Seats.Has(own.ID) && o != f && len(o.disk) > 0 && own.ID == o.incarnation() {
+			whole++
+		}
+	}
+	return whole >= len(s.Seats.Voters)/2+1 && c.w.now > 20*Second
+}
+
+// incarnation is the one of a front's disk.
+func (f *Front) incarnation() uint64 {
+	if f.node != nil {
+		return f.node.ID()
+	}
+	return f.lastID
+}
+
+func (c *chaos) shuffled() (names []string) {
+	for _, i := range c.r.Perm(len(c.w.Fronts)) {
+		names = append(names, c.w.Fronts[i].Name)
+	}
+	return names
+}
+
+// heal ends all troubles.
+func (c *chaos) heal() {
+	w := c.w
+	w.log("all is well again")
+	w.Part()
+	w.loss, w.double, w.delay, w.jitter = 0, 0, Milli, Milli
+	for _, f := range w.Fronts {
+		f.slow, f.full = 0, false
+		f.Pause(false)
+		f.Start()
+	}
+	w.After(2*Second, func() {
+		for _, f := range w.Fronts {
+			f.Pause(false)
+			f.Start()
+		}
+		w.Order(w.Fronts[0], replica.Order{What: replica.Resume}, func(replica.Word, error) {})
+	})
+	w.After(20*Second, func() {
+		w.Part()
+		if l := w.Leader(); l != nil {
+			w.Order(l, replica.Order{What: replica.Resume}, func(replica.Word, error) {})
+		}
+	})
+}
+
+// over tells whether no work is left.
+func (c *chaos) over() bool {
+	l := c.w.Leader()
+	return l != nil && len(l.node.Replica().State().Work.Items) == 0
+}
+
+// Result is what became of many days.
+type Result struct {
+	Days, Asked, Ended, Checked, Most int
+	Entries                           uint64
+	First                             *Day // that broke a promise
+	World                             *World
+}
+
+// ErrBroken tells that a promise was broken.
+var ErrBroken = errors.New("a promise was broken")
+
+// Days plays so many random days, of fleets of different sizes, until one breaks a promise.
+func Days(from uint64, days int, without replica.Rule, progress func(done int)) (res Result) {
+	for i := range days {
+		seed := from + uint64(i)
+		d, w := Chaos(Random(seed, without), 60*Second, nil)
+		res.Days++
+		res.Asked, res.Ended, res.Checked = res.Asked+d.Asked, res.Ended+d.Ended, res.Checked+d.Checked
+		res.Most, res.Entries = max(res.Most, d.Most), res.Entries+d.Entries
+		if len(d.Broken) > 0 {
+			res.First, res.World = &d, w
+			return res
+		}
+		if progress != nil {
+			progress(res.Days)
+		}
+	}
+	return res
+}
+
+// Random is a random day's fleet.
+func Random(seed uint64, without replica.Rule) Spec {
+	r := rand.New(rand.NewPCG(seed, 0x51fe))
+	return Spec{Fronts: []int{3, 3, 4, 5, 5, 7, 9, 12}[r.IntN(8)], Zones: 1 + r.IntN(4), Seed: seed, FanOut: 2 + r.IntN(6), Without: without}
+}
--- a/lab/fleet/check.go
+++ b/lab/fleet/check.go
@@ -17,13 +17,16 @@
 	permits map[uint64]string // by number: the machine
 	applied map[string]uint64 // by front
 	out     map[string]string // fronts that are truly out: their zones
+	asked   map[string]uint64 // by what only one asking has in its reason: the work
+	told    uint64            // the highest permit seen
+	onLeave func(work.Item)   // is told of each leave as soon as any front has applied it
 	Most    int               // out at once
 	Checked int
 }
 
 func newChecker(w *World) *Checker {
 	return &Checker{w: w, state: map[uint64]uint64{}, leaders: map[uint64]uint64{}, permits: map[uint64]string{},
-		applied: map[string]uint64{}, out: map[string]string{}}
+		applied: map[string]uint64{}, out: map[string]string{}, asked: map[string]uint64{}}
 }
 
 // Failed tells whether a promise was broken.
@@ -66,8 +69,19 @@
 	if len(c.state) > 20000 {
 		clear(c.state)
 	}
-	for _, x := range n.Replica().State().Work.Items {
+	s := n.Replica().State()
+	for _, x := range s.Work.Items {
 		c.permit(x)
+		c.once(x)
+		if x.Phase == work.Permitted && x.Permit > c.told {
+			c.told = x.Permit
+			if c.onLeave != nil {
+				c.onLeave(x)
+			}
+		}
+	}
+	if e := s.Work.Ended; len(e) > 0 {
+		c.once(e[len(e)-1])
 	}
 }
 
@@ -82,6 +96,17 @@
 	c.permits[x.Permit] = x.Machine
 }
 
+// once: what was asked for once is one work, however often the asking came.
+func (c *Checker) once(x work.Item) {
+	if x.Why == "" {
+		return
+	}
+	if id, ok := c.asked[x.Why]; ok && id != x.ID {
+		c.fail("%s was asked for once and is works %d and %d", x.Why, id, x.ID)
+	}
+	c.asked[x.Why] = x.ID
+}
+
 // host counts who is truly out under a permit.
 func (c *Checker) host(f *Front) {
 	if f.out {
--- a/lab/fleet/virtual.go
+++ b/lab/fleet/virtual.go
@@ -109,6 +109,7 @@
 	stuck    bool // it never comes empty by itself
 	Restarts int
 	died     int
+	lastID   uint64 // incarnation of its disk
 }
 
 // World is a fleet in virtual time.
@@ -239,7 +240,7 @@
 		r.Identity = agree.Identity{Name: f.Name, ID: f.w.draw()}
 		f.disk = [][]byte{agree.IdentityRecord(r.Identity)}
 	}
-	f.cfg.Start = f.w.draw()
+	f.lastID, f.cfg.Start = r.Identity.ID, f.w.draw()
 	n, err := agree.New(f.cfg, r, f.clock())
 	if err != nil {
 		f.w.log("%s can't start: %v", f.Name, err)
@@ -400,7 +401,7 @@
 // Wipe crashes a front and empties its disk.
 func (f *Front) Wipe() {
 	f.Crash()
-	f.disk = nil
+	f.disk, f.lastID = nil, 0
 	f.w.log("%s's disk is wiped", f.Name)
 }
 
