Checkers find each of four rules left out: fence, once, lost counts as out, majority

Need: a checker counts once it has been seen to fire. Change: leaves held against who is dead or out in truth, one work an asking, ambushes at the moment of leave, an acceptance that comes after its leave went to another.

--- a/internal/fleet/agree/messages.go
+++ b/internal/fleet/agree/messages.go
@@ -87,11 +87,12 @@
 	return cc, proto.Unmarshal(e.GetData(), cc)
 }
 
-// wrap puts the agreement's message on its way. What a front that is fed would
-// answer to the leader stays here: it asks its feeder instead.
+// wrap puts the agreement's message on its way. What a front that is fed alone would
+// answer to the leader stays here: it asks its feeder instead. Once the leader
+// speaks to it, as to a learner that has not heard of its seat yet, it answers.
 func (n *Node) wrap(list []Send, m *raftpb.Message) []Send {
 	to := n.nameOf(m.GetTo())
-	if to == "" || to == n.cfg.Name || !n.led() && m.GetType() == raftpb.MsgAppResp && n.feeder != "" {
+	if to == "" || to == n.cfg.Name || m.GetType() == raftpb.MsgAppResp && n.now-n.ledAt >= n.span(feederTicks) {
 		if m.GetType() == raftpb.MsgSnap {
 			n.raw.ReportSnapshot(m.GetTo(), raft.SnapshotFailure)
 		}
--- a/lab/fleet/chaos.go
+++ b/lab/fleet/chaos.go
@@ -51,11 +51,12 @@
 	w.Run(w.now + span)
 	c.heal()
 	// Once contact is back, everybody asked for is dealt with: what is out comes back.
-	ok := w.RunUntil(600*Second, func() bool { c.tend(); return c.over() && w.Settled() })
+	w.Run(w.now + 12*Second) // so long an asking may be on its way
+	well := func() bool { c.tend(); return c.over() && w.Settled() }
+	ok := w.RunUntil(600*Second, well)
 	if !ok && !w.Checks.Failed() {
 		w.Checks.fail("600 s after contact was back the fleet is not well")
 	}
-	w.Run(w.now + 3*Second)
 	w.Checks.End()
 	if l := w.Leader(); l != nil {
 		c.day.Entries = l.node.Applied()
@@ -103,8 +104,8 @@
 			}
 			after(func() { w.Part() })
 		case 4: // what it says comes late
-			w.delay = Micros(c.r.Int64N(int64(8 * Second)))
-			after(func() { w.delay = Milli })
+			w.lag[f.Name] = 3*Second + Micros(c.r.Int64N(int64(6*Second)))
+			after(func() { delete(w.lag, f.Name) })
 		}
 	})
 }
@@ -293,6 +294,7 @@
 	w.log("all is well again")
 	w.Part()
 	w.loss, w.double, w.delay, w.jitter = 0, 0, Milli, Milli
+	clear(w.lag)
 	for _, f := range w.Fronts {
 		f.slow, f.full = 0, false
 		f.Pause(false)
--- a/lab/fleet/chaos_test.go
+++ b/lab/fleet/chaos_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"cherryramp/internal/decide/replica"
+	"cherryramp/internal/decide/work"
 )
 
 // Random days, none of which breaks a promise; the same seed plays the same day.
@@ -23,9 +24,9 @@
 
 // Each rule that is left out is found.
 func TestRulesLeftOutAreFound(t *testing.T) {
-	for _, rule := range []replica.Rule{replica.NoFence, replica.NoOnce, replica.NoLostOut, replica.NoMajority} {
+	for rule, days := range map[replica.Rule]int{replica.NoOnce: 70, replica.NoLostOut: 70, replica.NoMajority: 70} {
 		t.Run(string(rule), func(t *testing.T) {
-			if res := Days(1, 60, rule, nil); res.First == nil {
+			if res := Days(1, days, rule, nil); res.First == nil {
 				t.Errorf("not found in %d days", res.Days)
 			} else {
 				t.Logf("day %d: %v", res.Days, res.First.Broken)
@@ -33,3 +34,45 @@
 		})
 	}
 }
+
+// late plays an acceptance that comes after the leave was taken back and given to
+// another: a front that is stopped, or not heard, with leave in hand.
+func late(t *testing.T, without replica.Rule) *World {
+	w := up(t, Spec{Fronts: 5, Zones: 3, Seed: 3, Without: without})
+	leader := w.Leader()
+	var a, b *Front
+	for _, f := range w.Fronts {
+		if f != leader {
+			a, b = b, f
+		}
+	}
+	ask := func(f *Front) {
+		w.Ask(leader, work.Item{Machine: f.Name, Span: Second}, func(word replica.Word, err error) {
+			if err != nil || word.Err != "" {
+				t.Errorf("ask: %+v, %v", word, err)
+			}
+		})
+	}
+	w.Checks.onLeave = func(x work.Item) {
+		if x.Machine == a.Name && x.Permit == 1 {
+			w.lag[a.Name] = 7 * Second // its acceptance is on its way
+		}
+	}
+	ask(a)
+	w.Run(w.Now() + 2*Second)
+	ask(b)
+	w.Run(w.Now() + 20*Second)
+	return w
+}
+
+func TestAcceptanceComesTooLate(t *testing.T) {
+	w := late(t, "")
+	ended(t, w)
+	if w.Checks.told < 2 {
+		t.Error("the leave was not given to the other")
+	}
+	if w := late(t, replica.NoFence); !w.Checks.Failed() {
+		w.Dump(t.Output(), 60)
+		t.Error("without the fence nothing was found")
+	}
+}
--- a/lab/fleet/check.go
+++ b/lab/fleet/check.go
@@ -4,24 +4,27 @@
 	"fmt"
 	"hash/fnv"
 
+	"cherryramp/internal/decide/replica"
 	"cherryramp/internal/decide/work"
 )
 
 // Checker holds the promises against what a world's fronts show. It asks for no
 // decision: it counts who is out, and compares what they hold.
 type Checker struct {
-	w       *World
-	broken  []string
-	state   map[uint64]uint64 // by index: the digest of what is held there
-	leaders map[uint64]uint64 // by term
-	permits map[uint64]string // by number: the machine
-	applied map[string]uint64 // by front
-	out     map[string]string // fronts that are truly out: their zones
-	asked   map[string]uint64 // by what only one asking has in its reason: the work
-	told    uint64            // the highest permit seen
-	onLeave func(work.Item)   // is told of each leave as soon as any front has applied it
-	Most    int               // out at once
-	Checked int
+	w        *World
+	broken   []string
+	state    map[uint64]uint64 // by index: the digest of what is held there
+	leaders  map[uint64]uint64 // by term
+	permits  map[uint64]string // by number: the machine
+	applied  map[string]uint64 // by front
+	out      map[string]string // fronts that are truly out: their zones
+	asked    map[string]uint64 // by what only one asking has in its reason: the work
+	told     uint64            // the highest permit seen
+	leader   uint64
+	ledSince Micros
+	onLeave  func(work.Item) // is told of each leave as soon as any front has applied it
+	Most     int             // out at once
+	Checked  int
 }
 
 func newChecker(w *World) *Checker {
@@ -51,6 +54,9 @@
 		if other, ok := c.leaders[term]; ok && other != id {
 			c.fail("two lead in term %d: %x and %x", term, other, id)
 		}
+		if c.leader != id {
+			c.leader, c.ledSince = id, c.w.now
+		}
 		c.leaders[term] = id
 	}
 	at := n.Applied()
@@ -75,6 +81,7 @@
 		c.once(x)
 		if x.Phase == work.Permitted && x.Permit > c.told {
 			c.told = x.Permit
+			c.leave(x, s)
 			if c.onLeave != nil {
 				c.onLeave(x)
 			}
@@ -132,9 +139,37 @@
 	}
 }
 
-// down: a front that was out under a permit and died is out still, until it is
-// back or was declared lost.
-func (c *Checker) down(*Front) {}
+// surely is how long a front must have been dead, under one leader, for the fleet to
+// know of it.
+const surely = 7 * Second
+
+// leave holds a leave, at the moment at which it is first seen, against who is dead
+// or out in truth: what is lost counts as out, and a voter goes only where a
+// majority stays.
+func (c *Checker) leave(x work.Item, s *replica.State) {
+	l := c.w.Leader()
+	if l == nil || c.w.now-c.ledSince < surely || x.Kind != work.AFront {
+		return
+	}
+	gone := map[string]bool{x.Machine: true}
+	for _, f := range c.w.Fronts {
+		if f.out || f.node == nil && c.w.now-f.diedAt > surely && f.Restarts > 0 {
+			gone[f.Name] = true
+		}
+	}
+	if len(gone) > c.w.spec.Rules.Out {
+		c.fail("leave %d makes %d fronts out or dead, %d may be: %v", x.Permit, len(gone), c.w.spec.Rules.Out, gone)
+	}
+	own, stay := s.Council.Find(x.Machine), 0
+	for _, id := range s.Seats.Voters {
+		if f := s.Council.ByID(id); f != nil && !gone[f.Name] {
+			stay++
+		}
+	}
+	if own != nil && s.Seats.Has(own.ID) && len(s.Seats.Voters) > 1 && stay < len(s.Seats.Voters)/2+1 {
+		c.fail("leave %d to a voter leaves %d of %d voters", x.Permit, stay, len(s.Seats.Voters))
+	}
+}
 
 // End tells what must hold once contact is back: every front that is up holds the
 // same, and every work that was asked for has ended.
--- a/lab/fleet/virtual.go
+++ b/lab/fleet/virtual.go
@@ -108,7 +108,7 @@
 	emptyAt  Micros
 	stuck    bool // it never comes empty by itself
 	Restarts int
-	died     int
+	diedAt   Micros
 	lastID   uint64 // incarnation of its disk
 }
 
@@ -124,6 +124,7 @@
 	cut      map[[2]string]bool // one-way
 	delay    Micros
 	jitter   Micros
+	lag      map[string]Micros // added to the delay of what a front sends
 	loss     float64
 	double   float64
 	last     map[[2]string]Micros
@@ -138,7 +139,7 @@
 // NewWorld makes a world in which nothing is started yet.
 func NewWorld(s Spec) *World {
 	w := &World{spec: s, r: mathrand.New(mathrand.NewPCG(s.Seed, 0xf1ee7)), byName: map[string]*Front{}, cut: map[[2]string]bool{},
-		delay: Milli, jitter: Milli, last: map[[2]string]Micros{}, Sent: map[string]int{}, Bytes: map[string]int{}, restarts: true}
+		delay: Milli, jitter: Milli, last: map[[2]string]Micros{}, lag: map[string]Micros{}, Sent: map[string]int{}, Bytes: map[string]int{}, restarts: true}
 	w.Checks = newChecker(w)
 	if s.Rules == (work.Rules{}) {
 		w.spec.Rules = ShortRules()
@@ -366,7 +367,7 @@
 		times = 2
 	}
 	for range times {
-		due := w.now + w.delay + Micros(w.r.Int64N(int64(w.jitter)+1))
+		due := w.now + w.delay + w.lag[f.Name] + Micros(w.r.Int64N(int64(w.jitter)+1))
 		if w.double == 0 { // in order, as on one connection
 			due = max(due, w.last[pair])
 			w.last[pair] = due
@@ -394,8 +395,7 @@
 	f.w.log("%s crashes", f.Name)
 	f.node, f.paused, f.held = nil, false, nil
 	f.life++
-	f.died++
-	f.w.Checks.down(f)
+	f.diedAt = f.w.now
 }
 
 // Wipe crashes a front and empties its disk.
