--- a/cmd/cherryramp/door.go
+++ b/cmd/cherryramp/door.go
@@ -35,8 +35,21 @@
 	}
 }
 
-// Rejoin listens and takes clients again after LameDuck.
+// Rejoin is a person's word to take clients again. It goes before what the fleet
+// wants: a permit under which the front is out is given back.
 func (p *program) Rejoin() error {
+	if err := p.rejoin(); err != nil {
+		return err
+	}
+	if p.duck {
+		p.duck = false
+		p.fleet.Rejoin()
+	}
+	return nil
+}
+
+// rejoin listens and takes clients again after LameDuck.
+func (p *program) rejoin() error {
 	if err := p.ready.Rejoin(); err != nil {
 		return err
 	}
--- a/cmd/cherryramp/main.go
+++ b/cmd/cherryramp/main.go
@@ -5,6 +5,7 @@
 //	cherryramp sign      a link of any format, by a key of the operator's file
 //	cherryramp verify    whether a link is let in, and why not
 //	cherryramp keys      the states of the keys
+//	cherryramp fleet     what the fronts of one installation agree on
 //
 // It exits with 0 where all is well, 1 where something failed or is at fault, 2
 // where it was called in a way that it does not know, and 3 where a link is not
@@ -53,7 +54,7 @@
 				return atFault
 			}
 			return nil
-		}}, checkCommand(), signCommand(), verifyCommand(), keysCommand())
+		}}, checkCommand(), signCommand(), verifyCommand(), keysCommand(), fleetCommand())
 	cmd, err := root.ExecuteC()
 	var code failed
 	switch {
--- a/cmd/cherryramp/serve.go
+++ b/cmd/cherryramp/serve.go
@@ -18,6 +18,7 @@
 	"cherryramp/internal/decide/generations"
 	"cherryramp/internal/decide/readiness"
 	"cherryramp/internal/ephemeral"
+	"cherryramp/internal/fleet"
 	"cherryramp/internal/front/ops"
 	"cherryramp/internal/front/platform"
 	"cherryramp/internal/front/session"
@@ -86,6 +87,11 @@
 	go p.heed(signals)
 	log.Info("serving", "name", cfg.Name, "listen", cfg.Listen, "ops", cfg.Ops, "board", cfg.Board)
 	p.loop.Run()
+	if p.fleet != nil {
+		if err := p.fleet.Close(); err != nil {
+			log.Error("fleet: the end", "error", err)
+		}
+	}
 	log.Info("ended", "open", p.gate.Open())
 	return nil
 }
@@ -109,6 +115,9 @@
 	figures  *figures.Figures
 	door     *ops.Door // nil: no operators' door
 	ready    *readiness.State
+	fleet    *fleet.Fleet  // nil: the front acts alone
+	bars     *gateway.Bars // nil without fleet
+	duck     bool          // it takes no clients, as the fleet wants
 }
 
 // build wires the parts and starts to serve.
@@ -146,10 +155,15 @@
 		p.held.nodes, p.held.tcp = p.pools, tcp
 	}
 	var sink board.Sink = p.gate
+	var members ephemeral.Sink = p.gate
+	if operator.Fleet != nil {
+		p.bars = gateway.NewBars(p.gate)
+		sink, members = p.bars, p.bars
+	}
 	if e := operator.Ephemeral; e != nil {
 		sink = purgesOnly{p.gate}
 		err := ephemeral.Start(ephemeral.Config{Servers: e.Servers, Path: e.Path,
-			Session: time.Duration(e.SessionMS) * time.Millisecond}, p.loop, p.gate, log)
+			Session: time.Duration(e.SessionMS) * time.Millisecond}, p.loop, members, log)
 		if err != nil {
 			return nil, err
 		}
@@ -189,7 +203,7 @@
 	}
 	p.ready = readiness.New(p.loop.Now(), wait)
 	if cfg.Ops != "" {
-		p.door = ops.New(p.loop, p, log)
+		p.door = ops.New(p.loop, p, operator.Fleet != nil, log)
 		if err := p.door.Listen(cfg.Ops); err != nil {
 			return nil, fmt.Errorf("ops: %w", err)
 		}
@@ -197,6 +211,11 @@
 	if cfg.Board != "" {
 		p.news.Start()
 	}
+	if operator.Fleet != nil {
+		if err := p.startFleet(operator.Fleet); err != nil {
+			return nil, err
+		}
+	}
 	return p, nil
 }
 
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -25,6 +25,7 @@
 	Signed    *Signed    `json:"signed"`
 	Clients   *Clients   `json:"clients"`
 	Ephemeral *Ephemeral `json:"ephemeral"`
+	Fleet     *Fleet     `json:"fleet"`
 }
 
 // Ephemeral takes the list of servers from ephemeral nodes.
@@ -124,6 +125,9 @@
 			f.at("ephemeral").add("", err)
 		}
 	}
+	if o.Fleet != nil {
+		o.Fleet.check(f.at("fleet"), dir)
+	}
 	if err := f.err(); err != nil {
 		return nil, err
 	}
@@ -192,6 +196,9 @@
 	if !reflect.DeepEqual(o.Ephemeral, n.Ephemeral) {
 		keys = append(keys, "ephemeral")
 	}
+	if !reflect.DeepEqual(o.Fleet, n.Fleet) {
+		keys = append(keys, "fleet")
+	}
 	if c, m := o.Clients, n.Clients; c == nil || m == nil {
 		if c != m {
 			keys = append(keys, "clients")
--- a/internal/fleet/agree/node.go
+++ b/internal/fleet/agree/node.go
@@ -452,15 +452,16 @@
 	if n.raw.HasReady() {
 		rd := n.raw.Ready()
 		out.ready = &rd
-		if !raft.IsEmptySnap(rd.Snapshot) {
-			out.Records = append(out.Records, snapshotRecords(rd.Snapshot)...)
-		}
 		for _, e := range rd.Entries {
 			out.Records = append(out.Records, record(recEntry, e))
 		}
 		if !raft.IsEmptyHardState(rd.HardState) {
 			out.Records = append(out.Records, record(recHard, rd.HardState))
 		}
+		if !raft.IsEmptySnap(rd.Snapshot) { // whole or not at all
+			out.Rewrite = append([][]byte{IdentityRecord(Identity{Name: n.cfg.Name, ID: n.id})}, snapshotRecords(rd.Snapshot)...)
+			out.Rewrite, out.Records = append(out.Rewrite, out.Records...), nil
+		}
 		for _, m := range rd.Messages {
 			out.Sends = n.wrap(out.Sends, m)
 		}
--- /dev/null
+++ b/internal/fleet/calls.go
@@ -0,0 +1,310 @@
+package fleet
+
+import (
+	"cmp"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+
+	"cherryramp/internal/decide/council"
+	"cherryramp/internal/decide/replica"
+	"cherryramp/internal/decide/work"
+)
+
+// Status is what a front knows of the fleet and of itself.
+type Status struct {
+	Fleet       string   `json:"fleet"`
+	ID          string   `json:"id,omitempty"` // of the fleet; empty: not founded, as far as this front knows
+	Front       string   `json:"front"`
+	Incarnation string   `json:"incarnation"`
+	Build       string   `json:"build"`
+	Leader      string   `json:"leader"` // empty: none is known
+	Term        uint64   `json:"term"`
+	Applied     uint64   `json:"applied"`
+	Seat        string   `json:"seat"`             // leader, voter, learner, follower
+	Feeder      string   `json:"feeder,omitempty"` // who passes the log on to it
+	Feeds       int      `json:"feeds"`            // fronts that it passes the log on to
+	Fronts      int      `json:"fronts"`
+	Lost        []string `json:"lost,omitempty"`
+	Away        []string `json:"away,omitempty"` // heard, and taking no clients
+	Voters      []string `json:"voters,omitempty"`
+	Bears       int      `json:"bears"` // further losses of voters that leave a majority; below 0: there is none
+	Out         []string `json:"out,omitempty"`
+	Hold        string   `json:"hold,omitempty"`
+	Waits       string   `json:"waits,omitempty"` // what the founding, or the council's next change, waits for
+	FleetTime   float64  `json:"fleet_time_s"`
+	Sent        uint64   `json:"sent"`
+	SentBytes   uint64   `json:"sent_bytes"`
+	Received    uint64   `json:"received"`
+	Dropped     uint64   `json:"dropped"`
+}
+
+// Member is one front of the fleet.
+type Member struct {
+	Name        string  `json:"name"`
+	Zone        string  `json:"zone"`
+	Machine     string  `json:"machine"`
+	Address     string  `json:"address"`
+	Incarnation string  `json:"incarnation"`
+	Build       string  `json:"build"`
+	Seat        string  `json:"seat"`
+	State       string  `json:"state"` // in, away, lost, leaving
+	For         float64 `json:"for_s"` // since it came, was lost or was found
+}
+
+// Work is one work as a person reads it.
+type Work struct {
+	ID         uint64   `json:"id"`
+	Machine    string   `json:"machine"`
+	Kind       string   `json:"kind"`
+	Zone       string   `json:"zone,omitempty"`
+	Phase      string   `json:"phase"`
+	Place      int      `json:"place,omitempty"`
+	Permit     uint64   `json:"permit,omitempty"`
+	Why        string   `json:"why,omitempty"`
+	SpanS      float64  `json:"span_s"`
+	Importance int      `json:"importance"`
+	Urgent     bool     `json:"urgent,omitempty"`
+	Restart    bool     `json:"until_restart,omitempty"`
+	For        float64  `json:"for_s"` // in its phase
+	Waits      string   `json:"waits,omitempty"`
+	Note       string   `json:"note,omitempty"`
+	Overdue    bool     `json:"overdue,omitempty"`
+	Apart      []string `json:"apart,omitempty"`
+}
+
+// Ask is what a person asks for.
+type Ask struct {
+	Machine    string   `json:"machine"`
+	Box        bool     `json:"box,omitempty"`
+	Zone       string   `json:"zone,omitempty"`
+	Why        string   `json:"why,omitempty"`
+	SpanS      float64  `json:"span_s"`
+	LatestS    float64  `json:"latest_s,omitempty"`
+	Importance int      `json:"importance,omitempty"`
+	Apart      []string `json:"apart,omitempty"`
+	ZoneWise   bool     `json:"zone_wise,omitempty"`
+	Urgent     bool     `json:"urgent,omitempty"`
+	Restart    bool     `json:"until_restart,omitempty"`
+	By         string   `json:"by,omitempty"`
+}
+
+// Errors of calls.
+var (
+	errCall   = errors.New("unknown call; FLEET takes STATUS, MEMBERS, INIT, LEAVE NAME, and WORK with ASK, LIST, PLAN, WHY, CANCEL, HOLD, RESUME, LOST, DONE")
+	errNumber = errors.New("the work's number is wanted")
+	errWait   = errors.New("another process has the folder; this one waits for it to end")
+	errName   = errors.New("a name is wanted")
+)
+
+// Call carries out a call of the operators' door, without its first word; answer is
+// told one line, now or when the fleet has agreed.
+func (f *Fleet) Call(call string, answer func(line string)) {
+	fail := func(err error) { answer("fail " + strings.ReplaceAll(err.Error(), "\n", "; ")) }
+	give := func(x any) {
+		b, err := json.Marshal(x)
+		if err != nil {
+			fail(err)
+			return
+		}
+		answer("ok " + string(b))
+	}
+	switch {
+	case f.broken != nil:
+		fail(fmt.Errorf("this front takes no part in the fleet: %w", f.broken))
+		return
+	case f.node == nil:
+		fail(errWait)
+		return
+	}
+	word, rest, _ := strings.Cut(strings.TrimSpace(call), " ")
+	switch rest = strings.TrimSpace(rest); word {
+	case "STATUS":
+		give(f.status())
+	case "MEMBERS":
+		give(f.members())
+	case "INIT":
+		if s := f.node.Replica().State(); s.Fleet != 0 {
+			give(map[string]string{"fleet": s.Name, "id": fmt.Sprintf("%016x", s.Fleet)})
+		} else {
+			fail(fmt.Errorf("not founded; it waits %s", cmp.Or(f.node.Founding(), "for the fleet's first entries")))
+		}
+	case "LEAVE":
+		if rest == "" {
+			fail(errName)
+			return
+		}
+		f.submit(replica.Command{Leave: &replica.Leave{Name: rest}}, give, fail)
+	case "WORK":
+		f.work(rest, give, fail)
+	default:
+		fail(errCall)
+	}
+}
+
+// submit has a command agreed on, and answers with its word.
+func (f *Fleet) submit(c replica.Command, give func(any), fail func(error)) {
+	f.node.Submit(c, mostWithin, func(w replica.Word, err error) {
+		switch {
+		case err != nil:
+			fail(err)
+		case w.Err != "":
+			fail(errors.New(w.Err))
+		default:
+			give(map[string]uint64{"work": w.Work})
+		}
+	})
+	f.pump()
+}
+
+func (f *Fleet) work(call string, give func(any), fail func(error)) {
+	r := f.node.Replica()
+	s, fleet := r.State(), r.Fleet()
+	word, rest, _ := strings.Cut(call, " ")
+	rest = strings.TrimSpace(rest)
+	order := func(what string) {
+		number, why, _ := strings.Cut(rest, " ")
+		id, err := strconv.ParseUint(number, 10, 64)
+		if err != nil {
+			fail(errNumber)
+			return
+		}
+		f.submit(replica.Command{Order: &replica.Order{What: what, Work: id, Why: strings.TrimSpace(why)}}, give, fail)
+	}
+	switch word {
+	case "ASK":
+		var a Ask
+		d := json.NewDecoder(strings.NewReader(rest))
+		d.DisallowUnknownFields()
+		if err := d.Decode(&a); err != nil {
+			fail(fmt.Errorf("ASK: %w", err))
+			return
+		}
+		if !(a.SpanS >= 0 && a.SpanS < 1e7 && a.LatestS >= 0 && a.LatestS < 1e9) {
+			fail(work.ErrSpan)
+			return
+		}
+		x := work.Item{Machine: a.Machine, Zone: a.Zone, Why: a.Why, Span: int64(a.SpanS * 1e6), Latest: int64(a.LatestS * 1e6),
+			Importance: max(-1000, min(a.Importance, 1000)), Apart: a.Apart, ZoneWise: a.ZoneWise, Urgent: a.Urgent, Restart: a.Restart}
+		if a.Box {
+			x.Kind = work.ABox
+		}
+		f.submit(replica.Command{Ask: &replica.Ask{Work: x, By: a.By}}, give, fail)
+	case "LIST":
+		list := f.plan()
+		for _, x := range slices.Backward(s.Work.Ended) {
+			if len(list) >= 100 {
+				break
+			}
+			list = append(list, tellWork(work.Line{Item: x}, s.Now))
+		}
+		give(list)
+	case "PLAN":
+		give(f.plan())
+	case "WHY":
+		if rest == "" {
+			fail(errName)
+			return
+		}
+		give(map[string]string{"why": s.Work.Why(rest, fleet, s.Now)})
+	case "HOLD", "RESUME":
+		f.submit(replica.Command{Order: &replica.Order{What: strings.ToLower(word), Why: rest}}, give, fail)
+	case "CANCEL", "LOST", "DONE":
+		order(strings.ToLower(word))
+	default:
+		fail(errCall)
+	}
+}
+
+func (f *Fleet) plan() []Work {
+	r := f.node.Replica()
+	s := r.State()
+	list := []Work{}
+	for _, l := range s.Work.Plan(r.Fleet(), s.Now) {
+		list = append(list, tellWork(l, s.Now))
+	}
+	return list
+}
+
+func tellWork(l work.Line, now int64) Work {
+	w := Work{ID: l.ID, Machine: l.Machine, Kind: "front", Zone: l.Zone, Phase: l.Phase.String(), Place: l.Place, Permit: l.Permit, Why: l.Item.Why,
+		SpanS: seconds(l.Span), Importance: l.Importance, Urgent: l.Urgent, Restart: l.Restart, For: seconds(now - l.Since), Waits: l.Waits,
+		Note: l.Note, Overdue: l.Overdue, Apart: l.Apart}
+	if l.Kind == work.ABox {
+		w.Kind = "box"
+	}
+	return w
+}
+
+func seconds(us int64) float64 { return float64(us/1000) / 1000 }
+
+func (f *Fleet) seat(id uint64) string {
+	s := f.node.Replica().State()
+	lead, _ := f.node.Leader()
+	switch {
+	case id == lead:
+		return "leader"
+	case s.Seats.Has(id):
+		return "voter"
+	case slices.Contains(s.Seats.Learners, id):
+		return "learner"
+	}
+	return "follower"
+}
+
+func (f *Fleet) status() Status {
+	n := f.node
+	s := n.Replica().State()
+	_, term := n.Leader()
+	x := Status{Fleet: f.cfg.Fleet, Front: f.cfg.Name, Incarnation: fmt.Sprintf("%016x", n.ID()), Build: f.cfg.Build, Leader: n.LeaderName(),
+		Term: term, Applied: n.Applied(), Seat: f.seat(n.ID()), Feeder: n.Feeder(), Feeds: n.Children(), Fronts: len(s.Council.Fronts),
+		Bears: s.Council.Bears(s.Seats), Hold: s.Work.Hold, Waits: cmp.Or(n.Founding(), n.Changing()), FleetTime: seconds(s.Now),
+		Sent: f.counts.Sent, SentBytes: f.counts.Bytes, Received: f.counts.Received, Dropped: f.counts.Dropped}
+	if s.Fleet != 0 {
+		x.ID = fmt.Sprintf("%016x", s.Fleet)
+	}
+	if err := n.Stale(); err != nil {
+		x.Waits = err.Error()
+	}
+	for _, m := range s.Council.Fronts {
+		if m.Lost {
+			x.Lost = append(x.Lost, m.Name)
+		} else if m.Away {
+			x.Away = append(x.Away, m.Name)
+		}
+		if s.Seats.Has(m.ID) {
+			x.Voters = append(x.Voters, m.Name)
+		}
+	}
+	for _, i := range s.Work.Items {
+		if i.Phase.IsOut() {
+			x.Out = append(x.Out, i.Machine)
+		}
+	}
+	return x
+}
+
+func (f *Fleet) members() []Member {
+	s := f.node.Replica().State()
+	list := []Member{}
+	for _, m := range s.Council.Fronts {
+		list = append(list, Member{Name: m.Name, Zone: m.Zone, Machine: m.Machine, Address: m.Address, Incarnation: fmt.Sprintf("%016x", m.ID),
+			Build: m.Build, Seat: f.seat(m.ID), State: state(m), For: seconds(s.Now - m.Since)})
+	}
+	return list
+}
+
+func state(m council.Front) string {
+	switch {
+	case m.Lost:
+		return "lost"
+	case m.Leaving:
+		return "leaving"
+	case m.Away:
+		return "away"
+	}
+	return "in"
+}
--- a/internal/front/ops/ops.go
+++ b/internal/front/ops/ops.go
@@ -7,6 +7,7 @@
 //	INFO       the figures as JSON on one line, then a line eof
 //	LAMEDUCK   ok lame duck: the front empties and says no to PING
 //	REJOIN     ok rejoined: it takes clients again
+//	FLEET ...  what the fleet is asked, where the front is of one; else an unknown call
 //
 // A caller that sends nothing, or half a line, costs its connection only: it is
 // closed after quietMost, and where more than callersMost wait the oldest goes.
@@ -25,6 +26,7 @@
 
 const (
 	lineMost    = 256       // bytes of a call with its line end
+	fleetMost   = 4096      // and where the front is of a fleet
 	quietMost   = 2_000_000 // us that a caller may take to send its whole call
 	sweepEvery  = 250_000   // us between looks at callers that take too long
 	callersMost = 64        // callers that may wait at once; the oldest makes room
@@ -42,6 +44,9 @@
 	LameDuck()
 	// Rejoin has it take clients again; the error tells why it can't.
 	Rejoin() error
+	// Fleet carries out a call to the fleet, whose answer is told now or later, once;
+	// false: the front is of none.
+	Fleet(call string, answer func(line string)) bool
 }
 
 // Door holds the operators' connections.
@@ -54,6 +59,7 @@
 	sweep   loop.Deadline
 	swept   bool // the sweep stands on the wheel
 	buf     []byte
+	most    int // bytes of a call
 	gauge   transport.Gauge
 }
 
@@ -65,16 +71,20 @@
 	ended bool // Closed was told
 }
 
-// New makes a door whose calls the desk carries out.
-func New(l *loop.Loop, desk Desk, log *slog.Logger) *Door {
-	d := &Door{loop: l, desk: desk, log: log.With("front", "ops")}
+// New makes a door whose calls the desk carries out; fleet tells that those to the
+// fleet are among them, which are longer.
+func New(l *loop.Loop, desk Desk, fleet bool, log *slog.Logger) *Door {
+	d := &Door{loop: l, desk: desk, log: log.With("front", "ops"), most: lineMost}
+	if fleet {
+		d.most = fleetMost
+	}
 	d.sweep.Init(d.look)
 	return d
 }
 
 // Listen opens the door at an address.
 func (d *Door) Listen(address string) error {
-	_, err := transport.Listen(d.loop, address, lineMost, &d.gauge, d.admit)
+	_, err := transport.Listen(d.loop, address, d.most, &d.gauge, d.admit)
 	return err
 }
 
@@ -148,7 +158,7 @@
 			line = append([]byte(nil), b[:i]...)
 			return len(b)
 		}
-		if len(b) >= lineMost || flooded {
+		if len(b) >= c.door.most || flooded {
 			line, long = b[:0:0], true // no room for a call
 			return len(b)
 		}
@@ -159,16 +169,29 @@
 	}
 	d := c.door
 	d.leave(c)
+	line = bytes.TrimSpace(line)
+	if call, ok := bytes.CutPrefix(line, []byte("FLEET")); ok && !long && (len(call) == 0 || call[0] == ' ') &&
+		d.desk.Fleet(string(bytes.TrimSpace(call)), func(answer string) { c.reply([]byte(answer + "\n")) }) {
+		return
+	}
 	if long {
 		d.buf = append(d.buf[:0], "fail call too long\n"...)
 	} else {
-		d.buf = d.answer(d.buf[:0], bytes.TrimSpace(line))
+		d.buf = d.answer(d.buf[:0], line)
+	}
+	c.reply(d.buf)
+}
+
+// reply sends a caller its answer, after which the connection ends.
+func (c *caller) reply(b []byte) {
+	if c.ended {
+		return
 	}
-	if _, err := tc.Send(d.buf); err != nil {
-		tc.Close()
+	if _, err := c.tc.Send(b); err != nil {
+		c.tc.Close()
 		return
 	}
-	tc.Finish(d.loop.Now() + linger)
+	c.tc.Finish(c.door.loop.Now() + linger)
 }
 
 // answer appends the answer to a call.
--- /dev/null
+++ b/internal/gateway/bars.go
@@ -0,0 +1,78 @@
+package gateway
+
+import "cherryramp/rules"
+
+// Bars stands before a gateway's list of servers and has nothing new go to some of
+// them, as to ones that drain, whatever the list says: servers in work that the
+// whole fleet leaves.
+type Bars struct {
+	*Gateway
+	told   map[string]Member // as the list has them
+	barred map[string]bool
+}
+
+// NewBars makes bars before a gateway, none of which are down.
+func NewBars(g *Gateway) *Bars {
+	return &Bars{Gateway: g, told: map[string]Member{}, barred: map[string]bool{}}
+}
+
+// Members passes the list on, with those barred as draining.
+func (b *Bars) Members(full bool, list []Member) {
+	if full {
+		clear(b.told)
+	}
+	out := make([]Member, 0, len(list))
+	for _, m := range list {
+		if m.State == rules.Gone {
+			delete(b.told, m.Name)
+		} else {
+			b.told[m.Name] = m
+		}
+		out = append(out, b.seen(m))
+	}
+	b.Gateway.Members(full, out)
+}
+
+func (b *Bars) seen(m Member) Member {
+	if b.barred[m.Name] && m.State == rules.Ready {
+		m.State = rules.Draining
+	}
+	return m
+}
+
+// Set bars the servers named and no others. It tells of each whether anything is
+// still open there.
+func (b *Bars) Set(names []string) (open map[string]bool) {
+	open = map[string]bool{}
+	if len(names) == 0 && len(b.barred) == 0 {
+		return open
+	}
+	was := b.barred
+	b.barred = map[string]bool{}
+	for _, n := range names {
+		b.barred[n] = true
+		open[n] = b.OpenAt(n)
+	}
+	var changed []Member
+	for n, m := range b.told {
+		if was[n] != b.barred[n] {
+			changed = append(changed, b.seen(m))
+		}
+	}
+	if len(changed) > 0 {
+		b.Gateway.Members(false, changed)
+	}
+	return open
+}
+
+// OpenAt tells whether an attempt at a server has not ended.
+func (g *Gateway) OpenAt(name string) bool {
+	for _, c := range g.calls {
+		for _, a := range c.attempts {
+			if !a.done && a.Server != nil && a.Server.Name == name {
+				return true
+			}
+		}
+	}
+	return false
+}
