--- a/lab/site/site.go
+++ b/lab/site/site.go
@@ -124,9 +124,10 @@
 	Box, Parent, Origin *Node
 	Operator            string // path of the operator's file
 
-	dir   string
-	board *http.Server
-	front *process.Process
+	dir     string
+	board   *http.Server
+	boardAt string
+	front   *process.Process
 }
 
 // Options set a site up.
@@ -140,8 +141,8 @@
 	Core     *int                       // the one that the front runs on; nil: any
 }
 
-// Start starts a site. It must be stopped.
-func Start(o Options) (s *Site, err error) {
+// Open starts a site's stand-ins, without a front. It must be stopped.
+func Open() (s *Site, err error) {
 	s = &Site{}
 	defer func() {
 		if err != nil {
@@ -162,9 +163,15 @@
 	}
 	s.board = &http.Server{Handler: http.HandlerFunc(poll), ReadHeaderTimeout: process.Patience}
 	go func() { _ = s.board.Serve(ln) }()
-	if s.Listen, err = free(); err != nil {
-		return s, err
-	}
+	s.boardAt = ln.Addr().String()
+	return s, nil
+}
+
+// Dir is a folder that goes with the site.
+func (s *Site) Dir() string { return s.dir }
+
+// Config is a front's configuration before the site's stand-ins; 0: the defaults.
+func (s *Site) Config(name, listen string, memoryMB, sockets int) string {
 	var members []string
 	for _, m := range []struct {
 		id   string
@@ -175,19 +182,32 @@
 		members = append(members, fmt.Sprintf(`{"id":%q,"host_port":%q,"locality":%q,"flavor":%q,"cell":0,"phase":"SERVING",`+
 			`"size":100,"up_since_ms":0}`, m.id, m.n.Addr(), m.at, m.kind))
 	}
-	if o.MemoryMB == 0 {
-		o.MemoryMB = 192
-	}
-	config := fmt.Sprintf(`{"name":"lab","listen":%q,"seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":%d,"sockets":%d},
+	return fmt.Sprintf(`{"name":%q,"listen":%q,"seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":%d,"sockets":%d},
 		"board":%q,"known":{"rev":1,"notices":[{"rev":1,"pool":{"revision":0,"complete":true,"members":[%s]}}]},"settings":%s}`,
-		s.Listen, o.MemoryMB, cmp.Or(o.Sockets, 1024), ln.Addr(), strings.Join(members, ","), settings)
+		name, listen, cmp.Or(memoryMB, 192), cmp.Or(sockets, 1024), s.boardAt, strings.Join(members, ","), settings)
+}
+
+// Start starts a site with a front. It must be stopped.
+func Start(o Options) (s *Site, err error) {
+	if s, err = Open(); err != nil {
+		return s, err
+	}
+	defer func() {
+		if err != nil {
+			err = errors.Join(fmt.Errorf("site: %w", err), s.Stop())
+		}
+	}()
+	if s.Listen, err = Free(); err != nil {
+		return s, err
+	}
+	config := s.Config("lab", s.Listen, o.MemoryMB, o.Sockets)
 	path := filepath.Join(s.dir, "config.json")
 	if err = os.WriteFile(path, []byte(config), 0o600); err != nil {
 		return s, err
 	}
 	env := append([]string{"ROUTER_CONFIG=" + path}, o.Env...)
 	if o.Operator != nil {
-		if s.Signed, err = free(); err != nil {
+		if s.Signed, err = Free(); err != nil {
 			return s, err
 		}
 		s.Operator = filepath.Join(s.dir, "operator.json")
@@ -233,7 +253,8 @@
 	_, _ = io.WriteString(w, `{"rev":1,"notices":[]}`)
 }
 
-func free() (string, error) {
+// Free gives an address on loopback that nobody listens at now.
+func Free() (string, error) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return "", err
