--- /dev/null
+++ b/cmd/ramplab/fleet.go
@@ -0,0 +1,219 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"text/tabwriter"
+	"time"
+
+	"golang.org/x/term"
+
+	"cherryramp/internal/decide/replica"
+	"cherryramp/lab/fleet"
+)
+
+type fleetCommands struct {
+	Up   fleetUpCommand   `cmd:"" help:"Hold a fleet of started fronts up, to try things out on, until interrupted."`
+	Work fleetWorkCommand `cmd:"" help:"Take machines out for work while things go wrong, and check every promise."`
+}
+
+type fleetUpCommand struct {
+	frontPath
+	Fronts int           `default:"3" help:"How many."`
+	Zones  int           `default:"3" help:"Zones that they stand in."`
+	Rate   float64       `default:"20" help:"Requests a second of the fleet's clients; 0: none."`
+	For    time.Duration `help:"How long; by default until interrupted."`
+	Plain  bool          `help:"No live view; also where there is no terminal."`
+}
+
+// Run holds a fleet up.
+func (c fleetUpCommand) Run() (err error) {
+	front, err := c.path()
+	if err != nil {
+		return err
+	}
+	f, err := fleet.NewProcesses(fleet.Options{Program: front, Fronts: c.Fronts, Zones: c.Zones, Lines: c.Fronts <= 12})
+	if err != nil {
+		return err
+	}
+	defer func() {
+		if e := f.Close(); err == nil {
+			err = e
+		}
+	}()
+	if err := f.StartAll(); err != nil {
+		return err
+	}
+	fmt.Printf("%d fronts start; their doors:\n\n", c.Fronts)
+	for _, p := range f.List {
+		fmt.Printf("  %s  zone %s  clients %s  door %s  log %s\n", p.Name, p.Zone, p.Listen, p.Ops, p.Log)
+	}
+	last := f.List[len(f.List)-1]
+	fmt.Printf("\nTo try, in another terminal:\n\n  export ROUTER_OPS=%s\n  bin/cherryramp fleet status\n  bin/cherryramp fleet work ask %s --why \"a look\" --wait\n"+
+		"  bin/cherryramp fleet work plan\n  bin/cherryramp fleet work done 1\n  kill -9 %d     # %s; it is started again after 5 s\n\n", f.List[0].Ops, last.Name,
+		f.List[0].Pid(), f.List[0].Name)
+	var clients *fleet.Clients
+	if c.Rate > 0 {
+		clients = fleet.NewClients(f, c.Rate)
+	}
+	end := make(chan os.Signal, 1)
+	signal.Notify(end, syscall.SIGINT, syscall.SIGTERM)
+	var over <-chan time.Time
+	if c.For > 0 {
+		over = time.After(c.For)
+	}
+	live := !c.Plain && term.IsTerminal(int(os.Stdout.Fd()))
+	look := time.NewTicker(time.Second)
+	defer look.Stop()
+	before := ""
+	for {
+		select {
+		case <-end:
+		case <-over:
+		case <-look.C:
+			f.Revive(5 * time.Second)
+			view := fleetView(f)
+			if live {
+				fmt.Print("\x1b[H\x1b[2J" + view)
+				if clients != nil {
+					fmt.Printf("\nrequests: %d served, %d refused, %d failed, %d lost\n", clients.Served.Load(), clients.Refused.Load(), clients.Failed.Load(), clients.Lost.Load())
+				}
+				fmt.Printf("\nROUTER_OPS=%s; interrupt to end\n", f.List[0].Ops)
+			} else if view != before {
+				before = view
+				fmt.Println(view)
+			}
+			continue
+		}
+		break
+	}
+	if clients != nil {
+		clients.Stop()
+		fmt.Printf("requests: %d served, %d refused, %d failed, %d lost\n", clients.Served.Load(), clients.Refused.Load(), clients.Failed.Load(), clients.Lost.Load())
+	}
+	return nil
+}
+
+// fleetView is the fleet as a table: what each front says of itself.
+func fleetView(f *fleet.Processes) string {
+	var b strings.Builder
+	w := tabwriter.NewWriter(&b, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(w, "FRONT\tZONE\tSEAT\tLEADER\tTERM\tENTRY\tREADY\tWORK")
+	for _, p := range f.List {
+		s, err := p.Status()
+		if err != nil {
+			_, _ = fmt.Fprintf(w, "%s\t%s\tnot reached\t\t\t\t\t\n", p.Name, p.Zone)
+			continue
+		}
+		ready, work := "yes", ""
+		if p.Call("PING", nil) != nil {
+			ready = "no"
+		}
+		if list, err := p.Plan(); err == nil {
+			for _, x := range list {
+				if x.Machine == p.Name {
+					work = fmt.Sprintf("%d %s: %s", x.ID, x.Phase, x.Waits)
+				}
+			}
+		}
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%d\t%s\t%s\n", p.Name, p.Zone, s.Seat, s.Leader, s.Term, s.Applied, ready, work)
+	}
+	_ = w.Flush()
+	return b.String()
+}
+
+type fleetWorkCommand struct {
+	frontPath
+	Fronts  int           `default:"5" help:"How many."`
+	Zones   int           `default:"3" help:"Zones that they stand in."`
+	Seed    uint64        `default:"1" help:"Of the troubles and of the works."`
+	For     time.Duration `default:"60s" help:"How long things go wrong."`
+	Virtual bool          `help:"In virtual time, without processes."`
+	Days    int           `default:"1" help:"Random days, one seed after the other, with --virtual."`
+	Random  bool          `help:"With --virtual, each day's fleet is drawn too."`
+	Without string        `help:"A rule to leave out, with --virtual: fence, once, lost-is-out, majority. It must be found."`
+	Rate    float64       `default:"50" help:"Requests a second beside it, with processes."`
+	Chaos   bool          `default:"true" negatable:"" help:"Random troubles."`
+	JSON    bool          `help:"The result as JSON."`
+	Verbose bool          `help:"Every line of what happens."`
+}
+
+// Run plays.
+func (c fleetWorkCommand) Run() error {
+	if c.Without != "" && !c.Virtual {
+		return fmt.Errorf("--without: a started front leaves no rule out; add --virtual")
+	}
+	if c.Fronts < 1 || c.Fronts > 300 || c.Zones < 1 || c.Days < 1 || c.For < time.Second {
+		return fmt.Errorf("--fronts 1 to 300, --zones and --days from 1 and --for from 1s on are possible")
+	}
+	if c.Virtual {
+		return c.virtual()
+	}
+	front, err := c.path()
+	if err != nil {
+		return err
+	}
+	var say func(string)
+	if c.Verbose {
+		say = func(line string) { fmt.Println(line) }
+	}
+	r, err := fleet.Play(fleet.Options{Program: front, Fronts: c.Fronts, Zones: c.Zones, Seed: c.Seed, Lines: true}, c.For, c.Rate, c.Chaos, say)
+	if err != nil {
+		return err
+	}
+	return c.tell(r, len(r.Broken) > 0)
+}
+
+func (c fleetWorkCommand) virtual() error {
+	var say func(string)
+	if c.Verbose {
+		say = func(line string) { fmt.Println(line) }
+	}
+	began := time.Now()
+	total := fleet.Result{}
+	for i := range c.Days {
+		spec := fleet.Spec{Fronts: c.Fronts, Zones: c.Zones, Seed: c.Seed + uint64(i), Without: replica.Rule(c.Without)}
+		if c.Random {
+			spec = fleet.Random(spec.Seed, spec.Without)
+		}
+		d, w := fleet.Chaos(spec, fleet.Micros(c.For.Microseconds()), say)
+		total.Add(d)
+		if len(d.Broken) > 0 {
+			if !c.JSON {
+				fmt.Printf("seed %d, %d fronts: broken; the last of what happened:\n", d.Seed, d.Fronts)
+				w.Dump(os.Stdout, 40)
+			}
+			return c.tell(d, true)
+		}
+	}
+	if c.Days > 1 {
+		if c.JSON {
+			return c.tell(total, false)
+		}
+		fmt.Printf("%d days in %.0f s: %d works asked for, %d states compared, %d entries, at most %d fronts out at once; none broke a promise\n",
+			total.Days, time.Since(began).Seconds(), total.Asked, total.Checked, total.Entries, total.Most)
+		return nil
+	}
+	fmt.Printf("no promise broken: %+v\n", total)
+	return nil
+}
+
+func (c fleetWorkCommand) tell(x any, broken bool) error {
+	if c.JSON {
+		text, err := json.Marshal(x)
+		if err != nil {
+			return err
+		}
+		fmt.Println(string(text))
+	} else {
+		fmt.Printf("%+v\n", x)
+	}
+	if broken {
+		return errNotMet
+	}
+	return nil
+}
--- a/cmd/ramplab/main.go
+++ b/cmd/ramplab/main.go
@@ -9,6 +9,7 @@
 //	ramplab sim           scenarios in virtual time
 //	ramplab compare       what two builds made of the same scenarios
 //	ramplab chaos         random days in virtual time
+//	ramplab fleet         fronts that act together: up, work
 //	ramplab load          open-loop load against any address
 //	ramplab run           an experiment: scenarios, seeds and builds, kept in a store
 //	ramplab tell          days of two builds until it can be told which is better
@@ -49,6 +50,7 @@
 	Day         dayCommand         `cmd:"" hidden:"" help:"Play one day for another ramplab."`
 	Slow        slowCommand        `cmd:"" help:"Let slow readers or senders come, and measure requests beside them."`
 	IdleWorker  workerCommand      `cmd:"" hidden:"" help:"Hold connections for another ramplab."`
+	Fleet       fleetCommands      `cmd:"" help:"Fleets of fronts that act together: held up, or at work while things go wrong."`
 	Flood       floodCommand       `cmd:"" help:"Send forged links beside good ones and measure both."`
 }
 
--- a/internal/fleet/calls.go
+++ b/internal/fleet/calls.go
@@ -33,6 +33,7 @@
 	Voters      []string `json:"voters,omitempty"`
 	Bears       int      `json:"bears"` // further losses of voters that leave a majority; below 0: there is none
 	Out         []string `json:"out,omitempty"`
+	OutByPermit uint64   `json:"out_by_permit,omitempty"` // under which this front takes no clients now
 	Hold        string   `json:"hold,omitempty"`
 	Waits       string   `json:"waits,omitempty"` // what the founding, or the council's next change, waits for
 	FleetTime   float64  `json:"fleet_time_s"`
@@ -263,6 +264,9 @@
 		Term: term, Applied: n.Applied(), Seat: f.seat(n.ID()), Feeder: n.Feeder(), Feeds: n.Children(), Fronts: len(s.Council.Fronts),
 		Bears: s.Council.Bears(s.Seats), Hold: s.Work.Hold, Waits: cmp.Or(n.Founding(), n.Changing()), FleetTime: seconds(s.Now),
 		Sent: f.counts.Sent, SentBytes: f.counts.Bytes, Received: f.counts.Received, Dropped: f.counts.Dropped}
+	if out, permit := n.Out(); out && f.out {
+		x.OutByPermit = permit
+	}
 	if s.Fleet != 0 {
 		x.ID = fmt.Sprintf("%016x", s.Fleet)
 	}
--- a/lab/fleet/processes.go
+++ b/lab/fleet/processes.go
@@ -47,7 +47,7 @@
 	running *process.Process
 	program string
 	log     *os.File
-	Killed  atomic.Int64 // how often it was ended at once
+	Killed  atomic.Int64 // how often it was ended at once, or stopped
 }
 
 // Processes are a fleet of started fronts before one site.
@@ -223,10 +223,23 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.running != nil {
+		if s == syscall.SIGSTOP || s == syscall.SIGCONT {
+			p.Killed.Add(1) // what clients have there may take its time until both have come
+		}
 		p.running.Signal(s)
 	}
 }
 
+// Stopped tells whether a front's process was stopped and has not gone on yet.
+func (p *Process) Stopped() bool {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.Pid()))
+	if err != nil {
+		return false
+	}
+	_, rest, _ := strings.Cut(string(text), ") ")
+	return strings.HasPrefix(rest, "T")
+}
+
 // Pid is a front's process; 0: it is down.
 func (p *Process) Pid() int {
 	p.mu.Lock()
