A work ends by the front's own word that it is back, not by what others last heard

Ruled out: budgets (right for what the state held). At fault: work.Step's Returning, which took council's Away for the word. Change: Back is reported under the permit by the process that takes clients, and a later incarnation says it anew (seed 20077).

--- a/internal/decide/replica/replica.go
+++ b/internal/decide/replica/replica.go
@@ -432,7 +432,7 @@
 func (r *Replica) report(x Report) error {
 	w, now := &r.s.Work, r.s.Now
 	f := r.s.Council.Find(x.Front)
-	if f == nil || f.ID != x.ID {
+	if f == nil || f.ID != x.ID || f.Start != x.Start {
 		return council.ErrNobody
 	}
 	switch x.What {
--- a/internal/decide/work/work.go
+++ b/internal/decide/work/work.go
@@ -98,6 +98,7 @@
 	Left       []string `cbor:"20,keyasint,omitempty"` // of a box: the fronts that have confirmed, by name, ordered
 	Overdue    bool     `cbor:"21,keyasint,omitempty"`
 	Tries      int      `cbor:"22,keyasint,omitempty"` // leaves that were not accepted
+	Home       bool     `cbor:"23,keyasint,omitempty"` // returning: the front itself has said that it takes clients
 }
 
 // Rules are the budgets and bounds, replicated so that all replicas use the same.
@@ -227,7 +228,7 @@
 	return &s.Items[i]
 }
 
-func (x *Item) to(p Phase, now Micros) { x.Phase, x.Since, x.Overdue = p, now, false }
+func (x *Item) to(p Phase, now Micros) { x.Phase, x.Since, x.Overdue, x.Home = p, now, false, false }
 
 // fence voids the permit that a machine may still have in hand.
 func (s *State) fence(x *Item) {
@@ -339,17 +340,19 @@
 	return nil
 }
 
-// Back is a front's word that it takes clients again.
+// Back is a front's word that it takes clients again. Only that ends its work: what
+// others last heard of it may be older than its way out.
 func (s *State) Back(machine string, permit, id uint64, now Micros) error {
 	x := s.On(machine)
 	if x == nil || x.Permit != permit {
 		return ErrPermit
 	}
-	if !x.Phase.IsOut() || x.Phase == Returning {
+	if !x.Phase.IsOut() || x.Home && x.Holder == id {
 		return ErrPhase
 	}
 	x.Holder = id
 	x.to(Returning, now)
+	x.Home = true
 	return nil
 }
 
@@ -577,7 +580,7 @@
 				tell(x, x.Note)
 			}
 		case Returning:
-			ready := x.Kind == ABox || m != nil && !m.Lost && !m.Away
+			ready := x.Kind == ABox || x.Home && m != nil && !m.Lost && m.ID == x.Holder
 			if ready && waited >= s.Rules.Cold {
 				tell(x, "done")
 				s.end(x, Done, "", now)
--- a/internal/fleet/agree/duty.go
+++ b/internal/fleet/agree/duty.go
@@ -77,6 +77,10 @@
 			}
 		case work.Out:
 			n.duty.out = true
+		case work.Returning:
+			if !n.away && (!x.Home || x.Holder != n.id) {
+				n.report(replica.Back, x.Machine, x.Permit)
+			}
 		}
 	}
 	for _, x := range s.Work.Items {
