The part in a fleet is a command of its own, which the front runs in its place when asked for

Weighed: build tags (two builds of one command, the newcomer's line has only one), a plugin (cgo, fragile). Change: cmd/cherryramp-fleet; cherryramp execs it where the operator's file has 'fleet', and for 'cherryramp fleet'. The wiring moves to internal/program.

--- a/cmd/cherryramp/main.go
+++ b/cmd/cherryramp/main.go
@@ -18,6 +18,8 @@
 	"os"
 
 	"github.com/spf13/cobra"
+
+	"cherryramp/internal/program"
 )
 
 // failed is an exit code whose cause has been told.
@@ -35,7 +37,7 @@
 
 func main() {
 	if len(os.Args) == 1 { // as the platform starts it: nothing is made for a command line
-		if serve() != nil {
+		if program.Serve() != nil {
 			os.Exit(int(atFault))
 		}
 		return
@@ -50,11 +52,13 @@
 	root.CompletionOptions.DisableDefaultCmd = true
 	root.AddCommand(&cobra.Command{Use: "serve", Short: "Serve as one front, until SIGTERM", Args: cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
-			if serve() != nil {
+			if program.Serve() != nil {
 				return atFault
 			}
 			return nil
-		}}, checkCommand(), signCommand(), verifyCommand(), keysCommand(), fleetCommand())
+		}}, checkCommand(), signCommand(), verifyCommand(), keysCommand(),
+		&cobra.Command{Use: "fleet", Short: "What the fronts of one installation agree on", DisableFlagParsing: true,
+			RunE: func(*cobra.Command, []string) error { return program.HandOver() }})
 	cmd, err := root.ExecuteC()
 	var code failed
 	switch {
--- a/internal/config/fleet.go
+++ b/internal/config/fleet.go
@@ -9,7 +9,6 @@
 	"strings"
 
 	"cherryramp/internal/decide/work"
-	"cherryramp/internal/link/peers"
 )
 
 // Fleet has the front act together with the others of its installation.
@@ -70,11 +69,6 @@
 		AgeStep: span(r.AgeStepS, d.AgeStep), Patience: span(r.PatienceS, d.Patience)}
 }
 
-// Files are the keys for the links.
-func (k FleetKeys) Files() peers.Files {
-	return peers.Files{Certificate: k.Certificate, Key: k.Key, Authorities: k.Authorities, Names: k.Names, Revoked: k.Revoked}
-}
-
 // Bounds of the fleet section.
 const (
 	leastTickMS = 20
--- a/internal/decide/readiness/readiness.go
+++ b/internal/decide/readiness/readiness.go
@@ -60,3 +60,6 @@
 	s.ending = true
 	return first
 }
+
+// Duck tells whether the front is a lame duck.
+func (s *State) Duck() bool { return s.lameDuck }
--- /dev/null
+++ b/internal/program/fleet.go
@@ -0,0 +1,109 @@
+package program
+
+import (
+	"cmp"
+	"fmt"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"syscall"
+
+	"cherryramp/internal/config"
+	"cherryramp/internal/loop"
+)
+
+// FleetPart is the front's part in a fleet. It is used on the loop only.
+type FleetPart interface {
+	// Call carries out a call of the operators' door; the answer is told once, now or later.
+	Call(call string, answer func(line string))
+	// Rejoin tells that a person has the front take clients again.
+	Rejoin()
+	// Close ends the part, after the loop has.
+	Close() error
+}
+
+// FleetHost is the front as its part in a fleet sees it.
+type FleetHost interface {
+	// Takes tells whether it takes clients, and whether it holds no request.
+	Takes() (clients, empty bool)
+	// GoOut has it take no clients and empty itself, or take them again.
+	GoOut(out bool, permit uint64)
+	// Leave has it send nothing new to boxes; it tells of each whether anything is
+	// still open there.
+	Leave(boxes []string) (open map[string]bool)
+}
+
+// Fleet begins a front's part in a fleet, under a name. It is set by the command
+// that has the part linked in; nil: this one has not.
+var Fleet func(c *config.Fleet, front string, l *loop.Loop, host FleetHost, log *slog.Logger) (FleetPart, error)
+
+// Sibling is the command beside this one that has the part in a fleet.
+const Sibling = "cherryramp-fleet"
+
+// HandOver has the sibling run in this process's place, with the same arguments and
+// environment.
+func HandOver() error {
+	own, err := os.Executable()
+	if err != nil {
+		return fmt.Errorf("fleet: %w", err)
+	}
+	path := filepath.Join(filepath.Dir(own), Sibling)
+	if err := syscall.Exec(path, append([]string{path}, os.Args[1:]...), os.Environ()); err != nil {
+		return fmt.Errorf("fleet: %s, which a fleet needs beside this program: %w", path, err)
+	}
+	return nil
+}
+
+// startFleet has the front take part in the fleet of the operator's file.
+func (p *program) startFleet(c *config.Fleet) (err error) {
+	p.fleet, err = Fleet(c, cmp.Or(c.Front, p.cfg.Name), p.loop, fleetHost{p}, p.log)
+	return err
+}
+
+// fleetHost is the front as its part in the fleet sees it.
+type fleetHost struct{ p *program }
+
+// Takes is part of FleetHost.
+func (h fleetHost) Takes() (clients, empty bool) {
+	ready, _ := h.p.Ready()
+	busy := h.p.gate.Open()
+	for _, f := range h.p.fronts {
+		busy += f.Busy() + f.Coming()
+	}
+	return ready, busy == 0
+}
+
+// GoOut is part of FleetHost. What a person ordered by LAMEDUCK stays until a
+// person takes it back.
+func (h fleetHost) GoOut(out bool, permit uint64) {
+	p := h.p
+	switch {
+	case out && !p.duck:
+		p.log.Info("fleet: the front empties itself", "permit", permit)
+		p.byHand = p.ready.Duck()
+		p.LameDuck()
+		p.duck = true
+	case !out && p.duck:
+		p.duck = false
+		if p.byHand {
+			return
+		}
+		if err := p.rejoin(); err != nil {
+			p.log.Error("fleet: the front does not take clients again", "error", err)
+		} else {
+			p.log.Info("fleet: the front takes clients again")
+		}
+	}
+}
+
+// Leave is part of FleetHost.
+func (h fleetHost) Leave(boxes []string) (open map[string]bool) { return h.p.bars.Set(boxes) }
+
+// Fleet carries out a call to the fleet.
+func (p *program) Fleet(call string, answer func(line string)) bool {
+	if p.fleet == nil {
+		return false
+	}
+	p.fleet.Call(call, answer)
+	return true
+}
--- a/cmd/cherryramp/serve.go
+++ b/internal/program/serve.go
@@ -1,4 +1,10 @@
-package main
+// Package program is one real front: it reads its configuration, wires the parts
+// together round the event loop, and ends on SIGTERM when all is answered. It
+// decides nothing.
+//
+// A front's part in a fleet is not linked in here, since the agreement library
+// would cost every front 6 MB of pages; the command that has it sets Fleet.
+package program
 
 import (
 	"cmp"
@@ -18,7 +24,6 @@
 	"cherryramp/internal/decide/generations"
 	"cherryramp/internal/decide/readiness"
 	"cherryramp/internal/ephemeral"
-	"cherryramp/internal/fleet"
 	"cherryramp/internal/front/ops"
 	"cherryramp/internal/front/platform"
 	"cherryramp/internal/front/session"
@@ -48,10 +53,8 @@
 	fewestPooled = 16        // nodes that the connections must suffice for
 )
 
-// serve is one real front: it reads its configuration, wires the parts together
-// round the event loop, and ends on SIGTERM when all is answered. What ends it
-// otherwise is in the log.
-func serve() error {
+// Serve is one front, until SIGTERM. What ends it otherwise is in the log.
+func Serve() error {
 	if err := run(); err != nil {
 		slog.Error("cherryramp ends", "error", err)
 		return err
@@ -76,6 +79,9 @@
 	if err != nil {
 		return err
 	}
+	if operator.Fleet != nil && Fleet == nil {
+		return HandOver()
+	}
 	debug.SetMemoryLimit(int64(memoryShare * float64(cfg.MemoryMB) * (1 << 20)))
 	if err := transport.Setup(log); err != nil {
 		return err
@@ -115,9 +121,10 @@
 	figures  *figures.Figures
 	door     *ops.Door // nil: no operators' door
 	ready    *readiness.State
-	fleet    *fleet.Fleet  // nil: the front acts alone
+	fleet    FleetPart     // nil: the front acts alone
 	bars     *gateway.Bars // nil without fleet
 	duck     bool          // it takes no clients, as the fleet wants
+	byHand   bool          // nor did it before, as a person wanted
 }
 
 // build wires the parts and starts to serve.
--- a/cmd/cherryramp/settings.go
+++ b/internal/program/settings.go
@@ -1,4 +1,4 @@
-package main
+package program
 
 import (
 	"fmt"
--- a/lab/fleet/processes_test.go
+++ b/lab/fleet/processes_test.go
@@ -18,7 +18,7 @@
 	if err == nil {
 		program = filepath.Join(dir, "cherryramp")
 		var out []byte
-		if out, err = exec.Command("go", "build", "-o", program, "cherryramp/cmd/cherryramp").CombinedOutput(); err != nil {
+		if out, err = exec.Command("go", "build", "-o", dir, "cherryramp/cmd/cherryramp", "cherryramp/cmd/cherryramp-fleet").CombinedOutput(); err != nil {
 			err = fmt.Errorf("%w: %s", err, out)
 		}
 	}
