--- a/internal/decide/replica/replica.go
+++ b/internal/decide/replica/replica.go
@@ -315,7 +315,7 @@
 // Seen gives the word on a command that was applied lately.
 func (r *Replica) Seen(id ID) (Word, bool) {
 	i, ok := r.byID[id]
-	if !ok {
+	if !ok || r.without == NoOnce {
 		return Word{}, false
 	}
 	return r.s.Seen[i-r.cut].Word, true
--- a/lab/fleet/virtual.go
+++ b/lab/fleet/virtual.go
@@ -124,7 +124,8 @@
 	cut      map[[2]string]bool // one-way
 	delay    Micros
 	jitter   Micros
-	lag      map[string]Micros // added to the delay of what a front sends
+	tap      func(from string, s agree.Send) // sees what is sent; nil: nobody does
+	lag      map[string]Micros               // added to the delay of what a front sends
 	loss     float64
 	double   float64
 	last     map[[2]string]Micros
@@ -356,6 +357,9 @@
 
 // send brings a message on its way.
 func (w *World) send(f *Front, s agree.Send) {
+	if w.tap != nil {
+		w.tap(f.Name, s)
+	}
 	w.Sent[f.Name]++
 	w.Bytes[f.Name] += len(s.Payload) + 16
 	to, pair := w.byName[s.To], [2]string{f.Name, s.To}
