--- /dev/null
+++ b/internal/decide/council/model_test.go
@@ -0,0 +1,216 @@
+package council
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+)
+
+// The model of seats: fronts whose disks are lost come back, under a new
+// incarnation, while one entry is committed and spreads. Every order of wipes,
+// returns, contacts, changes of seats and copying is played. What must hold: among
+// the voters whose disks are whole, those without the entry are never a majority of
+// the voters, or it could be lost by an election. Disks are lost one at a time, and only while
+// a majority of the voters has whole ones.
+
+const modelFronts = 4
+
+// disk is one front's: which incarnation it is, whether it holds the entry, and
+// whether it runs.
+type disk struct {
+	id    uint8 // front + 8 * incarnation; 0: it is wiped and has not come back
+	holds bool
+}
+
+type seatState struct {
+	disks   [modelFronts]disk
+	joined  [modelFronts]uint8 // incarnation that the fleet knows
+	lost    [modelFronts]bool
+	voters  string // incarnations, ordered
+	learner uint8
+	wipes   uint8
+	lives   [modelFronts]uint8
+}
+
+// mutation leaves a rule out.
+type mutation uint8
+
+const (
+	none          mutation = iota
+	noIncarnation          // a wiped front comes back as the one it was
+	noCaught               // a learner votes before it has the entries
+)
+
+func (s *seatState) council() (*State, Seats) {
+	c := &State{}
+	for i := range modelFronts {
+		c.Fronts = append(c.Fronts, Front{Name: string('a' + rune(i)), Zone: fmt.Sprint(i), Machine: fmt.Sprint(i), Address: "x",
+			ID: uint64(s.joined[i]), Lost: s.lost[i]})
+	}
+	var seats Seats
+	for _, v := range []byte(s.voters) {
+		seats.Voters = append(seats.Voters, uint64(v))
+	}
+	if s.learner != 0 {
+		seats.Learners = []uint64{uint64(s.learner)}
+	}
+	return c, seats
+}
+
+// holder tells of an incarnation whether its disk is whole, and holds the entry.
+func (s *seatState) holder(id uint8) (whole, holds bool) {
+	for _, d := range s.disks {
+		if d.id == id {
+			return true, d.holds
+		}
+	}
+	return false, false
+}
+
+// safe tells whether no election among whole disks can lose the entry.
+func (s *seatState) safe() bool {
+	without := 0
+	for _, v := range []byte(s.voters) {
+		if whole, holds := s.holder(v); whole && !holds {
+			without++
+		}
+	}
+	return without < Majority(len(s.voters))
+}
+
+// majority tells whether so many voters are whole that the agreement can go on,
+// with one of them that holds the entry to lead it.
+func (s *seatState) majority(voters string) bool {
+	n, leads := 0, false
+	for _, v := range []byte(voters) {
+		whole, holds := s.holder(v)
+		if whole {
+			n++
+		}
+		leads = leads || whole && holds
+	}
+	return leads && n >= Majority(len(voters))
+}
+
+func (s seatState) steps(m mutation) (list []seatState) {
+	for i := range modelFronts {
+		d := s.disks[i]
+		if d.id != 0 && s.wipes > 0 {
+			x := s
+			x.disks[i], x.wipes = disk{}, s.wipes-1
+			if x.majority(x.voters) { // more than that is not promised
+				list = append(list, x)
+			}
+		}
+		if d.id == 0 { // it comes back with an empty disk
+			x := s
+			x.lives[i]++
+			x.disks[i].id = uint8(i+1) + 8*x.lives[i]
+			if m == noIncarnation {
+				x.disks[i].id = s.joined[i]
+			}
+			list = append(list, x)
+		}
+		if !s.majority(s.voters) { // nothing is agreed on
+			continue
+		}
+		if d.id != 0 && s.joined[i] != d.id {
+			x := s
+			x.joined[i], x.lost[i] = d.id, false
+			list = append(list, x)
+		}
+		if whole, _ := s.holder(s.joined[i]); whole == s.lost[i] {
+			x := s
+			x.lost[i] = !whole
+			list = append(list, x)
+		}
+		if d.id != 0 && !d.holds && (slices.Contains([]byte(s.voters), d.id) || s.learner == d.id) { // the leader copies
+			x := s
+			x.disks[i].holds = true
+			list = append(list, x)
+		}
+	}
+	if !s.majority(s.voters) {
+		return list
+	}
+	c, seats := s.council()
+	v := View{Now: 100, Leader: s.leader(), Avoid: func(*Front) bool { return false }, Caught: func(id uint64) bool {
+		_, holds := s.holder(uint8(id))
+		return holds || m == noCaught
+	}}
+	move := c.Next(seats, Config{Grace: 10}, v)
+	x := s
+	switch move.Kind {
+	case Stay:
+		return list
+	case Learn:
+		x.learner = uint8(move.Add)
+	case Promote, Drop:
+		b := slices.DeleteFunc([]byte(s.voters), func(v byte) bool { return uint64(v) == move.Drop })
+		if move.Kind == Promote {
+			b = append(b, byte(move.Add))
+		}
+		slices.Sort(b)
+		x.voters = string(b)
+		if uint64(x.learner) == move.Add || uint64(x.learner) == move.Drop {
+			x.learner = 0
+		}
+		if len(b) == 0 || !s.majority(x.voters) {
+			return list // joint consensus: the new seats must have a majority too, or the change does not end
+		}
+	}
+	return append(list, x)
+}
+
+// leader is a whole voter that holds the entry.
+func (s *seatState) leader() uint64 {
+	for _, v := range []byte(s.voters) {
+		if whole, holds := s.holder(v); whole && holds {
+			return uint64(v)
+		}
+	}
+	return 0
+}
+
+func playSeats(m mutation, wipes uint8) (states int, broken *seatState) {
+	var first []seatState
+	for _, holders := range [][2]int{{0, 1}, {0, 2}, {1, 2}} {
+		s := seatState{wipes: wipes, voters: string([]byte{1, 2, 3})}
+		for i := range modelFronts {
+			s.disks[i].id, s.joined[i] = uint8(i+1), uint8(i+1)
+		}
+		s.disks[holders[0]].holds, s.disks[holders[1]].holds = true, true
+		first = append(first, s)
+	}
+	seen := map[seatState]bool{}
+	queue := first
+	for len(queue) > 0 {
+		s := queue[0]
+		queue = queue[1:]
+		if seen[s] {
+			continue
+		}
+		seen[s] = true
+		if !s.safe() {
+			return len(seen), &s
+		}
+		queue = append(queue, s.steps(m)...)
+	}
+	return len(seen), nil
+}
+
+func TestModelOfSeats(t *testing.T) {
+	n, broken := playSeats(none, 3)
+	t.Logf("%d states", n)
+	if broken != nil {
+		t.Errorf("the entry can be lost: %+v", *broken)
+	}
+	for _, m := range []mutation{noIncarnation, noCaught} {
+		n, broken := playSeats(m, 3)
+		if broken == nil {
+			t.Errorf("rule %d left out, and nothing was found in %d states", m, n)
+		} else {
+			t.Logf("rule %d left out: found after %d states: %+v", m, n, *broken)
+		}
+	}
+}
--- /dev/null
+++ b/internal/decide/replica/replica_test.go
@@ -0,0 +1,146 @@
+package replica
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"cherryramp/internal/decide/council"
+	"cherryramp/internal/decide/work"
+	"cherryramp/internal/seeded"
+)
+
+func TestMain(m *testing.M) { seeded.Main(m) }
+
+func drawCommand(t *rapid.T) Command {
+	name := rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "front")
+	id := uint64(name[0]) + uint64(rapid.IntRange(0, 1).Draw(t, "life"))*1000
+	c := Command{ID: ID{Front: id, Start: 1, N: uint64(rapid.IntRange(1, 400).Draw(t, "n"))}}
+	switch rapid.IntRange(0, 5).Draw(t, "kind") {
+	case 0:
+		c.Join = &Join{council.Front{Name: name, Zone: "z" + name[:rapid.IntRange(0, 1).Draw(t, "zone")], Machine: name, Address: "x", ID: id, Start: 1}}
+	case 1:
+		c.Facts = &Facts{Span: rapid.Int64Range(-5, 20_000_000).Draw(t, "span"), Contact: []Contact{{Name: name, ID: id, Lost: rapid.Bool().Draw(t, "lost"),
+			Away: rapid.Bool().Draw(t, "away")}}}
+	case 2:
+		c.Ask = &Ask{Work: work.Item{Machine: name, Span: rapid.Int64Range(0, 100_000_000).Draw(t, "span"), Latest: rapid.Int64Range(-1, 50_000_000).Draw(t, "latest"),
+			Importance: rapid.IntRange(-3, 3).Draw(t, "importance"), Urgent: rapid.Bool().Draw(t, "urgent"), Restart: rapid.Bool().Draw(t, "restart"),
+			ZoneWise: rapid.Bool().Draw(t, "zonewise"), Apart: rapid.SliceOfN(rapid.SampledFrom([]string{"a", "b"}), 0, 1).Draw(t, "apart")}}
+	case 3:
+		c.Order = &Order{What: rapid.SampledFrom([]string{Cancel, Hold, Resume, Lost, Finish, "?"}).Draw(t, "what"), Work: uint64(rapid.IntRange(0, 9).Draw(t, "work"))}
+	case 4:
+		c.Report = []Report{{What: rapid.SampledFrom([]string{Accepted, Emptied, Back, Left}).Draw(t, "what"), Machine: name,
+			Permit: uint64(rapid.IntRange(0, 9).Draw(t, "permit")), Front: name, ID: id, Start: 1}}
+	case 5:
+		c.Leave = &Leave{name}
+	}
+	return c
+}
+
+// Two replicas that apply the same hold the same bytes, also where one of them was
+// written out and read back on the way; commands survive their encoding; works that
+// count as out never pass the budget by leave; each machine has one work.
+func TestReplicasAgree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b := New(), New()
+		rules := work.Defaults()
+		rules.Out, rules.Zone, rules.Percent = rapid.IntRange(1, 3).Draw(t, "out"), 3, 100
+		found := Command{ID: ID{N: 1}, Found: &Found{Name: "x", Fleet: 7, Rules: rules}}
+		a.Apply(found)
+		b.Apply(found)
+		for range rapid.IntRange(1, 60).Draw(t, "commands") {
+			c := drawCommand(t)
+			text, err := Encode(c)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if c, err = Decode(text); err != nil {
+				t.Fatal(err)
+			}
+			last := a.State().Work.Last
+			wa, _ := a.Apply(c)
+			wb, _ := b.Apply(c)
+			if wa != wb {
+				t.Fatalf("%+v and %+v", wa, wb)
+			}
+			if !bytes.Equal(a.Snapshot(), b.Snapshot()) {
+				t.Fatal("two replicas differ")
+			}
+			if rapid.IntRange(0, 3).Draw(t, "restore") == 0 {
+				if err := b.Restore(a.Snapshot()); err != nil {
+					t.Fatal(err)
+				}
+			}
+			s := a.State()
+			out, machines := 0, map[string]bool{}
+			for _, x := range s.Work.Items {
+				if machines[x.Machine] || x.Phase.Ended() {
+					t.Fatalf("two works on %s, or one that has ended", x.Machine)
+				}
+				machines[x.Machine] = true
+				if x.Phase == work.Permitted || x.Phase.IsOut() {
+					out++
+				}
+			}
+			if s.Work.Last > last && out > rules.Out {
+				t.Fatalf("%d out, %d may be", out, rules.Out)
+			}
+		}
+	})
+}
+
+// What can't be read is refused, never half taken.
+func TestBytesThatAreNone(t *testing.T) {
+	r := New()
+	r.Apply(Command{ID: ID{N: 1}, Found: &Found{Name: "x", Fleet: 7, Rules: work.Defaults()}})
+	whole := r.Snapshot()
+	for cut := range len(whole) {
+		if err := New().Restore(whole[:cut]); err == nil {
+			t.Fatalf("a snapshot cut at %d was taken", cut)
+		}
+	}
+	text, _ := Encode(Command{ID: ID{N: 1}, Leave: &Leave{"x"}})
+	for cut := range len(text) {
+		if _, err := Decode(text[:cut]); err == nil {
+			t.Fatalf("a command cut at %d was taken", cut)
+		}
+	}
+}
+
+// The plan of a thousand machines.
+func BenchmarkPlan(b *testing.B) {
+	r := New()
+	rules := work.Defaults()
+	r.Apply(Command{ID: ID{N: 1}, Found: &Found{Name: "x", Fleet: 7, Rules: rules}})
+	for i := range 300 {
+		name := fmt.Sprintf("n%03d", i)
+		r.Apply(Command{Join: &Join{council.Front{Name: name, Zone: fmt.Sprintf("z%d", i%5), Machine: name, Address: "x", ID: uint64(i + 1), Start: 1}}})
+		r.Apply(Command{Facts: &Facts{Contact: []Contact{{Name: name, ID: uint64(i + 1)}}}})
+	}
+	for i := range 1000 {
+		x := work.Item{Machine: fmt.Sprintf("box%04d", i), Kind: work.ABox, Zone: fmt.Sprintf("z%d", i%5), Span: 1_000_000}
+		if i < 300 {
+			x.Machine, x.Kind = fmt.Sprintf("n%03d", i), work.AFront
+		}
+		r.Apply(Command{ID: ID{N: uint64(i + 2)}, Ask: &Ask{Work: x}})
+	}
+	s := r.State()
+	b.Run("plan", func(b *testing.B) {
+		for b.Loop() {
+			s.Work.Plan(r.Fleet(), s.Now)
+		}
+	})
+	b.Run("step", func(b *testing.B) {
+		for b.Loop() {
+			s.Work.Step(r.Fleet(), s.Now)
+		}
+	})
+	b.Run("apply", func(b *testing.B) {
+		for b.Loop() {
+			r.Apply(Command{Facts: &Facts{Span: 1}})
+		}
+	})
+	b.ReportMetric(float64(len(r.Snapshot()))/1300, "state-bytes/front-or-work")
+}
