--- a/internal/decide/council/council.go
+++ b/internal/decide/council/council.go
@@ -293,6 +293,9 @@
 			return id, f.Name + " is lost"
 		}
 	}
+	if slices.ContainsFunc(seats.Voters, func(id uint64) bool { return s.ByID(id).Lost }) {
+		return 0, "" // seats move for work while all voters are heard: one thing at a time
+	}
 	for _, id := range seats.Voters {
 		if f := s.ByID(id); id != v.Leader && v.Avoid(f) {
 			return id, f.Name + " goes out for work"
--- a/internal/decide/work/work.go
+++ b/internal/decide/work/work.go
@@ -535,6 +535,12 @@
 	tell := func(x *Item, what string) {
 		told = append(told, fmt.Sprintf("work %d on %s: %s", x.ID, x.Machine, what))
 	}
+	back := func(x *Item, why string) {
+		s.fence(x)
+		x.Note = fmt.Sprintf("leave %d %s", x.Permit, why)
+		tell(x, x.Note)
+		x.to(Asked, now)
+	}
 	for _, id := range s.ids() {
 		x := s.Find(id)
 		m := fleet.Find(x.Machine)
@@ -556,11 +562,12 @@
 					x.to(Out, now)
 				}
 			case waited > s.Rules.Accept || m == nil || m.Lost:
-				s.fence(x)
-				x.Note = fmt.Sprintf("leave %d was not accepted and was taken back", x.Permit)
 				x.Tries = min(x.Tries+1, 8)
-				tell(x, x.Note)
-				x.to(Asked, now)
+				back(x, "was not accepted and was taken back")
+			case m.Votes: // it may have got a seat, or another voter been lost, since
+				if u := s.use(fleet); u.voters > 1 && u.heard < u.voters/2+1 {
+					back(x, "was taken back: those voters that are left are no majority any more")
+				}
 			}
 		case Emptying:
 			if x.Kind == AFront && m != nil && !m.Lost && (m.ID != x.Holder || m.Start != x.Start) {
@@ -592,7 +599,11 @@
 	}
 	u := s.use(fleet)
 	for _, x := range s.queue(now) {
-		why := s.bar(x, &u, fleet, now)
+		// Where the budget is spent, nobody who is not part of what spent it need be looked at.
+		why := "the budget is spent"
+		if u.out < s.Rules.Out || u.machines[x.Machine] {
+			why = s.bar(x, &u, fleet, now)
+		}
 		if why == "" {
 			s.Last++
 			x.Permit, x.Left, x.Holder, x.Start = s.Last, nil, 0, 0
