The fleet section is checked whole, with a sample; benchmarks of elections, upgrades, traffic

Change: keys' files are looked for, every fault told at once with its key, deploy/operator-fleet.json; benchmarks on processes and in virtual time.

--- a/internal/config/fleet.go
+++ b/internal/config/fleet.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"errors"
 	"fmt"
+	"os"
 	"path/filepath"
 	"slices"
 	"strings"
@@ -139,6 +140,11 @@
 		} else if !filepath.IsAbs(*x.path) {
 			*x.path = filepath.Join(dir, *x.path)
 		}
+		if x.key != "" && *x.path != "" {
+			if _, err := os.Stat(*x.path); err != nil {
+				at.add("keys."+x.key, err)
+			}
+		}
 	}
 	if len(k.Names) == 0 {
 		at.addf("keys.names", "nobody would be let in")
--- a/internal/config/operator_test.go
+++ b/internal/config/operator_test.go
@@ -14,6 +14,9 @@
 		t.Fatalf("found %v, %v", paths, err)
 	}
 	for _, path := range paths {
+		if filepath.Base(path) == "operator-fleet.json" {
+			continue // its keys are the installation's own; see TestFleetSection
+		}
 		if _, err := LoadOperator(func(string) string { return path }); err != nil {
 			t.Error(err)
 		}
--- a/lab/fleet/bench_test.go
+++ b/lab/fleet/bench_test.go
@@ -2,10 +2,15 @@
 
 import (
 	"fmt"
+	"slices"
+	"sync"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"cherryramp/internal/decide/replica"
 	"cherryramp/internal/decide/work"
+	"cherryramp/internal/fleet"
 )
 
 // What goes between the fronts of a fleet, idle and at ten works a minute: messages
@@ -72,3 +77,192 @@
 		b.ReportMetric(float64(bytes[role])/float64(n[role])/span, "B/s-"+role)
 	}
 }
+
+// processes starts a fleet for a benchmark.
+func processes(b *testing.B, o Options) *Processes {
+	b.Helper()
+	o.Program = program
+	f, err := NewProcesses(o)
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() { _ = f.Close() })
+	if err := f.StartAll(); err != nil {
+		b.Fatal(err)
+	}
+	if err := Await(within, f.Settled); err != nil {
+		b.Fatal(err)
+	}
+	return f
+}
+
+func quantiles(b *testing.B, list []time.Duration, what string) {
+	slices.Sort(list)
+	b.ReportMetric(list[len(list)/2].Seconds(), "s-p50-"+what)
+	b.ReportMetric(list[len(list)*99/100].Seconds(), "s-p99-"+what)
+}
+
+// From a leader's death to another leader that a front knows, and to a permit under it.
+func BenchmarkElection(b *testing.B) {
+	f := processes(b, Options{Fronts: 5, Zones: 3, Seed: 4, Rules: map[string]any{"out": 5, "zone": 5, "percent": 100, "hurt_percent": 100, "cold_s": 0.1}})
+	var elect, permit []time.Duration
+	for b.Loop() {
+		for range 30 {
+			l := f.Leader()
+			for l == nil {
+				l = f.Leader()
+			}
+			at := f.List[0]
+			if at == l {
+				at = f.List[1]
+			}
+			began := time.Now()
+			l.Kill()
+			for {
+				if s, err := at.Status(); err == nil && s.Leader != "" && s.Leader != l.Name {
+					break
+				}
+				time.Sleep(5 * time.Millisecond)
+			}
+			elect = append(elect, time.Since(began))
+			var id uint64
+			var err error
+			for id, err = at.Ask(fleet.Ask{Machine: "box", Box: true, Zone: "x", SpanS: 1, Urgent: true}); err != nil; {
+				id, err = at.Ask(fleet.Ask{Machine: "box", Box: true, Zone: "x", SpanS: 1, Urgent: true})
+			}
+			for phase(at, "box") == "asked" {
+				time.Sleep(5 * time.Millisecond)
+			}
+			permit = append(permit, time.Since(began))
+			_ = at.Call(fmt.Sprint("FLEET WORK CANCEL ", id), nil)
+			if err := l.Start(); err != nil {
+				b.Fatal(err)
+			}
+			if err := Await(within, f.Settled); err != nil {
+				b.Fatal(err)
+			}
+		}
+	}
+	quantiles(b, elect, "elected")
+	quantiles(b, permit, "permit")
+}
+
+// From the start of a front whose disk was wiped until it holds what the others do.
+func BenchmarkWiped(b *testing.B) {
+	f := processes(b, Options{Fronts: 5, Zones: 3, Seed: 5})
+	var back []time.Duration
+	for b.Loop() {
+		for i := range 10 {
+			p := f.List[1+i%4]
+			p.Kill()
+			if err := p.Wipe(); err != nil {
+				b.Fatal(err)
+			}
+			began := time.Now()
+			if err := p.Start(); err != nil {
+				b.Fatal(err)
+			}
+			for {
+				if s, err := p.Status(); err == nil && s.ID != "" && s.Applied > 10 {
+					break
+				}
+				time.Sleep(5 * time.Millisecond)
+			}
+			back = append(back, time.Since(began))
+			if err := Await(within, f.Settled); err != nil {
+				b.Fatal(err)
+			}
+		}
+	}
+	quantiles(b, back, "back")
+}
+
+// Twelve fronts are restarted by the plan itself, under 200 requests a second, with
+// a crash in the middle.
+func BenchmarkRollingUpgrade(b *testing.B) {
+	f := processes(b, Options{Fronts: 12, Zones: 3, Seed: 6, Rules: map[string]any{"out": 2, "zone": 1, "percent": 34, "hurt_percent": 50, "accept_s": 5,
+		"cold_s": 1}})
+	for b.Loop() {
+		clients := NewClients(f, 200)
+		time.Sleep(2 * time.Second)
+		began := time.Now()
+		for _, p := range f.List {
+			if _, err := f.List[0].Ask(fleet.Ask{Machine: p.Name, SpanS: 60, Restart: true, Why: "upgrade"}); err != nil {
+				b.Fatal(err)
+			}
+		}
+		restarted, crashed := map[string]bool{}, false
+		for {
+			at := f.Leader()
+			if at == nil {
+				continue
+			}
+			list, err := at.Plan()
+			if err != nil {
+				continue
+			}
+			if len(list) == 0 {
+				break
+			}
+			for _, w := range list {
+				p := f.Find(w.Machine)
+				if w.Phase != "out" || restarted[w.Machine] {
+					continue
+				}
+				restarted[w.Machine] = true
+				go func() { _ = p.Stop(); _ = p.Start() }()
+			}
+			if len(restarted) >= 6 && !crashed {
+				crashed = true
+				for _, p := range f.List {
+					if !restarted[p.Name] {
+						p.Kill()
+						go func() { time.Sleep(time.Second); _ = p.Start() }()
+						break
+					}
+				}
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+		took := time.Since(began)
+		first := clients.Stop()
+		b.ReportMetric(took.Seconds(), "s-all-restarted")
+		b.ReportMetric(float64(clients.Lost.Load()), "lost")
+		b.ReportMetric(float64(clients.Served.Load()), "served")
+		b.ReportMetric(float64(clients.Refused.Load()+clients.Failed.Load()+clients.Nowhere.Load()), "refused-or-failed")
+		b.ReportMetric(float64(clients.Crashed.Load()), "crashed-under")
+		if first != "" {
+			b.Log(first)
+		}
+	}
+}
+
+// Entries a second through the agreement of three fronts with disks: one person
+// after the other, and 64 at once, which share what the disk is waited for.
+func BenchmarkEntries(b *testing.B) {
+	for _, at := range []int{1, 64} {
+		b.Run(fmt.Sprintf("at-once=%d", at), func(b *testing.B) {
+			f := processes(b, Options{Fronts: 3, Zones: 3, Seed: 7})
+			l := f.Leader()
+			for b.Loop() {
+				began, n := time.Now(), 0
+				var wg sync.WaitGroup
+				var count atomic.Int64
+				for range at {
+					wg.Add(1)
+					go func() {
+						defer wg.Done()
+						for time.Since(began) < 3*time.Second {
+							if l.Call("FLEET WORK HOLD bench", nil) == nil {
+								count.Add(1)
+							}
+						}
+					}()
+				}
+				wg.Wait()
+				n = int(count.Load())
+				b.ReportMetric(float64(n)/time.Since(began).Seconds(), "entries/s")
+			}
+		})
+	}
+}
