--- a/internal/fleet/calls.go
+++ b/internal/fleet/calls.go
@@ -32,7 +32,7 @@
 	Away        []string `json:"away,omitempty"` // heard, and taking no clients
 	Voters      []string `json:"voters,omitempty"`
 	Wanted      int      `json:"wanted"` // voters that there should be
-	Bears       int      `json:"bears"` // further losses of voters that leave a majority; below 0: there is none
+	Bears       int      `json:"bears"`  // further losses of voters that leave a majority; below 0: there is none
 	Out         []string `json:"out,omitempty"`
 	OutByPermit uint64   `json:"out_by_permit,omitempty"` // under which this front takes no clients now
 	Hold        string   `json:"hold,omitempty"`
