--- a/cmd/cherryramp/clients_hard_test.go
+++ b/cmd/cherryramp/clients_hard_test.go
@@ -41,6 +41,28 @@
 	return &client{t: t, c: c}
 }
 
+// awaitClosed waits until the other side has ended a connection by a reset.
+func awaitClosed(t *testing.T, c net.Conn) {
+	t.Helper()
+	const closed = 7 // TCP_CLOSE of the kernel's tcp_states.h
+	raw, err := c.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		state := uint8(0)
+		err := raw.Control(func(fd uintptr) {
+			if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+				state = info.State
+			}
+		})
+		if err != nil || state == closed {
+			return
+		}
+	}
+	t.Fatal("the connection was not reset")
+}
+
 // A client that takes nothing of its answer is ended by a reset, which can't be
 // taken for a whole answer; one that sends a byte and no more is told so; a good
 // one beside them notices nothing.
@@ -55,6 +77,8 @@
 	if r, _ := sender.answer("GET"); r.StatusCode != 408 {
 		t.Errorf("the slow sender got %d", r.StatusCode)
 	}
+	// The line comes before the reset, and who reads in between takes what is left.
+	awaitClosed(t, reader.c)
 	_ = reader.c.SetDeadline(time.Now().Add(patience))
 	n, err := io.Copy(io.Discard, reader.c)
 	if !errors.Is(err, syscall.ECONNRESET) || n >= 240_000 {
