--- a/rules/renew_test.go
+++ b/rules/renew_test.go
@@ -7,11 +7,13 @@
 // and a place never means another class.
 func TestRenew(t *testing.T) {
 	read := Class{Name: "a", GiveUp: second, Aim: 100 * milli, Worth: 1}
-	r, err := New(Settings{Classes: []Class{read}, Gateways: 1, MaxAttempts: 3, ParentKind: -1, OriginKind: -1, Tick: milli}, 1)
+	r, err := New(Settings{Classes: []Class{read}, Gateways: 1, MaxAttempts: 3,
+		ParentKind: -1, OriginKind: -1, Tick: milli}, 1)
 	if err != nil {
 		t.Fatal(err)
 	}
-	list := Members{Full: true, List: []Member{{ID: 1, State: Ready, Weight: 1}, {ID: 2, State: Ready, Weight: 1}}}
+	list := Members{Full: true, List: []Member{{ID: 1, State: Ready, Weight: 1},
+		{ID: 2, State: Ready, Weight: 1}}}
 	gets := func(at Micros, events ...Event) (n int) {
 		for _, a := range r.Step(at, events) {
 			if _, ok := a.(Get); ok {
@@ -43,10 +45,12 @@
 	if gets(2, fail(1, first)) != 1 {
 		t.Error("the open read was not tried again")
 	}
-	if gets(3, Request{ID: 2, Class: 1, Object: 7, Expires: second}) != 1 || gets(4, fail(2, r.reqs[2].tries[0].server.ID)) != 0 {
+	if gets(3, Request{ID: 2, Class: 1, Object: 7, Expires: second}) != 1 ||
+		gets(4, fail(2, r.reqs[2].tries[0].server.ID)) != 0 {
 		t.Error("what must not run twice was tried again")
 	}
-	if gets(5, Request{ID: 3, Object: 7, Expires: second}) != 1 || gets(6, fail(3, r.reqs[3].tries[0].server.ID)) != 0 {
+	if gets(5, Request{ID: 3, Object: 7, Expires: second}) != 1 ||
+		gets(6, fail(3, r.reqs[3].tries[0].server.ID)) != 0 {
 		t.Error("a read under one attempt was tried again")
 	}
 }
