cherryramp fleet exits with 2 where a call can't be made as it was given

Need: an unknown subcommand printed help and exited 0, a wrong flag exited 1. Change: groups take no words, wrong values are told apart from refusals.

--- a/cmd/cherryramp-fleet/calls.go
+++ b/cmd/cherryramp-fleet/calls.go
@@ -25,6 +25,11 @@
 	ended     = failed(4)
 )
 
+// badCall is a call that can't be made as it was given.
+type badCall struct{ error }
+
+func help(c *cobra.Command, _ []string) error { return c.Help() }
+
 // fleetCalls is what the commands of a fleet share.
 type fleetCalls struct {
 	ops  string
@@ -39,7 +44,7 @@
 		address = os.Getenv("ROUTER_OPS")
 	}
 	if address == "" {
-		return nil, errors.New("no door: give --ops or ROUTER_OPS")
+		return nil, badCall{errors.New("no door: give --ops or ROUTER_OPS")}
 	}
 	conn, err := net.DialTimeout("tcp", address, callTime)
 	if err != nil {
@@ -82,7 +87,7 @@
 
 func fleetCommand() *cobra.Command {
 	c := &fleetCalls{out: os.Stdout}
-	root := &cobra.Command{Use: "fleet", Short: "What the fronts of one installation agree on",
+	root := &cobra.Command{Use: "fleet", Args: cobra.NoArgs, RunE: help, Short: "What the fronts of one installation agree on",
 		Long: "What the fronts of one installation agree on, asked at any front's door.\n\n" +
 			"Exit codes: 0 done, 1 failed or refused, 2 called in a way that is not known, 4 with --wait: the work ended before the machine was out."}
 	root.PersistentFlags().StringVar(&c.ops, "ops", "", "a front's operators' door, IP:port; ROUTER_OPS by default")
@@ -160,11 +165,11 @@
 }
 
 func (c *fleetCalls) workCommand() *cobra.Command {
-	root := &cobra.Command{Use: "work", Short: "Machines taken out for work, in an order that the fronts settle"}
+	root := &cobra.Command{Use: "work", Args: cobra.NoArgs, RunE: help, Short: "Machines taken out for work, in an order that the fronts settle"}
 	number := func(use, short, call string) *cobra.Command {
 		return &cobra.Command{Use: use + " ID [REASON...]", Short: short, Args: cobra.MinimumNArgs(1), RunE: func(_ *cobra.Command, args []string) error {
 			if _, err := strconv.ParseUint(args[0], 10, 64); err != nil {
-				return fmt.Errorf("%q is no work's number", args[0])
+				return badCall{fmt.Errorf("%q is no work's number", args[0])}
 			}
 			return c.show("WORK "+call+" "+strings.Join(args, " "), nil, func(w io.Writer) { _, _ = fmt.Fprintln(w, "ok") })
 		}}
@@ -230,7 +235,7 @@
 			case "restart":
 				a.Restart = true
 			default:
-				return fmt.Errorf("--until: %q is not done or restart", until)
+				return badCall{fmt.Errorf("--until: %q is not done or restart", until)}
 			}
 			text, err := json.Marshal(a)
 			if err != nil {
--- a/cmd/cherryramp-fleet/main.go
+++ b/cmd/cherryramp-fleet/main.go
@@ -47,9 +47,13 @@
 	root.AddCommand(fleetCommand())
 	cmd, err := root.ExecuteC()
 	var code failed
+	var wrong badCall
 	switch {
 	case errors.As(err, &code):
 		os.Exit(int(code))
+	case errors.As(err, &wrong):
+		fmt.Fprintln(os.Stderr, "cherryramp:", err)
+		os.Exit(exitUsage)
 	case err != nil && !running:
 		fmt.Fprintf(os.Stderr, "cherryramp: %v\n\n%s", err, cmd.UsageString())
 		os.Exit(exitUsage)
