TestResetWithAFullSocket fills a connection that is up, until it stays full

Cause: attempts that start before the connection is up wait and go out together, so the last is not the one cut short; and a partial one may still drain while the other side's buffer grows. Change: the test waits for the connection, and for 100 looks alike.

--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -112,16 +112,30 @@
 	}
 }
 
-// fill starts attempts until the socket takes no more; the last is cut short.
+// fill starts attempts until the socket takes no more, and goes on taking none: the
+// other side's buffer may grow for a while. The last is cut short.
 func (r *rig) fill() (last *gateway.Attempt) {
-	for blocked := false; !blocked; {
+	partial := func() (a *gateway.Attempt) {
+		r.on(func() {
+			for _, c := range r.pools.pools[r.srv.ID].conns {
+				a = c.partial
+			}
+		})
+		return a
+	}
+	for up := false; !up; time.Sleep(time.Millisecond) { // else all would wait for the connection, and go out together
+		r.on(func() { up = len(r.pools.where) > 0 })
+	}
+	for r.next <= 2000 {
 		last = r.start(48_000)
-		r.on(func() { blocked = r.pools.where[last] != nil && r.pools.where[last].partial == last })
-		if r.next > 2000 {
-			r.t.Fatal("the socket never fills")
+		for same := 0; partial() == last; time.Sleep(time.Millisecond) {
+			if same++; same == 100 {
+				return last
+			}
 		}
 	}
-	return last
+	r.t.Fatal("the socket never fills")
+	return nil
 }
 
 // Guards against what waited behind a full socket leaving once it may not: it
