--- a/cmd/cherryramp-fleet/calls.go
+++ b/cmd/cherryramp-fleet/calls.go
@@ -6,8 +6,10 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"text/tabwriter"
@@ -105,7 +107,7 @@
 		simple("leave NAME", "Take a front out of the fleet for good", func(args []string) error {
 			return c.show("LEAVE "+args[0], nil, func(w io.Writer) { _, _ = fmt.Fprintf(w, "%s leaves\n", args[0]) })
 		}, cobra.ExactArgs(1)),
-		c.workCommand())
+		c.rulesCommand(), c.workCommand())
 	return root
 }
 
@@ -143,6 +145,9 @@
 		default:
 			row("can bear", "%d further losses of voters", s.Bears)
 		}
+		if s.AloneS > 0 {
+			row("lease", "%.1f s of %.0f s left", s.LeaseS, s.AloneS)
+		}
 		row("out for work", "%s", list(s.Out))
 		if s.Hold != "" {
 			row("held", "%s", s.Hold)
@@ -153,6 +158,34 @@
 	})
 }
 
+// rulesCommand shows the rules, or changes those that are named.
+func (c *fleetCalls) rulesCommand() *cobra.Command {
+	return &cobra.Command{Use: "rules [KEY=NUMBER...]", Short: "The rules of works, or a change of some of them", RunE: func(_ *cobra.Command, args []string) error {
+		change := map[string]json.Number{}
+		for _, a := range args {
+			key, number, ok := strings.Cut(a, "=")
+			if _, err := strconv.ParseFloat(number, 64); !ok || err != nil {
+				return badCall{fmt.Errorf("%q is no KEY=NUMBER", a)}
+			}
+			change[key] = json.Number(number)
+		}
+		call := "RULES"
+		if len(change) > 0 {
+			text, err := json.Marshal(change)
+			if err != nil {
+				return badCall{err}
+			}
+			call += " " + string(text)
+		}
+		var x map[string]float64
+		return c.show(call, &x, func(w io.Writer) {
+			for _, key := range slices.Sorted(maps.Keys(x)) {
+				_, _ = fmt.Fprintf(w, "%s\t%g\n", key, x[key])
+			}
+		})
+	}}
+}
+
 func (c *fleetCalls) members([]string) error {
 	var list []fleet.Member
 	return c.show("MEMBERS", &list, func(w io.Writer) {
--- a/internal/decide/council/council.go
+++ b/internal/decide/council/council.go
@@ -37,6 +37,7 @@
 	Since   Micros `cbor:"10,keyasint"`           // fleet time at which it came, was lost or was found
 	Hurt    bool   `cbor:"12,keyasint,omitempty"` // heard, and says itself that it is in trouble
 	Leaving bool   `cbor:"11,keyasint,omitempty"` // it goes for good once it has no seat
+	Lease   Micros `cbor:"13,keyasint,omitempty"` // the longest that it acts without hearing the fleet; 0: for ever
 }
 
 // State is the fleet's fronts, ordered by name.
@@ -80,7 +81,7 @@
 			return ErrName
 		}
 	}
-	if f.ID == 0 || len(f.Build) > MostName {
+	if f.ID == 0 || len(f.Build) > MostName || f.Lease < 0 {
 		return ErrName
 	}
 	f.Lost, f.Away, f.Since = false, true, now // until it is heard to take clients
--- /dev/null
+++ b/internal/decide/lease/lease.go
@@ -0,0 +1,187 @@
+// Package lease decides for how long a front may act without hearing its fleet: what
+// a grant is worth to who asked, what it may pass on, and when the others may take a
+// lease as surely over.
+//
+// Moments are the holder's own and never leave it but as a stamp that comes back;
+// spans travel. Nothing rests on clocks being equal, only on their rates differing
+// from true time by no more than Drift.
+package lease
+
+import (
+	"maps"
+	"slices"
+)
+
+// Micros is a span, or a moment of one front's own clock, in microseconds.
+type Micros = int64
+
+// Drift is by how much a clock's rate may differ from true time, in percent.
+const Drift = 10
+
+// mostWaiting bounds the grants that wait for entries to be applied.
+const mostWaiting = 4
+
+// Ask asks for a lease. It travels to who grants, and its stamp back.
+type Ask struct {
+	Stamp Micros `cbor:"1,keyasint"` // the asker's own clock at its making; 0: none is wanted
+}
+
+// Grant is the answer.
+type Grant struct {
+	Stamp Micros `cbor:"1,keyasint"` // of the ask
+	Span  Micros `cbor:"2,keyasint"` // from the stamp on
+	Index uint64 `cbor:"3,keyasint"` // committed when a majority confirmed it, after the ask
+}
+
+// Lease is the holder's side. The zero value holds nothing.
+type Lease struct {
+	end     Micros
+	index   uint64
+	waiting []Grant
+}
+
+// Take takes a grant in; it counts once entries up to its index have been applied.
+// A span longer than most counts as most.
+func (l *Lease) Take(g Grant, most Micros, applied uint64) {
+	if g.Span <= 0 || g.Stamp == 0 {
+		return
+	}
+	g.Span = min(g.Span, most)
+	if len(l.waiting) >= mostWaiting { // the newest takes the last one's place: the first will count soonest
+		l.waiting = l.waiting[:mostWaiting-1]
+	}
+	l.waiting = append(l.waiting, g)
+	l.Applied(applied)
+}
+
+// Applied tells how far entries have been applied.
+func (l *Lease) Applied(index uint64) {
+	kept := l.waiting[:0]
+	for _, g := range l.waiting {
+		if g.Index > index {
+			kept = append(kept, g)
+		} else if end := g.Stamp + g.Span; end > l.end {
+			l.end, l.index = end, g.Index
+		}
+	}
+	l.waiting = kept
+}
+
+// Shorten has a lease end a span from now at the latest.
+func (l *Lease) Shorten(now, span Micros) { l.end = min(l.end, now+span) }
+
+// End is the moment from which on it does not hold; 0: it never did.
+func (l *Lease) End() Micros { return l.end }
+
+// Holds tells whether it does at a moment.
+func (l *Lease) Holds(now Micros) bool { return now < l.end }
+
+// Index is the entry that had been committed when what is held was confirmed.
+func (l *Lease) Index() uint64 { return l.index }
+
+// Pass is what a holder grants to one that it feeds, at a moment after the ask came:
+// what is left of its own. The caller has seen that the asker is not lost in the
+// state that the holder has applied, which goes beyond the lease's own index.
+func (l *Lease) Pass(a Ask, now Micros) (Grant, bool) {
+	if a.Stamp == 0 || !l.Holds(now) {
+		return Grant{}, false
+	}
+	return Grant{Stamp: a.Stamp, Span: l.end - now, Index: l.index}, true
+}
+
+// Span is the longest lease that a holder may live by: what the rules have for it,
+// and no more than the others believe that it does. Rule and known are 0 for ever.
+func Span(rule, known Micros) Micros {
+	switch {
+	case rule == 0:
+		return known // until the others know better
+	case known == 0:
+		return rule // the others may hear of it at any moment
+	}
+	return min(rule, known)
+}
+
+// Over tells whether a lease of a span is surely over for one that asked before a
+// moment, once a clock has gone on by elapsed since. A span of 0 is for ever.
+func Over(span, elapsed Micros) bool {
+	return span > 0 && elapsed >= Until(span)
+}
+
+// Until is how much must have passed on a clock for a lease of a span to be surely
+// over: the holder's runs slow, and that one fast.
+func Until(span Micros) Micros { return (span*(100+Drift) + (100 - Drift) - 1) / (100 - Drift) }
+
+// Asker is one who waits for the leader's word.
+type Asker struct {
+	Name string
+	ID   uint64 // incarnation
+	Ask  Ask
+}
+
+// Round is what a leader grants after a majority has confirmed it once.
+type Round struct {
+	Number uint64
+	List   []Asker
+}
+
+// Grantor is the leader's side: it gathers asks, has a majority confirm that it
+// leads, and then answers those that were there before the confirmation began.
+type Grantor struct {
+	number  uint64
+	next    map[string]Asker
+	open    *Round
+	index   uint64 // of the open one, once confirmed
+	settled bool
+}
+
+// Asked notes an ask; the newest of an asker counts.
+func (g *Grantor) Asked(a Asker, most int) {
+	if a.Ask.Stamp == 0 {
+		return
+	}
+	if g.next == nil {
+		g.next = map[string]Asker{}
+	}
+	if _, known := g.next[a.Name]; known || len(g.next) < most {
+		g.next[a.Name] = a
+	}
+}
+
+// Begin begins a round, if anybody waits and none is under way; the number goes
+// through the confirmation.
+func (g *Grantor) Begin() (number uint64, ok bool) {
+	if g.open != nil || len(g.next) == 0 {
+		return 0, false
+	}
+	g.number++
+	g.open, g.settled = &Round{Number: g.number}, false
+	for _, name := range slices.Sorted(maps.Keys(g.next)) { // like rounds have like effects
+		g.open.List = append(g.open.List, g.next[name])
+	}
+	g.next = nil
+	return g.number, true
+}
+
+// Confirmed tells that a majority confirmed a round, with the index committed then.
+func (g *Grantor) Confirmed(number, index uint64) {
+	if g.open != nil && g.open.Number == number && !g.settled {
+		g.index, g.settled = index, true
+	}
+}
+
+// Answers gives the askers of a round that was confirmed, once entries up to its
+// index have been applied, and ends it.
+func (g *Grantor) Answers(applied uint64) (list []Asker, index uint64) {
+	if g.open == nil || !g.settled || applied < g.index {
+		return nil, 0
+	}
+	list = g.open.List
+	g.open = nil
+	return list, g.index
+}
+
+// Reset forgets all: the front leads no more, or a round came to nothing.
+func (g *Grantor) Reset() { g.open, g.next, g.settled = nil, nil, false }
+
+// Under tells whether a round is under way.
+func (g *Grantor) Under() bool { return g.open != nil }
--- a/internal/decide/replica/replica.go
+++ b/internal/decide/replica/replica.go
@@ -18,6 +18,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"cherryramp/internal/decide/council"
+	"cherryramp/internal/decide/lease"
 	"cherryramp/internal/decide/work"
 )
 
@@ -168,6 +169,8 @@
 	NoOnce     Rule = "once"        // a command that comes again is applied again
 	NoLostOut  Rule = "lost-is-out" // what is lost does not count as out
 	NoMajority Rule = "majority"    // a voter goes though no majority is left
+	NoDrift    Rule = "drift"       // a lease is over once the fleet's clock says so
+	NoLook     Rule = "look"        // a front does not look at its lease before it acts
 )
 
 // Replica applies commands.
@@ -186,6 +189,9 @@
 // Without leaves a rule out.
 func (r *Replica) Without(rule Rule) { r.without = rule }
 
+// Leaves tells whether a rule is left out.
+func (r *Replica) Leaves(rule Rule) bool { return rule != "" && r.without == rule }
+
 // State is the state. The caller must not write to it.
 func (r *Replica) State() *State { return &r.s }
 
@@ -199,6 +205,12 @@
 	fleet := make(work.Fleet, 0, len(s.Council.Fronts))
 	for _, f := range s.Council.Fronts {
 		m := work.Machine{Name: f.Name, Zone: f.Zone, ID: f.ID, Start: f.Start, Lost: f.Lost, Away: f.Away, Hurt: f.Hurt, Votes: s.Seats.Has(f.ID)}
+		if f.Lost && f.Lease > 0 {
+			m.Ended = f.Since + lease.Until(f.Lease+s.Work.Rules.Empty)
+			if r.without == NoDrift {
+				m.Ended = f.Since + f.Lease
+			}
+		}
 		m.Yield = m.Votes && s.Council.Yields(f.ID, s.Seats, avoid)
 		if r.without == NoMajority {
 			m.Votes, m.Yield = false, false
--- a/internal/decide/work/work.go
+++ b/internal/decide/work/work.go
@@ -103,16 +103,17 @@
 
 // Rules are the budgets and bounds, replicated so that all replicas use the same.
 type Rules struct {
-	Out      int    `cbor:"1,keyasint"`  // machines out at once, lost ones included
-	Zone     int    `cbor:"2,keyasint"`  // of one zone
-	Percent  int    `cbor:"3,keyasint"`  // of the fleet's fronts, rounded down, but one at least
-	Hurt     int    `cbor:"4,keyasint"`  // percent of the fronts lost from which nothing goes but what is urgent
-	Accept   Micros `cbor:"5,keyasint"`  // for leave to be accepted
-	Empty    Micros `cbor:"6,keyasint"`  // for a machine to be empty, after which it is told as late
-	Back     Micros `cbor:"7,keyasint"`  // for it to come back, after which it is told as late
-	Cold     Micros `cbor:"8,keyasint"`  // it is not a full machine for so long after it came back
-	AgeStep  Micros `cbor:"9,keyasint"`  // waiting that counts as one step of importance
-	Patience Micros `cbor:"10,keyasint"` // after which a work that waits is not passed over any more
+	Out      int    `cbor:"1,keyasint"`            // machines out at once, lost ones included
+	Zone     int    `cbor:"2,keyasint"`            // of one zone
+	Percent  int    `cbor:"3,keyasint"`            // of the fleet's fronts, rounded down, but one at least
+	Hurt     int    `cbor:"4,keyasint"`            // percent of the fronts lost from which nothing goes but what is urgent
+	Accept   Micros `cbor:"5,keyasint"`            // for leave to be accepted
+	Empty    Micros `cbor:"6,keyasint"`            // for a machine to be empty, after which it is told as late
+	Back     Micros `cbor:"7,keyasint"`            // for it to come back, after which it is told as late
+	Cold     Micros `cbor:"8,keyasint"`            // it is not a full machine for so long after it came back
+	AgeStep  Micros `cbor:"9,keyasint"`            // waiting that counts as one step of importance
+	Patience Micros `cbor:"10,keyasint"`           // after which a work that waits is not passed over any more
+	Alone    Micros `cbor:"11,keyasint,omitempty"` // for which a front acts without hearing the fleet; 0: for ever
 }
 
 // Defaults are the rules where the operators set none.
@@ -130,11 +131,15 @@
 	}{{"out", int64(r.Out), 1, 1000}, {"zone", int64(r.Zone), 1, 1000}, {"percent", int64(r.Percent), 1, 100},
 		{"hurt_percent", int64(r.Hurt), 1, 100}, {"accept_s", r.Accept, second / 10, 3600 * second}, {"empty_s", r.Empty, second / 10, 3600 * second},
 		{"back_s", r.Back, second / 10, 24 * 3600 * second}, {"cold_s", r.Cold, 0, 3600 * second},
-		{"age_step_s", r.AgeStep, second / 10, 24 * 3600 * second}, {"patience_s", r.Patience, second / 10, 24 * 3600 * second}} {
+		{"age_step_s", r.AgeStep, second / 10, 24 * 3600 * second}, {"patience_s", r.Patience, second / 10, 24 * 3600 * second},
+		{"alone_s", r.Alone, 0, 24 * 3600 * second}} {
 		if x.n < x.least || x.n > x.most {
 			return fmt.Errorf("%s: %d is not %d to %d", x.key, x.n, x.least, x.most)
 		}
 	}
+	if r.Alone > 0 && r.Alone < second {
+		return fmt.Errorf("alone_s: %d us is under a second", r.Alone)
+	}
 	return nil
 }
 
@@ -148,7 +153,8 @@
 	Away  bool // it says itself that it takes no clients
 	Hurt  bool // it says itself that it is in trouble
 	Votes bool
-	Yield bool // it votes, and another front can take its seat, or it can be done without
+	Yield bool   // it votes, and another front can take its seat, or it can be done without
+	Ended Micros // lost: fleet time at which its lease is surely over, with all that it had open; 0: never
 }
 
 // Fleet is the fronts as the council's state has them, ordered by name.
@@ -562,7 +568,7 @@
 		case Permitted:
 			switch {
 			case x.Kind == ABox:
-				if s.left(x, fleet) {
+				if s.left(x, fleet, now) {
 					tell(x, "all fronts have left it")
 					x.to(Out, now)
 				}
@@ -629,16 +635,20 @@
 	return x.Kind == AFront && (m == nil || m.Lost || now < s.again(x))
 }
 
-// left tells whether every front has confirmed that it has left a box.
-func (s *State) left(x *Item, fleet Fleet) bool {
+// left tells whether every front has confirmed that it has left a box, or can't act
+// any more.
+func (s *State) left(x *Item, fleet Fleet, now Micros) bool {
 	for _, m := range fleet {
-		if _, ok := slices.BinarySearch(x.Left, m.Name); !ok {
+		if _, ok := slices.BinarySearch(x.Left, m.Name); !ok && !m.over(now) {
 			return false
 		}
 	}
 	return true
 }
 
+// over tells whether a front is lost and its lease surely over.
+func (m *Machine) over(now Micros) bool { return m.Lost && m.Ended > 0 && now >= m.Ended }
+
 func (s *State) ids() (ids []uint64) {
 	for _, x := range s.Items {
 		ids = append(ids, x.ID)
@@ -659,7 +669,7 @@
 	u := s.use(fleet)
 	for i := range s.Items {
 		if x := &s.Items[i]; x.Phase != Asked {
-			plan = append(plan, Line{Item: *x, Waits: s.waits(x, fleet)})
+			plan = append(plan, Line{Item: *x, Waits: s.waits(x, fleet, now)})
 		}
 	}
 	for i, x := range s.queue(now) {
@@ -669,7 +679,7 @@
 }
 
 // waits tells what a work under way waits for.
-func (s *State) waits(x *Item, fleet Fleet) string {
+func (s *State) waits(x *Item, fleet Fleet, now Micros) string {
 	late := ""
 	if x.Overdue {
 		late = " (" + x.Note + ")"
@@ -679,8 +689,10 @@
 		if x.Kind == ABox {
 			var missing []string
 			for _, m := range fleet {
-				if _, ok := slices.BinarySearch(x.Left, m.Name); !ok {
-					if m.Lost {
+				if _, ok := slices.BinarySearch(x.Left, m.Name); !ok && !m.over(now) {
+					if m.Lost && m.Ended > 0 {
+						m.Name += fmt.Sprintf(" (not heard; its lease is surely over in %d s)", (m.Ended-now)/second+1)
+					} else if m.Lost {
 						m.Name += " (not heard)"
 					}
 					missing = append(missing, m.Name)
--- a/internal/fleet/agree/duty.go
+++ b/internal/fleet/agree/duty.go
@@ -1,6 +1,8 @@
 package agree
 
 import (
+	"slices"
+
 	"cherryramp/internal/decide/replica"
 	"cherryramp/internal/decide/work"
 )
@@ -38,7 +40,9 @@
 // LeftBox tells whether the front sends nothing new to a box and has nothing open there.
 func (n *Node) LeftBox(box string, left bool) {
 	if left {
-		n.boxes[box] = true
+		if _, known := n.boxes[box]; !known {
+			n.boxes[box] = n.now
+		}
 	} else {
 		delete(n.boxes, box)
 	}
@@ -83,13 +87,72 @@
 			}
 		}
 	}
+	for _, x := range s.Work.Items { // its beats have said so all the while; a leader of an older build does not hear that
+		if since, left := n.boxes[x.Machine]; left && x.Kind == work.ABox && x.Phase == work.Permitted && n.now-since > n.span(leftTicks) {
+			if _, heard := slices.BinarySearch(x.Left, n.cfg.Name); !heard {
+				n.report(replica.Left, x.Machine, x.Permit)
+			}
+		}
+	}
+}
+
+// leftTicks is after how long a front that has left a box says so by itself.
+const leftTicks = 50
+
+// leftPermits are the permits of boxes that this front has left, as long as leave is
+// not whole.
+func (n *Node) leftPermits() (list []uint64) {
+	if !n.fresh && !n.leads {
+		return nil
+	}
+	for _, x := range n.rep.State().Work.Items {
+		if _, left := n.boxes[x.Machine]; left && x.Kind == work.ABox && x.Phase == work.Permitted && len(list) < mostLeft {
+			list = append(list, x.Permit)
+		}
+	}
+	return list
+}
+
+// gatherLeft has the leader report what beats have told of boxes that were left: one
+// entry for all fronts whose word is new.
+func (n *Node) gatherLeft() {
+	if _, done := n.rep.Seen(n.leftID); !done && n.leftID != (replica.ID{}) && n.now-n.leftAt < n.span(againTicks) {
+		return
+	}
+	s := n.rep.State()
+	var reports []replica.Report
 	for _, x := range s.Work.Items {
-		if x.Kind == work.ABox && x.Phase == work.Permitted && n.boxes[x.Machine] {
-			n.report(replica.Left, x.Machine, x.Permit)
+		if x.Kind != work.ABox || x.Phase != work.Permitted {
+			continue
 		}
+		for _, f := range s.Council.Fronts {
+			left := n.heard[f.Name].left
+			if f.Name == n.cfg.Name {
+				left = n.leftPermits()
+			}
+			h := n.heard[f.Name]
+			if _, known := slices.BinarySearch(x.Left, f.Name); known || h.id != f.ID || h.start != f.Start || !slices.Contains(left, x.Permit) {
+				continue
+			}
+			if reports = append(reports, replica.Report{What: replica.Left, Machine: x.Machine, Permit: x.Permit, Front: f.Name, ID: f.ID,
+				Start: f.Start}); len(reports) == mostReports {
+				break
+			}
+		}
+	}
+	if len(reports) == 0 {
+		return
+	}
+	n.number++
+	c := replica.Command{ID: replica.ID{Front: n.id, Start: n.cfg.Start, N: n.number}, Report: reports[:min(len(reports), mostReports)]}
+	if b, err := replica.Encode(c); err == nil && n.raw.Propose(b) == nil {
+		n.leftID, n.leftAt = c.ID, n.now
 	}
 }
 
+// mostReports bounds the words of one command: at most 160 bytes each.
+const mostReports = 96
+
 // report tells the fleet of a permit, and again while nothing has come of it.
 func (n *Node) report(what, machine string, permit uint64) {
 	if n.duty.sent == nil {
--- a/internal/fleet/agree/feed.go
+++ b/internal/fleet/agree/feed.go
@@ -33,7 +33,7 @@
 		to = list[n.tried%len(list)]
 		n.asked = n.now
 	}
-	n.send(to, KindAsk, encode(Ask{ID: n.id, Next: n.applied + 1, Address: n.cfg.Address}))
+	n.send(to, KindAsk, encode(Ask{ID: n.id, Next: n.applied + 1, Address: n.cfg.Address, Lease: n.wants()}))
 }
 
 // led tells whether this front leads, or has a seat and hears the leader itself.
@@ -117,6 +117,7 @@
 	path := append([]string{n.cfg.Name}, n.path...)
 	n.send(from, KindFed, encode(Fed{Path: path}))
 	n.give(c)
+	n.pass(from, a)
 }
 
 // feedAll passes on what has just been applied.
@@ -199,9 +200,12 @@
 			c := replica.Command{ID: n.factsID, Facts: &replica.Facts{Span: n.now - n.facts, Contact: contacts}}
 			if b, err := replica.Encode(c); err == nil && n.raw.Propose(b) == nil {
 				n.facts = n.now
+				n.factsLost = slices.ContainsFunc(contacts, func(x replica.Contact) bool { return x.Lost })
 			}
 		}
 	}
+	n.gatherLeft()
+	n.granting()
 	n.handOver()
 	n.seats()
 }
--- a/internal/fleet/agree/found.go
+++ b/internal/fleet/agree/found.go
@@ -88,7 +88,7 @@
 
 func (n *Node) self() council.Front {
 	return council.Front{Name: n.cfg.Name, Zone: n.cfg.Zone, Machine: n.cfg.Machine, Address: n.cfg.Address, ID: n.id,
-		Build: n.cfg.Build, Start: n.cfg.Start}
+		Build: n.cfg.Build, Start: n.cfg.Start, Lease: n.rep.State().Work.Rules.Alone}
 }
 
 // toldBy takes a question about the past, or its answer.
@@ -106,7 +106,8 @@
 func (n *Node) join() {
 	s := n.rep.State()
 	if f := s.Council.Find(n.cfg.Name); s.Fleet == 0 || n.joining ||
-		f != nil && f.ID == n.id && f.Start == n.cfg.Start && f.Address == n.cfg.Address && f.Zone == n.cfg.Zone && f.Machine == n.cfg.Machine {
+		f != nil && f.ID == n.id && f.Start == n.cfg.Start && f.Address == n.cfg.Address && f.Zone == n.cfg.Zone && f.Machine == n.cfg.Machine &&
+			f.Lease == s.Work.Rules.Alone {
 		return
 	}
 	n.joining = true
--- /dev/null
+++ b/internal/fleet/agree/lease.go
@@ -0,0 +1,143 @@
+package agree
+
+import (
+	"encoding/binary"
+
+	"cherryramp/internal/decide/council"
+	"cherryramp/internal/decide/lease"
+	"cherryramp/internal/decide/replica"
+)
+
+// leases is what a front knows of its own lease, and what a leader grants to others.
+type leases struct {
+	own     lease.Lease
+	before  lease.Micros // the span that it lived by at the last look; 0: for ever
+	looked  bool
+	grantor lease.Grantor
+	began   Micros // the round under way
+}
+
+// Clock moves this front's clock on without anything else, as must happen before a
+// message is received: what is passed on is measured from now.
+func (n *Node) Clock(now Micros) { n.now = max(n.now, now) }
+
+// Lives is the span that this front lives by without hearing the fleet; 0: for ever.
+func (n *Node) Lives() Micros {
+	s := n.rep.State()
+	rule, known := n.cfg.Rules.Alone, Micros(0)
+	if s.Fleet != 0 {
+		rule = s.Work.Rules.Alone
+	}
+	if f := s.Council.Find(n.cfg.Name); f != nil && f.ID == n.id {
+		known = f.Lease
+	}
+	return lease.Span(rule, known)
+}
+
+// Holds tells whether this front may act at a moment of its own clock.
+func (n *Node) Holds(now Micros) bool {
+	return n.Lives() == 0 || n.leases.own.Holds(now) || n.rep.Leaves(replica.NoLook)
+}
+
+// LeaseEnd is the moment up to which it may; 0: for ever, or not at all.
+func (n *Node) LeaseEnd() Micros { return n.leases.own.End() }
+
+// live keeps the lease within the span that the state has for this front. One that
+// may act for ever until now begins with a whole lease, since the others take it for
+// such until it joins with a span.
+func (n *Node) live() {
+	l := &n.leases
+	span := n.Lives()
+	l.own.Applied(n.applied)
+	if span > 0 {
+		if l.looked && l.before == 0 {
+			l.own.Take(lease.Grant{Stamp: max(1, n.now), Span: span, Index: n.applied}, span, n.applied)
+		}
+		l.own.Shorten(n.now, span)
+	}
+	l.before, l.looked = span, true
+}
+
+// wants is an ask for a lease, where this front lives by one.
+func (n *Node) wants() lease.Ask {
+	if n.Lives() == 0 {
+		return lease.Ask{}
+	}
+	return lease.Ask{Stamp: max(1, n.now)}
+}
+
+// granting is what a leader does at every beat: it begins a round for those who have
+// asked, itself among them. While word that a front is lost is on its way nobody is
+// granted anything, so that no lease is asked for after its holder counts as lost.
+func (n *Node) granting() {
+	l := &n.leases
+	if l.grantor.Under() && n.now-l.began > n.span(feederTicks) { // no majority has answered
+		l.grantor.Reset()
+	}
+	if a := n.wants(); a.Stamp != 0 {
+		l.grantor.Asked(lease.Asker{Name: n.cfg.Name, ID: n.id, Ask: a}, council.MostFronts)
+	}
+	if _, done := n.rep.Seen(n.factsID); !done && n.factsLost {
+		return
+	}
+	if number, ok := l.grantor.Begin(); ok {
+		l.began = n.now
+		n.raw.ReadIndex(binary.BigEndian.AppendUint64(nil, number))
+	}
+}
+
+// confirmed takes the agreement's word that a majority still followed this leader
+// after a round began.
+func (n *Node) confirmed(context []byte, index uint64) {
+	if len(context) == 8 {
+		n.leases.grantor.Confirmed(binary.BigEndian.Uint64(context), index)
+	}
+}
+
+// grant answers those whose round was confirmed and who are not lost in the state up
+// to there.
+func (n *Node) grant() {
+	list, index := n.leases.grantor.Answers(n.applied)
+	s := n.rep.State()
+	for _, a := range list {
+		f := s.Council.Find(a.Name)
+		if f == nil || f.ID != a.ID || f.Lost {
+			continue
+		}
+		g := lease.Grant{Stamp: a.Ask.Stamp, Span: s.Work.Rules.Alone, Index: index}
+		if g.Span == 0 {
+			g.Span = f.Lease // until it has joined for ever
+		}
+		if a.Name == n.cfg.Name {
+			n.granted(g)
+		} else {
+			n.send(a.Name, KindGrant, encode(g))
+		}
+	}
+}
+
+// pass grants to a front that this one feeds what is left of its own lease, or has
+// it wait for a round where this one leads.
+func (n *Node) pass(from string, a Ask) {
+	if a.Lease.Stamp == 0 || n.stale != nil {
+		return
+	}
+	if n.leads {
+		n.leases.grantor.Asked(lease.Asker{Name: from, ID: a.ID, Ask: a.Lease}, council.MostFronts)
+		return
+	}
+	f := n.rep.State().Council.Find(from)
+	if f == nil || f.ID != a.ID || f.Lost || n.Lives() == 0 {
+		return
+	}
+	if g, ok := n.leases.own.Pass(a.Lease, n.now); ok {
+		n.send(from, KindGrant, encode(g))
+	}
+}
+
+// granted takes a grant in.
+func (n *Node) granted(g lease.Grant) {
+	if span := n.Lives(); span > 0 && n.stale == nil {
+		n.leases.own.Take(g, span, n.applied)
+	}
+}
--- a/internal/fleet/agree/messages.go
+++ b/internal/fleet/agree/messages.go
@@ -9,6 +9,8 @@
 	"go.etcd.io/raft/v3/raftpb"
 	"google.golang.org/protobuf/proto"
 
+	"cherryramp/internal/decide/council"
+	"cherryramp/internal/decide/lease"
 	"cherryramp/internal/decide/replica"
 )
 
@@ -25,6 +27,7 @@
 	KindFed                     // you are fed, from below this path; or ask another one
 	KindProbe                   // do you belong to a fleet?
 	KindTell                    // the answer
+	KindGrant                   // a lease, for who asked for one with a beat or an ask
 )
 
 // Beat tells that a front is there, and who is below it.
@@ -37,13 +40,21 @@
 	Age     Micros `cbor:"6,keyasint,omitempty"` // since it was heard by who tells
 	Below   []Beat `cbor:"7,keyasint,omitempty"`
 	Hurt    bool   `cbor:"8,keyasint,omitempty"`
+
+	Lease lease.Ask `cbor:"9,keyasint,omitzero"`   // of the sender itself, to the leader
+	Left  []uint64  `cbor:"10,keyasint,omitempty"` // permits of boxes that it has left
 }
 
+// mostLeft bounds the boxes of one beat.
+const mostLeft = 64
+
 // Ask asks to be fed.
 type Ask struct {
 	ID      uint64 `cbor:"1,keyasint"`
 	Next    uint64 `cbor:"2,keyasint"`
 	Address string `cbor:"3,keyasint"` // where to answer: the fleet may not know this front yet
+
+	Lease lease.Ask `cbor:"4,keyasint,omitzero"`
 }
 
 // Fed is the answer.
@@ -134,6 +145,8 @@
 		return receive(payload, func(a Ask) { n.feed(from, a) })
 	case KindFed:
 		return receive(payload, func(f Fed) { n.feeding(from, f) })
+	case KindGrant:
+		return receive(payload, n.granted)
 	case KindProbe, KindTell:
 		return receive(payload, func(t Tell) { n.toldBy(from, kind, t) })
 	default:
@@ -186,23 +199,23 @@
 
 // beat tells that this front is there: a voter to the leader, others to who feeds them.
 func (n *Node) beat() {
-	b := Beat{Name: n.cfg.Name, ID: n.id, Start: n.cfg.Start, Away: n.away, Hurt: n.hurt, Applied: n.applied}
+	b := Beat{Name: n.cfg.Name, ID: n.id, Start: n.cfg.Start, Away: n.away, Hurt: n.hurt, Applied: n.applied, Left: n.leftPermits()}
 	to := n.feeder
 	if lead, _ := n.Leader(); n.led() || to == "" {
-		to = n.nameOf(lead)
+		to, b.Lease = n.nameOf(lead), n.wants()
 	}
 	if n.leads || to == "" || to == n.cfg.Name {
 		return
 	}
 	for _, c := range n.children {
 		if h, ok := n.heard[c.name]; ok && n.now-h.at < n.cfg.Lost {
-			b.Below = append(b.Below, Beat{Name: c.name, ID: h.id, Start: h.start, Away: h.away, Hurt: h.hurt, Applied: h.applied, Age: n.now - h.at})
+			b.Below = append(b.Below, Beat{Name: c.name, ID: h.id, Start: h.start, Away: h.away, Hurt: h.hurt, Applied: h.applied, Age: n.now - h.at, Left: h.left})
 		}
 	}
 	// And those below them, as they told.
 	for name, h := range n.heard {
 		if n.now-h.at < n.cfg.Lost && !slices.ContainsFunc(n.children, func(c *child) bool { return c.name == name }) {
-			b.Below = append(b.Below, Beat{Name: name, ID: h.id, Start: h.start, Away: h.away, Hurt: h.hurt, Applied: h.applied, Age: n.now - h.at})
+			b.Below = append(b.Below, Beat{Name: name, ID: h.id, Start: h.start, Away: h.away, Hurt: h.hurt, Applied: h.applied, Age: n.now - h.at, Left: h.left})
 		}
 	}
 	slices.SortFunc(b.Below, func(x, y Beat) int { return compare(x.Name, y.Name) })
@@ -227,10 +240,13 @@
 	note := func(b Beat) {
 		at := n.now - max(0, b.Age)
 		if old, ok := n.heard[b.Name]; !ok || old.at <= at {
-			n.heard[b.Name] = heard{id: b.ID, start: b.Start, at: at, away: b.Away, hurt: b.Hurt, applied: b.Applied}
+			n.heard[b.Name] = heard{id: b.ID, start: b.Start, at: at, away: b.Away, hurt: b.Hurt, applied: b.Applied, left: b.Left[:min(len(b.Left), mostLeft)]}
 		}
 	}
 	note(b)
+	if n.leads {
+		n.leases.grantor.Asked(lease.Asker{Name: from, ID: b.ID, Ask: b.Lease}, council.MostFronts)
+	}
 	for _, x := range b.Below {
 		if x.Name != n.cfg.Name {
 			note(x)
--- a/internal/fleet/agree/node.go
+++ b/internal/fleet/agree/node.go
@@ -112,6 +112,7 @@
 	away      bool
 	hurt      bool
 	applied   uint64
+	left      []uint64 // permits of boxes that it has left
 }
 
 // Node is one front's part.
@@ -153,13 +154,16 @@
 	heard       map[string]heard
 
 	// Of the leader.
-	leads    bool
-	facts    Micros // when time was last told
-	factsID  replica.ID
-	conf2    uint64 // index of the last change of seats that was proposed
-	confAt   Micros
-	handed   Micros
-	changing string // what the council waits for
+	leads     bool
+	facts     Micros // when time was last told
+	factsID   replica.ID
+	factsLost bool       // they told of a front that it is lost
+	leftID    replica.ID // of the last report for others that they have left boxes
+	leftAt    Micros
+	conf2     uint64 // index of the last change of seats that was proposed
+	confAt    Micros
+	handed    Micros
+	changing  string // what the council waits for
 
 	// Of the founding, and of joining.
 	probed   map[string]probed
@@ -167,11 +171,12 @@
 	joining  bool
 
 	// What the host says of itself.
-	away  bool
-	empty bool
-	hurt  bool
-	boxes map[string]bool // boxes in work that it has left
-	duty  duty
+	away   bool
+	empty  bool
+	hurt   bool
+	boxes  map[string]Micros // boxes in work that it has left, since when
+	duty   duty
+	leases leases
 }
 
 // New makes a front's part from what its folder held, whose identity must be set.
@@ -184,7 +189,7 @@
 	}
 	n := &Node{cfg: cfg, id: r.Identity.ID, now: now, ticked: now, fed: now, ledAt: now, facts: now, store: raft.NewMemoryStorage(),
 		rep: replica.New(), names: map[uint64]string{}, heard: map[string]heard{}, probed: map[string]probed{}, addresses: map[string]string{},
-		boxes: map[string]bool{}}
+		boxes: map[string]Micros{}}
 	if s := r.snapshot; s != nil {
 		if err := errors.Join(n.store.ApplySnapshot(s), n.restore(s)); err != nil {
 			return nil, err
@@ -260,6 +265,10 @@
 // Leads tells whether this front leads.
 func (n *Node) Leads() bool { return n.leads && n.raw.BasicStatus().RaftState == raft.StateLeader }
 
+// Fresh tells whether, since this process started, it has applied all that had been
+// committed when it first heard the fleet.
+func (n *Node) Fresh() bool { return n.fresh || n.leads }
+
 // Stale tells why this front applies no more entries; nil: it does.
 func (n *Node) Stale() error { return n.stale }
 
@@ -339,6 +348,7 @@
 
 // chores are what is done at every tick.
 func (n *Node) chores() {
+	n.live()
 	n.lead()
 	if n.ticks%beatTicks == 0 {
 		n.beat()
@@ -465,6 +475,9 @@
 			out.Rewrite = append([][]byte{IdentityRecord(Identity{Name: n.cfg.Name, ID: n.id})}, snapshotRecords(rd.Snapshot)...)
 			out.Rewrite, out.Records = append(out.Rewrite, out.Records...), nil
 		}
+		for _, r := range rd.ReadStates {
+			n.confirmed(r.RequestCtx, r.Index)
+		}
 		for _, m := range rd.Messages {
 			out.Sends = n.wrap(out.Sends, m)
 		}
@@ -514,6 +527,10 @@
 		n.feedAll()
 		n.dutyStep()
 	}
+	n.live()
+	if n.leads {
+		n.grant()
+	}
 	n.compact()
 	return nil
 }
@@ -522,6 +539,8 @@
 func (n *Node) begin() bool {
 	if !n.leads {
 		n.facts, n.confAt, n.handed, n.conf2 = n.now, n.now, n.now, 0
+		n.factsLost = false
+		n.leases.grantor.Reset()
 		n.heard = map[string]heard{}
 		for _, f := range n.rep.State().Council.Fronts { // nobody is lost for not having been heard by another
 			if !f.Lost {
--- a/internal/fleet/calls.go
+++ b/internal/fleet/calls.go
@@ -39,6 +39,8 @@
 	Hold        string   `json:"hold,omitempty"`
 	Waits       string   `json:"waits,omitempty"` // what the founding, or the council's next change, waits for
 	FleetTime   float64  `json:"fleet_time_s"`
+	AloneS      float64  `json:"alone_s,omitempty"` // span that this front lives by without hearing the fleet; 0: for ever
+	LeaseS      float64  `json:"lease_s,omitempty"` // what is left of it; 0: it refuses requests
 	Sent        uint64   `json:"sent"`
 	SentBytes   uint64   `json:"sent_bytes"`
 	Received    uint64   `json:"received"`
@@ -79,6 +81,21 @@
 	Apart      []string `json:"apart,omitempty"`
 }
 
+// Rules are the rules of works as a person reads and changes them.
+type Rules struct {
+	Out       int     `json:"out"`
+	Zone      int     `json:"zone"`
+	Percent   int     `json:"percent"`
+	Hurt      int     `json:"hurt_percent"`
+	AcceptS   float64 `json:"accept_s"`
+	EmptyS    float64 `json:"empty_s"`
+	BackS     float64 `json:"back_s"`
+	ColdS     float64 `json:"cold_s"`
+	AgeStepS  float64 `json:"age_step_s"`
+	PatienceS float64 `json:"patience_s"`
+	AloneS    float64 `json:"alone_s"`
+}
+
 // Ask is what a person asks for.
 type Ask struct {
 	Machine    string   `json:"machine"`
@@ -97,7 +114,7 @@
 
 // Errors of calls.
 var (
-	errCall   = errors.New("unknown call; FLEET takes STATUS, MEMBERS, INIT, LEAVE NAME, and WORK with ASK, LIST, PLAN, WHY, CANCEL, HOLD, RESUME, LOST, DONE")
+	errCall   = errors.New("unknown call; FLEET takes STATUS, MEMBERS, INIT, LEAVE NAME, and RULES, and WORK with ASK, LIST, PLAN, WHY, CANCEL, HOLD, RESUME, LOST, DONE")
 	errNumber = errors.New("the work's number is wanted")
 	errWait   = errors.New("another process has the folder; this one waits for it to end")
 	errName   = errors.New("a name is wanted")
@@ -141,6 +158,8 @@
 			return
 		}
 		f.submit(replica.Command{Leave: &replica.Leave{Name: rest}}, give, fail)
+	case "RULES":
+		f.rules(rest, give, fail)
 	case "WORK":
 		f.work(rest, give, fail)
 	default:
@@ -163,6 +182,31 @@
 	f.pump()
 }
 
+// rules gives the rules of works, or has those changed that are named.
+func (f *Fleet) rules(change string, give func(any), fail func(error)) {
+	r := f.node.Replica().State().Work.Rules
+	x := Rules{Out: r.Out, Zone: r.Zone, Percent: r.Percent, Hurt: r.Hurt, AcceptS: seconds(r.Accept), EmptyS: seconds(r.Empty), BackS: seconds(r.Back),
+		ColdS: seconds(r.Cold), AgeStepS: seconds(r.AgeStep), PatienceS: seconds(r.Patience), AloneS: seconds(r.Alone)}
+	if change == "" {
+		give(x)
+		return
+	}
+	d := json.NewDecoder(strings.NewReader(change))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&x); err != nil {
+		fail(fmt.Errorf("RULES: %w", err))
+		return
+	}
+	micros := func(s float64) int64 { return int64(max(-1, min(s, 1e9)) * 1e6) }
+	r = work.Rules{Out: x.Out, Zone: x.Zone, Percent: x.Percent, Hurt: x.Hurt, Accept: micros(x.AcceptS), Empty: micros(x.EmptyS), Back: micros(x.BackS),
+		Cold: micros(x.ColdS), AgeStep: micros(x.AgeStepS), Patience: micros(x.PatienceS), Alone: micros(x.AloneS)}
+	if err := r.Check(); err != nil {
+		fail(err)
+		return
+	}
+	f.submit(replica.Command{Rules: &r}, func(any) { give(x) }, fail)
+}
+
 func (f *Fleet) work(call string, give func(any), fail func(error)) {
 	r := f.node.Replica()
 	s, fleet := r.State(), r.Fleet()
@@ -266,6 +310,9 @@
 		Term: term, Applied: n.Applied(), Seat: f.seat(n.ID()), Feeder: n.Feeder(), Feeds: n.Children(), Fronts: len(s.Council.Fronts),
 		Wanted: s.Council.Target(), Bears: s.Council.Bears(s.Seats), Hold: s.Work.Hold, Waits: cmp.Or(n.Founding(), n.Changing()), FleetTime: seconds(s.Now),
 		Sent: f.counts.Sent, SentBytes: f.counts.Bytes, Received: f.counts.Received, Dropped: f.counts.Dropped}
+	if x.AloneS = seconds(n.Lives()); x.AloneS > 0 {
+		x.LeaseS = seconds(max(0, n.LeaseEnd()-f.now()))
+	}
 	if out, permit := n.Out(); out && f.out {
 		x.OutByPermit = permit
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -56,6 +56,8 @@
 	retryLock  = 500_000   // us between looks at a folder that another process holds
 	sweepEvery = 10_000_000
 	mostWithin = 10_000_000 // us that a person's call waits for its word
+
+	awayUnknown = 1_000_000 // us after which to come back to a front whose lease is over: nobody knows when the fleet is heard again
 )
 
 // Fleet is one front's part.
@@ -81,6 +83,9 @@
 	counts   Counts
 	tick     loop.Deadline
 	swept    loop.Micros
+	began    time.Time // the node's clock counts from here on, and only goes forward
+	opened   bool      // since its lease holds, all that the state wants has been carried out
+	told     bool      // that its lease holds, by the log
 
 	toldForeign, toldRefused loop.Micros
 }
@@ -89,7 +94,7 @@
 // a folder that can't be used leaves the front serving without the fleet, and every
 // call says why.
 func Start(cfg Config, l *loop.Loop, host Host, log *slog.Logger) (*Fleet, error) {
-	f := &Fleet{cfg: cfg, loop: l, host: host, log: log, peers: map[string]*peer{}, guests: map[*guest]bool{}}
+	f := &Fleet{cfg: cfg, loop: l, host: host, log: log, peers: map[string]*peer{}, guests: map[*guest]bool{}, began: time.Now()}
 	f.cfg.Draw, f.cfg.Start = draw, draw()
 	var err error
 	if f.keys, err = peers.Load(cfg.Keys, time.Now); err != nil {
@@ -175,7 +180,7 @@
 	if f.closed {
 		return
 	}
-	node, err := agree.New(f.cfg.Config, r, f.loop.Now())
+	node, err := agree.New(f.cfg.Config, r, f.now())
 	if err != nil {
 		f.breaks(err)
 		return
@@ -198,7 +203,7 @@
 	now := f.loop.Now()
 	f.loop.Set(&f.tick, now+f.cfg.Tick/2)
 	f.serve()
-	f.node.Tick(now)
+	f.node.Tick(f.now())
 	if now-f.swept > sweepEvery {
 		f.swept = now
 		f.sweep()
@@ -219,16 +224,55 @@
 	for _, b := range boxes {
 		f.node.LeftBox(b, !open[b])
 	}
+	f.look()
+}
+
+// now is the node's clock, in microseconds.
+func (f *Fleet) now() int64 { return 1 + time.Since(f.began).Microseconds() }
+
+// look sees whether the front may act, after all that the state wants of it was
+// carried out.
+func (f *Fleet) look() {
+	holds := f.node.Holds(f.now())
+	f.opened = holds
+	if holds == f.told {
+		return
+	}
+	f.told = holds
+	if holds {
+		f.log.Info("fleet: the front acts on its lease", "alone_s", seconds(f.node.Lives()))
+	} else {
+		f.log.Warn("fleet: the front's lease is over: it refuses requests until the fleet is heard", "applied", f.node.Applied())
+	}
+}
+
+// Holds tells whether the front may act now, and if not, after how long to come back,
+// in us. It must be asked before each act: a process that was stopped goes on in the
+// middle of things.
+func (f *Fleet) Holds() (ok bool, away int64) {
+	switch {
+	case f.node == nil:
+		return f.cfg.Rules.Alone == 0, awayUnknown
+	case f.broken != nil:
+		ok = f.node.Lives() == 0
+	case f.opened:
+		if ok = f.node.Holds(f.now()); !ok {
+			f.opened = false
+		}
+	default:
+		ok = f.node.Lives() == 0
+	}
+	return ok, awayUnknown
 }
 
 // pump writes and sends what the node has, until it has nothing more.
 func (f *Fleet) pump() {
 	if f.pumping || f.writing || f.broken != nil || f.closed {
-		f.told()
+		f.tellAll()
 		return
 	}
 	f.pumping = true
-	defer func() { f.pumping = false; f.told() }()
+	defer func() { f.pumping = false; f.tellAll() }()
 	for {
 		out, ok := f.node.Ready()
 		if !ok {
@@ -301,8 +345,8 @@
 	}
 }
 
-// told writes what has happened to the log.
-func (f *Fleet) told() {
+// tellAll writes what has happened to the log.
+func (f *Fleet) tellAll() {
 	if f.node == nil {
 		return
 	}
--- a/internal/fleet/peers.go
+++ b/internal/fleet/peers.go
@@ -286,6 +286,7 @@
 		}
 		if err == nil {
 			g.f.counts.Received++
+			g.f.node.Clock(g.f.now())
 			err = g.f.node.Receive(g.name, kind, slices.Clone(payload))
 			used += n
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -66,6 +66,7 @@
 	attempts []*Attempt
 	out      int
 	over     bool
+	left     bool // a byte of an attempt may have left for a node
 }
 
 // Server is a listed server.
@@ -158,6 +159,7 @@
 	purges  map[uint64]Micros // when; of objects and groups
 	swept   Micros
 	copies  *copies
+	guard   func() (ok bool, away Micros) // nil: the gateway may always act
 	log     *slog.Logger
 }
 
@@ -178,6 +180,12 @@
 // Use gives the gateway its nodes; it must come before anything else.
 func (g *Gateway) Use(nodes Nodes) { g.nodes = nodes }
 
+// Guard has the gateway ask before each act whether it may: before it takes a call,
+// and before any byte of an attempt leaves. Where it may not, a call of which nothing
+// has left is refused at once, with away as the time to come back; others end by the
+// rules, with nothing new sent.
+func (g *Gateway) Guard(may func() (ok bool, away Micros)) { g.guard = may }
+
 // Renew takes settings for the calls that come from now on; open ones keep what
 // they came under. The classes of the settings must keep those known so far in
 // their places; else, or where the settings can't be used, nothing changes.
@@ -237,6 +245,13 @@
 		c.Caller.Answer(Answer{Kind: Failed})
 		return
 	}
+	if g.guard != nil {
+		if ok, away := g.guard(); !ok {
+			c.over = true
+			c.Caller.Answer(Answer{Kind: Refused, Await: away})
+			return
+		}
+	}
 	if x := g.copies.find(c, &g.cfg.Settings.Classes[c.Class], g.loop.Now()); x != nil {
 		c.over = true
 		a := Answer{Kind: Served, Body: x.body, Tag: x.tag, Born: x.born}
@@ -418,6 +433,13 @@
 	if c == nil || c.over {
 		return
 	}
+	if g.guard != nil && !c.left {
+		if ok, away := g.guard(); !ok {
+			g.events = append(g.events, rules.Expired{ID: c.id})
+			g.finish(c.id, Answer{Kind: Refused, Await: away})
+			return
+		}
+	}
 	a := &Attempt{Call: c, Server: g.servers[x.Server], Deadline: c.Deadline, Keep: x.Keep,
 		Join: x.Join, Held: x.Held, Pass: x.Pass, Renew: x.Renew, number: len(c.attempts),
 		started: now, maxAge: x.MaxAge}
@@ -465,6 +487,12 @@
 		a.Source != nil && (a.Source.State != rules.Ready || a.Source.Born != a.srcBorn) {
 		return 0, false
 	}
+	if g.guard != nil {
+		if ok, _ := g.guard(); !ok {
+			return 0, false
+		}
+	}
+	a.Call.left = true
 	maxAge = a.maxAge
 	for _, k := range []uint64{key(a.Call.Object), groupKey(a.Call.Group)} {
 		if at, known := g.purges[k]; known && !g.settled(at, now) {
--- a/internal/program/door.go
+++ b/internal/program/door.go
@@ -18,7 +18,13 @@
 
 // Ready tells whether the front takes clients.
 func (p *program) Ready() (bool, string) {
-	return p.ready.Ready(p.loop.Now(), p.news.Answered())
+	if ok, why := p.ready.Ready(p.loop.Now(), p.news.Answered()); !ok || p.fleet == nil {
+		return ok, why
+	}
+	if ok, _ := p.fleet.Holds(); !ok {
+		return false, "out of contact with the fleet, and its lease is over"
+	}
+	return true, ""
 }
 
 // LameDuck has the front say no to readiness and empty itself: it stops
--- a/internal/program/fleet.go
+++ b/internal/program/fleet.go
@@ -17,6 +17,9 @@
 type FleetPart interface {
 	// Call carries out a call of the operators' door; the answer is told once, now or later.
 	Call(call string, answer func(line string))
+	// Holds tells whether the front may act now, and if not, after how many us to come
+	// back. It is asked before each act.
+	Holds() (ok bool, away int64)
 	// Rejoin tells that a person has the front take clients again.
 	Rejoin()
 	// Close ends the part, after the loop has.
@@ -58,8 +61,11 @@
 
 // startFleet has the front take part in the fleet of the operator's file.
 func (p *program) startFleet(c *config.Fleet) (err error) {
-	p.fleet, err = Fleet(c, cmp.Or(c.Front, p.cfg.Name), p.loop, fleetHost{p}, p.log)
-	return err
+	if p.fleet, err = Fleet(c, cmp.Or(c.Front, p.cfg.Name), p.loop, fleetHost{p}, p.log); err != nil {
+		return err
+	}
+	p.gate.Guard(p.fleet.Holds)
+	return nil
 }
 
 // fleetHost is the front as its part in the fleet sees it.
--- a/lab/fleet/chaos.go
+++ b/lab/fleet/chaos.go
@@ -33,6 +33,7 @@
 		s.Rules.Zone = 1 + r.IntN(s.Rules.Out)
 		s.Rules.Percent = 20 + r.IntN(40)
 		s.Rules.Hurt = 20 + r.IntN(60)
+		s.Rules.Alone = []Micros{0, 0, 2, 5, 20}[r.IntN(5)] * Second
 	}
 	w := NewWorld(s)
 	w.Verbose = verbose
@@ -121,7 +122,7 @@
 		}
 		x := work.Item{Machine: c.front().Name, Span: Micros(1+c.r.IntN(20)) * Second, Importance: c.r.IntN(3),
 			Urgent: c.r.IntN(8) == 0, Restart: c.r.IntN(2) == 0, ZoneWise: c.r.IntN(6) == 0}
-		if c.r.IntN(6) == 0 {
+		if c.r.IntN(4) == 0 {
 			x = work.Item{Machine: fmt.Sprintf("box%d", c.r.IntN(4)), Kind: work.ABox, Zone: c.front().Zone, Span: Second}
 		}
 		if c.r.IntN(5) == 0 {
@@ -241,16 +242,14 @@
 				after(o.Start)
 			}
 		case 13:
+			before := f.clock()
 			f.rate = 0.9 + 0.2*c.r.Float64()
-			f.offset += f.clockGap()
+			f.offset += before - f.clock() // its clock goes on from where it is
 		}
 		c.troubles(until)
 	})
 }
 
-// clockGap keeps a front's clock from going back where its rate changes.
-func (f *Front) clockGap() Micros { return Micros(0.2 * float64(f.w.now)) }
-
 // wipeable tells whether a front's disk may be lost: so many at a time that a
 // majority of the voters still has its own. More than that takes what was agreed
 // with it, and nothing promises otherwise.
--- a/lab/fleet/chaos_test.go
+++ b/lab/fleet/chaos_test.go
@@ -34,7 +34,8 @@
 // Each rule that is left out is found, on a day that needs just that rule; with it
 // the day is whole. `ramplab fleet work --virtual --without` finds them on random days.
 func TestRulesLeftOutAreFound(t *testing.T) {
-	for _, x := range []whole{{replica.NoFence, late}, {replica.NoLostOut, lost}, {replica.NoMajority, majority}, {replica.NoOnce, twice}} {
+	for _, x := range []whole{{replica.NoFence, late}, {replica.NoLostOut, lost}, {replica.NoMajority, majority}, {replica.NoOnce, twice},
+		{replica.NoDrift, alone}, {replica.NoLook, alone}} {
 		t.Run(string(x.rule), func(t *testing.T) {
 			if w := x.play(t, ""); w.Checks.Failed() {
 				w.Dump(t.Output(), 60)
@@ -88,6 +89,48 @@
 	return w
 }
 
+// alone: a front with the slowest clock that may be is cut off while a box is asked
+// for, and all others have the fastest. It acts up to the end of its lease, and the
+// box is not said to be left before that; then it is, though it was never heard.
+func alone(t *testing.T, without replica.Rule) *World {
+	r := ShortRules()
+	r.Out, r.Zone, r.Percent, r.Alone = 3, 3, 100, 60*Second
+	w := up(t, Spec{Fronts: 5, Zones: 5, Seed: 9, Rules: r, Without: without})
+	cut := others(w)[0]
+	for _, f := range w.Fronts {
+		before := f.clock()
+		f.rate = 1.1
+		if f == cut {
+			f.rate = 0.9
+		}
+		f.offset += before - f.clock()
+	}
+	w.Run(w.Now() + 5*Second)
+	for _, f := range w.Fronts {
+		w.Cut(cut.Name, f.Name, true)
+		w.Cut(f.Name, cut.Name, true)
+	}
+	w.Run(w.Now() + 5*Second)
+	w.Ask(w.Leader(), work.Item{Machine: "box", Kind: work.ABox, Zone: "z", Span: 300 * Second, Urgent: true}, func(word replica.Word, err error) {
+		if err != nil || word.Err != "" {
+			t.Errorf("ask: %+v, %v", word, err)
+		}
+	})
+	w.Run(w.Now() + 40*Second)
+	if !cut.node.Holds(cut.clock()) {
+		t.Error("the front that is cut off lost its lease before its time")
+	}
+	left := func() bool {
+		x := w.Leader().node.Replica().State().Work.On("box")
+		return x != nil && x.Phase == work.Out
+	}
+	if !w.RunUntil(60*Second, left) && without == "" {
+		t.Error("the box is not left, though the lease is surely over")
+	}
+	w.Run(w.Now() + 20*Second)
+	return w
+}
+
 // majority: with one of three voters dead, another one may not go.
 func majority(t *testing.T, without replica.Rule) *World {
 	r := ShortRules()
--- a/lab/fleet/check.go
+++ b/lab/fleet/check.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"hash/fnv"
+	"slices"
 
 	"cherryramp/internal/decide/replica"
 	"cherryramp/internal/decide/work"
@@ -22,14 +23,15 @@
 	told     uint64            // the highest permit seen
 	term     uint64            // the newest, and since when it has a leader
 	ledSince Micros
-	onLeave  func(work.Item) // is told of each leave as soon as any front has applied it
-	Most     int             // out at once
+	boxes    map[string]uint64 // boxes that are out: the entry at which that was seen first
+	onLeave  func(work.Item)   // is told of each leave as soon as any front has applied it
+	Most     int               // out at once
 	Checked  int
 }
 
 func newChecker(w *World) *Checker {
 	return &Checker{w: w, state: map[uint64]uint64{}, leaders: map[uint64]uint64{}, permits: map[uint64]string{},
-		applied: map[string]uint64{}, out: map[string]string{}, asked: map[string]uint64{}}
+		applied: map[string]uint64{}, out: map[string]string{}, asked: map[string]uint64{}, boxes: map[string]uint64{}}
 }
 
 // Of a fleet larger than this, the states at every so many entries are compared: a
@@ -156,6 +158,37 @@
 	}
 }
 
+// box: while a box is out no front that may act has it among those it sends to.
+func (c *Checker) box(f *Front, barred []string) {
+	at := f.node.Applied()
+	for _, x := range f.node.Replica().State().Work.Items {
+		if x.Kind != work.ABox {
+			continue
+		}
+		if x.Phase == work.Out {
+			if c.boxes[x.Machine] == 0 {
+				c.boxes[x.Machine] = at
+			}
+		} else if at > c.boxes[x.Machine] {
+			delete(c.boxes, x.Machine)
+		}
+	}
+	for b, since := range c.boxes {
+		if at > since && f.node.Replica().State().Work.On(b) == nil {
+			delete(c.boxes, b)
+		}
+	}
+	// Without leases, one that has only just started acts on what its disk has.
+	if f.out || !f.node.Holds(f.clock()) || f.node.Lives() == 0 && !f.node.Fresh() {
+		return
+	}
+	for b := range c.boxes {
+		if !slices.Contains(barred, b) {
+			c.fail("%s is out and %s, at entry %d, sends to it", b, f.Name, at)
+		}
+	}
+}
+
 // surely is how long a front must have been dead, under one leader, for the fleet to
 // know of it.
 const surely = 13 * Second
--- a/lab/fleet/virtual.go
+++ b/lab/fleet/virtual.go
@@ -303,9 +303,11 @@
 	}
 	f.w.Checks.host(f)
 	f.node.Host(f.out, f.out && f.w.now >= f.emptyAt, f.hurt)
-	for _, b := range f.node.Boxes() {
+	boxes := f.node.Boxes()
+	for _, b := range boxes {
 		f.node.LeftBox(b, true)
 	}
+	f.w.Checks.box(f, boxes)
 }
 
 // pump writes and sends what the node has for it.
@@ -392,6 +394,7 @@
 				return
 			}
 			to.do(life, func() {
+				to.node.Clock(to.clock())
 				if err := to.node.Receive(f.Name, s.Kind, s.Payload); err != nil {
 					w.Checks.fail("%s can't read a message of %s: %v", to.Name, f.Name, err)
 				}
