Fleets of two builds: the state's version is raised once all fronts read it

Change: versions 1 and 2 of the state; what needs 2 (leases) is refused with the reason until the leader has heard of every front that it reads 2. A front that can't read the entries stops serving by itself, counts as lost, and gives the lead away.

--- a/cmd/cherryramp-fleet/calls.go
+++ b/cmd/cherryramp-fleet/calls.go
@@ -137,6 +137,9 @@
 		row("feeds", "%d fronts", s.Feeds)
 		row("fronts", "%d; lost: %s; away: %s; in trouble: %s", s.Fronts, list(s.Lost), list(s.Away), list(s.Hurt))
 		row("voters", "%s", list(s.Voters))
+		if len(s.Older) > 0 {
+			row("version", "%d, until these run a newer build: %s", s.Version, list(s.Older))
+		}
 		switch {
 		case s.Bears < 0:
 			row("can bear", "no majority of the voters is heard: no permits until one is back")
--- a/internal/decide/replica/replica.go
+++ b/internal/decide/replica/replica.go
@@ -25,8 +25,12 @@
 // Micros is a span, or a moment of fleet time, in microseconds.
 type Micros = int64
 
-// Version is of the state and its commands.
-const Version = 1
+// Versions of the state and its commands. A fleet stays at the one that all its fronts
+// read until the leader has heard that each of them reads a newer one.
+const (
+	first  = 1
+	leases = 2 // leases
+)
 
 // Bounds.
 const (
@@ -60,6 +64,15 @@
 	Order   *Order      `cbor:"8,keyasint,omitempty"`
 	Report  []Report    `cbor:"9,keyasint,omitempty"`
 	Rules   *work.Rules `cbor:"10,keyasint,omitempty"`
+	Raise   int         `cbor:"11,keyasint,omitempty"` // the version that all fronts read
+}
+
+// needs is the version that a command belongs to.
+func (c *Command) needs() int {
+	if c.Raise > 0 || c.Rules != nil && c.Rules.Alone > 0 || c.Found != nil && c.Found.Rules.Alone > 0 || c.Join != nil && c.Join.Front.Lease > 0 {
+		return leases
+	}
+	return first
 }
 
 // Found begins a fleet. It is the first command of its log.
@@ -183,7 +196,7 @@
 
 // New makes a replica of a fleet that is not founded.
 func New() *Replica {
-	return &Replica{s: State{Version: Version, Work: work.New()}, byID: map[ID]int{}}
+	return &Replica{s: State{Version: first, Work: work.New()}, byID: map[ID]int{}}
 }
 
 // Without leaves a rule out.
@@ -244,7 +257,9 @@
 
 // Encode writes a command.
 func Encode(c Command) ([]byte, error) {
-	c.Version = Version
+	if c.Version = c.needs(); c.Version > Version {
+		return nil, ErrVersion
+	}
 	b, err := encoder.Marshal(c)
 	if err == nil && len(b) > MostCommand {
 		err = fmt.Errorf("replica: a command of %d bytes, %d at most", len(b), MostCommand)
@@ -260,8 +275,8 @@
 	if err := decoder.Unmarshal(b, &c); err != nil {
 		return c, fmt.Errorf("%w: %w", ErrVersion, err)
 	}
-	if c.Version != Version {
-		return c, ErrVersion
+	if c.Version < first || c.Version > Version {
+		return c, fmt.Errorf("%w: it is %d, %d at most", ErrVersion, c.Version, Version)
 	}
 	return c, nil
 }
@@ -281,8 +296,8 @@
 	if err := decoder.Unmarshal(b, &s); err != nil {
 		return fmt.Errorf("%w: %w", ErrVersion, err)
 	}
-	if s.Version != Version {
-		return ErrVersion
+	if s.Version < first || s.Version > Version {
+		return fmt.Errorf("%w: it is %d, %d at most", ErrVersion, s.Version, Version)
 	}
 	if s.Work.Fences == nil {
 		s.Work.Fences = map[string]uint64{}
@@ -354,19 +369,32 @@
 	errFounded = errors.New("the fleet is founded already")
 	errNone    = errors.New("the fleet is not founded")
 	errUnknown = errors.New("a command that this build does not know")
+	errOlder   = errors.New("the fleet has fronts of older builds")
 )
 
+// Takes tells whether all fronts read a command. One that they do not must not even
+// be sent: it would end the part of those that can't read it.
+func (r *Replica) Takes(c *Command) error {
+	if need := c.needs(); c.Found == nil && c.Raise == 0 && need > r.s.Version {
+		return fmt.Errorf("%w: it needs version %d of the state, which is at %d", errOlder, need, r.s.Version)
+	}
+	return nil
+}
+
 func (r *Replica) apply(c Command) (w Word, told []string, err error) {
 	s := &r.s
 	if c.Found == nil && s.Fleet == 0 {
 		return w, nil, errNone
 	}
+	if err := r.Takes(&c); err != nil {
+		return w, nil, err
+	}
 	switch {
 	case c.Found != nil:
 		if s.Fleet != 0 {
 			return w, nil, errFounded
 		}
-		s.Name, s.Fleet, s.Work.Rules = c.Found.Name, c.Found.Fleet, c.Found.Rules
+		s.Name, s.Fleet, s.Work.Rules, s.Version = c.Found.Name, c.Found.Fleet, c.Found.Rules, c.needs()
 		return w, []string{"the fleet " + s.Name + " is founded"}, nil
 	case c.Join != nil:
 		f := c.Join.Front
@@ -397,6 +425,12 @@
 			errs = append(errs, r.report(x))
 		}
 		return w, nil, errors.Join(errs...)
+	case c.Raise > 0:
+		if c.Raise <= s.Version {
+			return w, nil, nil
+		}
+		s.Version = c.Raise
+		return w, []string{fmt.Sprintf("the fleet's state is of version %d now, which all fronts read", s.Version)}, nil
 	case c.Rules != nil:
 		if err := c.Rules.Check(); err != nil {
 			return w, nil, err
--- a/internal/fleet/agree/feed.go
+++ b/internal/fleet/agree/feed.go
@@ -173,6 +173,12 @@
 		return
 	}
 	s := n.rep.State()
+	if n.stale != nil && n.now-n.handed > n.span(electionTicks) { // it can't lead: what it can't read it can't judge
+		n.handed = n.now
+		if to := n.successor(); to != 0 {
+			n.raw.TransferLeader(to)
+		}
+	}
 	if n.ticks%beatTicks != 0 || s.Fleet == 0 || n.stale != nil {
 		return
 	}
@@ -206,6 +212,7 @@
 	}
 	n.gatherLeft()
 	n.granting()
+	n.raise()
 	n.handOver()
 	n.seats()
 }
--- a/internal/fleet/agree/lease.go
+++ b/internal/fleet/agree/lease.go
@@ -34,8 +34,12 @@
 	return lease.Span(rule, known)
 }
 
-// Holds tells whether this front may act at a moment of its own clock.
+// Holds tells whether this front may act at a moment of its own clock. One that can't
+// read the fleet's entries any more can't know by what leave it would.
 func (n *Node) Holds(now Micros) bool {
+	if n.stale != nil {
+		return false
+	}
 	return n.Lives() == 0 || n.leases.own.Holds(now) || n.rep.Leaves(replica.NoLook)
 }
 
--- a/internal/fleet/agree/messages.go
+++ b/internal/fleet/agree/messages.go
@@ -43,6 +43,7 @@
 
 	Lease lease.Ask `cbor:"9,keyasint,omitzero"`   // of the sender itself, to the leader
 	Left  []uint64  `cbor:"10,keyasint,omitempty"` // permits of boxes that it has left
+	Reads int       `cbor:"11,keyasint,omitempty"` // the newest version of the state that its build reads
 }
 
 // mostLeft bounds the boxes of one beat.
@@ -199,23 +200,23 @@
 
 // beat tells that this front is there: a voter to the leader, others to who feeds them.
 func (n *Node) beat() {
-	b := Beat{Name: n.cfg.Name, ID: n.id, Start: n.cfg.Start, Away: n.away, Hurt: n.hurt, Applied: n.applied, Left: n.leftPermits()}
+	b := Beat{Name: n.cfg.Name, ID: n.id, Start: n.cfg.Start, Away: n.away, Hurt: n.hurt, Applied: n.applied, Left: n.leftPermits(), Reads: replica.Version}
 	to := n.feeder
 	if lead, _ := n.Leader(); n.led() || to == "" {
 		to, b.Lease = n.nameOf(lead), n.wants()
 	}
-	if n.leads || to == "" || to == n.cfg.Name {
+	if n.leads || to == "" || to == n.cfg.Name || n.stale != nil { // one that can't read the entries counts as lost
 		return
 	}
 	for _, c := range n.children {
 		if h, ok := n.heard[c.name]; ok && n.now-h.at < n.cfg.Lost {
-			b.Below = append(b.Below, Beat{Name: c.name, ID: h.id, Start: h.start, Away: h.away, Hurt: h.hurt, Applied: h.applied, Age: n.now - h.at, Left: h.left})
+			b.Below = append(b.Below, Beat{Name: c.name, ID: h.id, Start: h.start, Away: h.away, Hurt: h.hurt, Applied: h.applied, Age: n.now - h.at, Left: h.left, Reads: h.reads})
 		}
 	}
 	// And those below them, as they told.
 	for name, h := range n.heard {
 		if n.now-h.at < n.cfg.Lost && !slices.ContainsFunc(n.children, func(c *child) bool { return c.name == name }) {
-			b.Below = append(b.Below, Beat{Name: name, ID: h.id, Start: h.start, Away: h.away, Hurt: h.hurt, Applied: h.applied, Age: n.now - h.at, Left: h.left})
+			b.Below = append(b.Below, Beat{Name: name, ID: h.id, Start: h.start, Away: h.away, Hurt: h.hurt, Applied: h.applied, Age: n.now - h.at, Left: h.left, Reads: h.reads})
 		}
 	}
 	slices.SortFunc(b.Below, func(x, y Beat) int { return compare(x.Name, y.Name) })
@@ -240,7 +241,7 @@
 	note := func(b Beat) {
 		at := n.now - max(0, b.Age)
 		if old, ok := n.heard[b.Name]; !ok || old.at <= at {
-			n.heard[b.Name] = heard{id: b.ID, start: b.Start, at: at, away: b.Away, hurt: b.Hurt, applied: b.Applied, left: b.Left[:min(len(b.Left), mostLeft)]}
+			n.heard[b.Name] = heard{id: b.ID, start: b.Start, at: at, away: b.Away, hurt: b.Hurt, applied: b.Applied, left: b.Left[:min(len(b.Left), mostLeft)], reads: b.Reads}
 		}
 	}
 	note(b)
--- a/internal/fleet/agree/node.go
+++ b/internal/fleet/agree/node.go
@@ -113,6 +113,7 @@
 	hurt      bool
 	applied   uint64
 	left      []uint64 // permits of boxes that it has left
+	reads     int      // the newest version of the state that its build reads; 0: the first
 }
 
 // Node is one front's part.
@@ -160,6 +161,7 @@
 	factsLost bool       // they told of a front that it is lost
 	leftID    replica.ID // of the last report for others that they have left boxes
 	leftAt    Micros
+	raisedAt  Micros
 	conf2     uint64 // index of the last change of seats that was proposed
 	confAt    Micros
 	handed    Micros
@@ -278,6 +280,34 @@
 // Children counts the fronts that this one feeds.
 func (n *Node) Children() int { return len(n.children) }
 
+// Older gives the fronts that are not known to read a newer version of the state than
+// the fleet's, at the leader; none: there is no newer one, or all do.
+func (n *Node) Older() (names []string) {
+	s := n.rep.State()
+	if s.Version >= replica.Version {
+		return nil
+	}
+	for _, f := range s.Council.Fronts {
+		if h := n.heard[f.Name]; f.Name != n.cfg.Name && (h.id != f.ID || h.start != f.Start || h.reads < replica.Version) {
+			names = append(names, f.Name)
+		}
+	}
+	return names
+}
+
+// raise has the state's version raised once all fronts are known to read it.
+func (n *Node) raise() {
+	if s := n.rep.State(); s.Version >= replica.Version || n.now-n.raisedAt < n.span(againTicks) || len(n.Older()) > 0 {
+		return
+	}
+	n.raisedAt = n.now
+	n.number++
+	c := replica.Command{ID: replica.ID{Front: n.id, Start: n.cfg.Start, N: n.number}, Raise: replica.Version}
+	if b, err := replica.Encode(c); err == nil {
+		_ = n.raw.Propose(b) // or the next time
+	}
+}
+
 // Changing tells what the council's next change waits for, at the leader.
 func (n *Node) Changing() string { return n.changing }
 
@@ -372,6 +402,10 @@
 		done(replica.Word{}, ErrBusy)
 		return
 	}
+	if err := n.rep.Takes(&c); err != nil {
+		done(replica.Word{Err: err.Error()}, nil)
+		return
+	}
 	n.number++
 	c.ID = replica.ID{Front: n.id, Start: n.cfg.Start, N: n.number}
 	data, err := replica.Encode(c)
--- a/internal/fleet/calls.go
+++ b/internal/fleet/calls.go
@@ -28,6 +28,8 @@
 	Feeder      string   `json:"feeder,omitempty"` // who passes the log on to it
 	Feeds       int      `json:"feeds"`            // fronts that it passes the log on to
 	Fronts      int      `json:"fronts"`
+	Version     int      `json:"version"`         // of the state
+	Older       []string `json:"older,omitempty"` // at the leader: fronts whose build is not known to read a newer one that this build reads
 	Lost        []string `json:"lost,omitempty"`
 	Away        []string `json:"away,omitempty"` // heard, and taking no clients
 	Hurt        []string `json:"hurt,omitempty"` // heard, and in trouble
@@ -307,9 +309,12 @@
 	s := n.Replica().State()
 	_, term := n.Leader()
 	x := Status{Fleet: f.cfg.Fleet, Front: f.cfg.Name, Incarnation: fmt.Sprintf("%016x", n.ID()), Build: f.cfg.Build, Leader: n.LeaderName(),
-		Term: term, Applied: n.Applied(), Seat: f.seat(n.ID()), Feeder: n.Feeder(), Feeds: n.Children(), Fronts: len(s.Council.Fronts),
+		Term: term, Applied: n.Applied(), Seat: f.seat(n.ID()), Feeder: n.Feeder(), Feeds: n.Children(), Fronts: len(s.Council.Fronts), Version: s.Version,
 		Wanted: s.Council.Target(), Bears: s.Council.Bears(s.Seats), Hold: s.Work.Hold, Waits: cmp.Or(n.Founding(), n.Changing()), FleetTime: seconds(s.Now),
 		Sent: f.counts.Sent, SentBytes: f.counts.Bytes, Received: f.counts.Received, Dropped: f.counts.Dropped}
+	if n.Leads() {
+		x.Older = n.Older()
+	}
 	if x.AloneS = seconds(n.Lives()); x.AloneS > 0 {
 		x.LeaseS = seconds(max(0, n.LeaseEnd()-f.now()))
 	}
--- a/internal/program/door.go
+++ b/internal/program/door.go
@@ -22,7 +22,7 @@
 		return ok, why
 	}
 	if ok, _ := p.fleet.Holds(); !ok {
-		return false, "out of contact with the fleet, and its lease is over"
+		return false, "no lease of the fleet holds"
 	}
 	return true, ""
 }
