--- a/cmd/ramplab/fleet.go
+++ b/cmd/ramplab/fleet.go
@@ -138,8 +138,10 @@
 	Without string        `help:"A rule to leave out, with --virtual: fence, once, lost-is-out, majority. It must be found."`
 	Rate    float64       `default:"50" help:"Requests a second beside it, with processes."`
 	Chaos   bool          `default:"true" negatable:"" help:"Random troubles."`
-	JSON    bool          `help:"The result as JSON."`
-	Verbose bool          `help:"Every line of what happens."`
+
+	Troubles string `type:"existingfile" help:"A day in the laboratory's language instead of random works and troubles; it says fronts, zones, seed and span itself."`
+	JSON     bool   `help:"The result as JSON."`
+	Verbose  bool   `help:"Every line of what happens."`
 }
 
 // Run plays.
@@ -150,6 +152,9 @@
 	if c.Fronts < 1 || c.Fronts > 300 || c.Zones < 1 || c.Days < 1 || c.For < time.Second {
 		return fmt.Errorf("--fronts 1 to 300, --zones and --days from 1 and --for from 1s on are possible")
 	}
+	if c.Troubles != "" {
+		return c.script()
+	}
 	if c.Virtual {
 		return c.virtual()
 	}
@@ -168,6 +173,36 @@
 	return c.tell(r, len(r.Broken) > 0)
 }
 
+// script plays a day that is written down.
+func (c fleetWorkCommand) script() error {
+	s, err := fleet.ReadScript(c.Troubles)
+	if err != nil {
+		return err
+	}
+	var say func(string)
+	if c.Verbose {
+		say = func(line string) { fmt.Println(line) }
+	}
+	if !c.Virtual {
+		front, err := c.path()
+		if err != nil {
+			return err
+		}
+		r, err := fleet.PlayScript(s, front, c.Rate, say)
+		if err != nil {
+			return err
+		}
+		return c.tell(r, len(r.Broken) > 0)
+	}
+	d, _ := s.Virtual(replica.Rule(c.Without), say)
+	if len(d.Broken) > 0 && !c.JSON {
+		short, _, w := s.Shortest(replica.Rule(c.Without))
+		fmt.Printf("broken, and so is what is left of the day:\n%s\nthe last of what happened in it:\n", short)
+		w.Dump(os.Stdout, 40)
+	}
+	return c.tell(d, len(d.Broken) > 0)
+}
+
 func (c fleetWorkCommand) virtual() error {
 	var say func(string)
 	if c.Verbose {
--- a/lab/fleet/bench_test.go
+++ b/lab/fleet/bench_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"cherryramp/internal/decide/council"
 	"cherryramp/internal/decide/replica"
 	"cherryramp/internal/decide/work"
 	"cherryramp/internal/fleet"
@@ -266,3 +267,34 @@
 		})
 	}
 }
+
+// 300 fronts of which 30 crash and come back all the time, in virtual time: works on
+// the others go on meanwhile.
+func BenchmarkFlapping(b *testing.B) {
+	for b.Loop() {
+		d := flapping(b, 300, 30, 30*Second)
+		b.ReportMetric(float64(d.Entries), "entries")
+		b.ReportMetric(float64(d.Asked), "works-asked")
+		b.ReportMetric(float64(d.Ended), "works-ended")
+	}
+}
+
+// Bytes of the state a front and a work.
+func BenchmarkState(b *testing.B) {
+	for b.Loop() {
+		r := replica.New()
+		r.Apply(replica.Command{Found: &replica.Found{Name: "f", Fleet: 1, Rules: work.Defaults()}})
+		empty := len(r.Snapshot())
+		for i := range 300 {
+			n := fmt.Sprintf("front-%03d", i)
+			r.Apply(replica.Command{Join: &replica.Join{Front: council.Front{Name: n, Zone: fmt.Sprintf("zone-%d", i%5), Machine: n, Address: fmt.Sprintf("10.0.%d.%d:7003", i/200, i%200),
+				ID: ^uint64(i), Start: ^uint64(i) / 3, Build: "0123456789ab"}}})
+		}
+		fronts := len(r.Snapshot())
+		for i := range 100 {
+			r.Apply(replica.Command{Ask: &replica.Ask{Work: work.Item{Machine: fmt.Sprintf("front-%03d", i), Span: 600 * Second, Why: "a new build"}}})
+		}
+		b.ReportMetric(float64(fronts-empty)/300, "B/front")
+		b.ReportMetric(float64(len(r.Snapshot())-fronts)/100, "B/work")
+	}
+}
--- a/lab/fleet/chaos.go
+++ b/lab/fleet/chaos.go
@@ -49,6 +49,12 @@
 	w.Checks.onLeave = c.ambush
 	c.troubles(w.now + span)
 	w.Run(w.now + span)
+	return c.finish(), w
+}
+
+// finish ends all troubles, waits until the fleet is well, and tells what became of the day.
+func (c *chaos) finish() Day {
+	w := c.w
 	c.heal()
 	// Once contact is back, everybody asked for is dealt with: what is out comes back.
 	w.Run(w.now + 12*Second) // so long an asking may be on its way
@@ -63,7 +69,7 @@
 		c.day.Ended = len(l.node.Replica().State().Work.Ended)
 	}
 	c.day.Most, c.day.Checked, c.day.Digest, c.day.Broken = w.Checks.Most, w.Checks.Checked, w.Digest(), w.Checks.Broken()
-	return c.day, w
+	return c.day
 }
 
 type chaos struct {
--- a/lab/fleet/play.go
+++ b/lab/fleet/play.go
@@ -9,6 +9,7 @@
 	"syscall"
 	"time"
 
+	"cherryramp/internal/decide/work"
 	"cherryramp/internal/fleet"
 	"cherryramp/lab/line"
 )
@@ -71,6 +72,24 @@
 // Play has works asked for and carried out by started fronts, under requests, while
 // things go wrong for a span; then all is well again, and every work must end.
 func Play(o Options, span time.Duration, rate float64, troubles bool, say func(string)) (Played, error) {
+	return play(o, rate, say, func(p *player) { p.day(span, troubles) })
+}
+
+// PlayScript plays a script on started fronts.
+func PlayScript(s *Script, program string, rate float64, say func(string)) (Played, error) {
+	if err := s.Processes(); err != nil {
+		return Played{}, err
+	}
+	rules := shortRules()
+	rules["hurt_percent"] = 60
+	if s.Alone > 0 {
+		rules["alone_s"] = float64(s.Alone) / 1e6
+	}
+	o := Options{Program: program, Fronts: s.Fronts, Zones: s.Zones, Seed: s.Seed, Lines: true, Rules: rules}
+	return play(o, rate, say, func(p *player) { p.script(s) })
+}
+
+func play(o Options, rate float64, say func(string), day func(p *player)) (Played, error) {
 	f, err := NewProcesses(o)
 	if err != nil {
 		return Played{}, err
@@ -90,7 +109,7 @@
 	if rate > 0 {
 		clients = NewClients(f, rate)
 	}
-	p.day(span, troubles)
+	day(p)
 	p.heal()
 	p.rest()
 	if clients != nil {
@@ -156,6 +175,124 @@
 	}
 }
 
+// script carries out a script's steps when their time has come.
+func (p *player) script(s *Script) {
+	began := time.Now()
+	steps := s.Steps
+	var mends []trouble
+	for time.Since(began) < time.Duration(s.For)*time.Microsecond {
+		now := time.Now()
+		for len(steps) > 0 && now.Sub(began) >= time.Duration(steps[0].At)*time.Microsecond {
+			p.tell("%s", steps[0])
+			if mend := p.step(steps[0]); mend != nil {
+				mends = append(mends, trouble{now.Add(time.Duration(steps[0].For) * time.Microsecond), mend})
+			}
+			steps = steps[1:]
+		}
+		sort.SliceStable(mends, func(i, j int) bool { return mends[i].at.Before(mends[j].at) })
+		for len(mends) > 0 && now.After(mends[0].at) {
+			mends[0].mend()
+			mends = mends[1:]
+		}
+		p.look()
+		p.tend()
+		time.Sleep(50 * time.Millisecond)
+	}
+	for _, m := range mends {
+		m.mend()
+	}
+}
+
+// step has one step happen, and tells how it is mended.
+func (p *player) step(x Step) (mend func()) {
+	var list []*Process
+	for _, n := range x.Names {
+		if q := p.f.Find(n); q != nil {
+			list = append(list, q)
+		} else if l := p.f.Leader(); n == "leader" && l != nil {
+			list = append(list, l)
+		}
+	}
+	if x.What == "lose zone" || x.What == "restart all" {
+		for _, q := range p.f.List {
+			if x.What == "restart all" || q.Zone == x.Names[0] {
+				list = append(list, q)
+			}
+		}
+	}
+	each := func(do func(q *Process)) func() {
+		return func() {
+			for _, q := range list {
+				do(q)
+			}
+		}
+	}
+	switch x.What {
+	case "ask":
+		p.out.Asked++
+		a := fleet.Ask{Machine: x.Work.Machine, Box: x.Work.Kind == work.ABox, Zone: x.Work.Zone, SpanS: float64(x.Work.Span) / 1e6, Urgent: x.Work.Urgent,
+			Restart: x.Work.Restart}
+		at := p.front()
+		go func() { _, _ = at.Ask(a) }()
+	case "hold":
+		order := func(call string) { at := p.front(); go func() { _ = at.Call("FLEET WORK "+call, nil) }() }
+		order("HOLD")
+		return func() { order("RESUME") }
+	case "reset connections":
+		p.f.Reset()
+	case "part":
+		var groups [2][]*Process
+		for i, names := range [][]string{x.Names, x.Others} {
+			for _, n := range names {
+				groups[i] = append(groups[i], p.f.Find(n))
+			}
+		}
+		p.f.Part(groups[0], groups[1])
+		return func() { p.f.Part() }
+	case "mute", "deafen":
+		for _, q := range list {
+			for _, o := range p.f.List {
+				if o == q {
+					continue
+				}
+				if x.What == "mute" {
+					p.f.Freeze(q, o, true)
+				} else {
+					p.f.Freeze(o, q, true)
+				}
+			}
+		}
+		return func() { p.f.Part() }
+	case "delay":
+		d := time.Duration(x.Span) * time.Microsecond
+		each(func(q *Process) { p.f.Delay(q, line.Settings{Delay: d, Jitter: d / 4}) })()
+		return each(func(q *Process) { p.f.Delay(q, line.Settings{}) })
+	case "stop":
+		each(func(q *Process) { q.Signal(syscall.SIGSTOP) })()
+		return each(func(q *Process) { q.Signal(syscall.SIGCONT) })
+	case "kill", "lose zone", "restart all", "wipe", "tear":
+		each(func(q *Process) {
+			q.Kill()
+			if x.What == "wipe" {
+				_ = q.Wipe()
+			}
+			if x.What == "tear" {
+				p.tear(q)
+			}
+		})()
+		return each(p.start)
+	}
+	return nil
+}
+
+// tear has a front's journal end as one that was being written.
+func (p *player) tear(x *Process) {
+	if file, err := os.OpenFile(x.Journal(), os.O_APPEND|os.O_WRONLY, 0); err == nil {
+		_, _ = file.Write([]byte{200, 0, 0, 0, 1, 2, 3})
+		_ = file.Close()
+	}
+}
+
 func (p *player) front() *Process { return p.f.List[p.r.IntN(len(p.f.List))] }
 
 func (p *player) ask() {
@@ -211,10 +348,7 @@
 	case 8:
 		p.tell("%s is killed with a torn end in its journal", x.Name)
 		x.Kill()
-		if file, err := os.OpenFile(x.Journal(), os.O_APPEND|os.O_WRONLY, 0); err == nil {
-			_, _ = file.Write([]byte{200, 0, 0, 0, 1, 2, 3})
-			_ = file.Close()
-		}
+		p.tear(x)
 		return start(x)
 	}
 	return nil
--- a/lab/fleet/processes.go
+++ b/lab/fleet/processes.go
@@ -129,6 +129,11 @@
 	return f, nil
 }
 
+// shortRules are rules with spans that a person, or a test, can wait for.
+func shortRules() map[string]any {
+	return map[string]any{"out": 1, "zone": 1, "percent": 34, "hurt_percent": 50, "accept_s": 5, "empty_s": 10, "back_s": 20, "cold_s": 1}
+}
+
 // configure writes a front's two files.
 func (f *Processes) configure(p *Process, reach map[string]string, certificate, key, authorities string) error {
 	n := f.o.First
@@ -141,7 +146,7 @@
 	}
 	rules := f.o.Rules
 	if rules == nil {
-		rules = map[string]any{"out": 1, "zone": 1, "percent": 34, "hurt_percent": 50, "accept_s": 5, "empty_s": 10, "back_s": 20, "cold_s": 1}
+		rules = shortRules()
 	}
 	text, err := json.MarshalIndent(map[string]any{"fleet": map[string]any{"name": "laboratory", "front": p.Name, "zone": p.Zone,
 		"listen": p.Fleet, "first": first, "folder": filepath.Join(p.Dir, "folder"), "reach": reach, "rules": rules,
--- a/lab/fleet/processes_test.go
+++ b/lab/fleet/processes_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"cherryramp/internal/fleet"
+	"cherryramp/internal/seeded"
 )
 
 var program string
@@ -26,7 +27,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
-	code := m.Run()
+	code := seeded.Run(m)
 	_ = os.RemoveAll(dir)
 	os.Exit(code)
 }
--- /dev/null
+++ b/lab/fleet/script.go
@@ -0,0 +1,464 @@
+package fleet
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/alecthomas/participle/v2"
+	"github.com/alecthomas/participle/v2/lexer"
+
+	"cherryramp/internal/decide/replica"
+	"cherryramp/internal/decide/work"
+)
+
+// Script is a fleet's day in the laboratory's language, for started fronts or in
+// virtual time:
+//
+//	name "the leader dies while a zone is away"
+//	fronts 5 zones 3 run 60s seed 7 alone 5s
+//	at 2s ask "n1" for 10s
+//	at 2s ask box "s-0" for 5s urgent
+//	at 3s kill leader for 4s
+//	from 5s part "n0" "n1" from "n2" "n3" "n4" for 10s
+//	from 6s mute "n2" for 3s           # it hears and is not heard; deafen: the other way round
+//	from 8s stop "n3" for 9s           # SIGSTOP, then SIGCONT
+//	at 12s lose zone "z0" for 5s
+//	from 20s delay "n1" 800ms for 5s
+//	at 25s reset connections
+//	at 30s tear "n2" for 2s            # killed, with a torn end in its journal
+//	at 33s wipe "n4" for 2s            # killed, its disk emptied
+//	at 40s restart all
+//	at 45s hold for 5s
+//	from 50s fill "n1" for 3s          # its disk; this and those below in virtual time only
+//	from 50s slow "n1" 700ms for 5s    # its disk
+//	from 50s lose 20% of messages for 5s
+//	from 50s double 20% of messages for 5s
+//	at 50s clock "n1" 110%             # of true speed
+//
+// Whatever is killed is started again after its span. After the day all is well
+// again, and every work must end.
+type Script struct {
+	Name   string
+	Fronts int
+	Zones  int
+	Seed   uint64
+	Alone  Micros
+	For    Micros
+	Steps  []Step
+}
+
+// Step is one thing that happens.
+type Step struct {
+	At, For Micros
+	What    string
+	Names   []string // fronts; "leader" is whoever leads then
+	Others  []string
+	Span    Micros
+	Share   float64
+	Work    *work.Item
+	where   lexer.Position
+}
+
+// String is the step in the language.
+func (s Step) String() string {
+	text := fmt.Sprintf("at %s %s", span(s.At), s.What)
+	quote := func(names []string) {
+		for _, n := range names {
+			if n == "leader" {
+				text += " leader"
+			} else {
+				text += fmt.Sprintf(" %q", n)
+			}
+		}
+	}
+	switch {
+	case s.Work != nil && s.Work.Kind == work.ABox:
+		text += fmt.Sprintf(" box %q", s.Work.Machine)
+	case s.Work != nil:
+		text += fmt.Sprintf(" %q", s.Work.Machine)
+	case s.What == "lose zone":
+		quote(s.Names)
+	case s.Share > 0 && s.What == "clock":
+		quote(s.Names)
+		text += fmt.Sprintf(" %g%%", 100*s.Share)
+	case s.Share > 0:
+		text += fmt.Sprintf(" %g%% of messages", 100*s.Share)
+	default:
+		quote(s.Names)
+	}
+	if s.What == "part" {
+		text += " from"
+		quote(s.Others)
+	}
+	if s.Span > 0 {
+		text += " " + span(s.Span)
+	}
+	if s.For > 0 {
+		text += " for " + span(s.For)
+	}
+	if s.Work != nil && s.Work.Urgent {
+		text += " urgent"
+	}
+	if s.Work != nil && s.Work.Restart {
+		text += " until restart"
+	}
+	return text
+}
+
+func span(us Micros) string { return strconv.FormatFloat(float64(us)/1000, 'f', -1, 64) + "ms" }
+
+// String is the script in the language.
+func (s *Script) String() string {
+	text := fmt.Sprintf("name %q\nfronts %d zones %d run %s seed %d", s.Name, s.Fronts, s.Zones, span(s.For), s.Seed)
+	if s.Alone > 0 {
+		text += " alone " + span(s.Alone)
+	}
+	for _, x := range s.Steps {
+		text += "\n" + x.String()
+	}
+	return text + "\n"
+}
+
+type scriptFile struct {
+	Statements []*scriptLine `parser:"@@*"`
+}
+
+type scriptLine struct {
+	Pos    lexer.Position
+	Name   *string     `parser:"  'name' @String"`
+	Fronts *int        `parser:"| 'fronts' @Number"`
+	Zones  *int        `parser:"| 'zones' @Number"`
+	Seed   *uint64     `parser:"| 'seed' @Number"`
+	Run    *scriptSpan `parser:"| 'run' @Span"`
+	Alone  *scriptSpan `parser:"| 'alone' @Span"`
+	Step   *scriptStep `parser:"| ('at'|'from') @@"`
+}
+
+type scriptStep struct {
+	Pos     lexer.Position
+	At      scriptSpan  `parser:"@Span"`
+	Ask     *scriptAsk  `parser:"( 'ask' @@"`
+	Part    *scriptPart `parser:"| 'part' @@"`
+	Zone    *string     `parser:"| 'lose' ( 'zone' @String"`
+	Loss    *percent    `parser:"          | @Percent 'of' 'messages' )"`
+	Double  *percent    `parser:"| 'double' @Percent 'of' 'messages'"`
+	Reset   bool        `parser:"| @('reset' 'connections')"`
+	Restart bool        `parser:"| @('restart' 'all')"`
+	Hold    bool        `parser:"| @'hold'"`
+	What    string      `parser:"| @('kill'|'stop'|'wipe'|'tear'|'mute'|'deafen'|'delay'|'fill'|'slow'|'clock')"`
+	Leader  bool        `parser:"  ( @'leader'"`
+	Names   []string    `parser:"  | @String+ )"`
+	Span    *scriptSpan `parser:"  ( @Span"`
+	Speed   *percent    `parser:"  | @Percent )? )"`
+	For     *scriptSpan `parser:"('for' @Span)?"`
+	Urgent  bool        `parser:"@'urgent'?"`
+	Until   bool        `parser:"@('until' 'restart')?"`
+}
+
+type scriptAsk struct {
+	Box  bool   `parser:"@'box'?"`
+	Name string `parser:"@String"`
+}
+
+type scriptPart struct {
+	One   []string `parser:"@String+ 'from'"`
+	Other []string `parser:"@String+"`
+}
+
+type scriptSpan Micros
+
+// Capture is part of participle.Capture, as that below.
+func (s *scriptSpan) Capture(v []string) error {
+	d, err := time.ParseDuration(v[0])
+	*s = scriptSpan(d.Microseconds())
+	return err
+}
+
+type percent float64
+
+// Capture is part of participle.Capture.
+func (p *percent) Capture(v []string) error {
+	x, err := strconv.ParseFloat(strings.TrimSuffix(v[0], "%"), 64)
+	*p = percent(x / 100)
+	return err
+}
+
+var scripts = participle.MustBuild[scriptFile](
+	participle.Lexer(lexer.MustSimple([]lexer.SimpleRule{
+		{Name: "Comment", Pattern: `#[^\n]*`},
+		{Name: "String", Pattern: `"[^"\n]*"`},
+		{Name: "Span", Pattern: `\d+(\.\d+)?(ms|s|m)\b`},
+		{Name: "Percent", Pattern: `\d+(\.\d+)?%`},
+		{Name: "Number", Pattern: `\d+`},
+		{Name: "Word", Pattern: `[A-Za-z][A-Za-z-]*`},
+		{Name: "Space", Pattern: `\s+`},
+	})),
+	participle.Elide("Comment", "Space"), participle.Unquote("String"), participle.UseLookahead(3))
+
+// ErrVirtual tells of a step that started fronts can't be put to.
+var ErrVirtual = errors.New("this is possible in virtual time only")
+
+// ReadScript reads a script from a file.
+func ReadScript(path string) (*Script, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	return ParseScript(path, string(text))
+}
+
+// ParseScript reads a script; name stands in errors, which name line and column.
+func ParseScript(name, text string) (*Script, error) {
+	f, err := scripts.ParseString(name, text)
+	if err != nil {
+		return nil, fmt.Errorf("fleet: %w", err)
+	}
+	s := &Script{Name: name, Fronts: 5, Zones: 3, Seed: 1, For: 60 * Second}
+	for _, x := range f.Statements {
+		switch {
+		case x.Name != nil:
+			s.Name = *x.Name
+		case x.Fronts != nil:
+			s.Fronts = *x.Fronts
+		case x.Zones != nil:
+			s.Zones = *x.Zones
+		case x.Seed != nil:
+			s.Seed = *x.Seed
+		case x.Run != nil:
+			s.For = Micros(*x.Run)
+		case x.Alone != nil:
+			s.Alone = Micros(*x.Alone)
+		case x.Step != nil:
+			s.Steps = append(s.Steps, x.Step.step())
+		}
+	}
+	if s.Fronts < 1 || s.Fronts > 300 || s.Zones < 1 || s.For < Second || s.Alone != 0 && s.Alone < Second {
+		return nil, fmt.Errorf("fleet: %s: fronts 1 to 300, zones from 1, run and alone from 1s on are possible", name)
+	}
+	for _, x := range s.Steps {
+		if err := s.check(x); err != nil {
+			return nil, fmt.Errorf("fleet: %s: %w", x.where, err)
+		}
+	}
+	slices.SortStableFunc(s.Steps, func(a, b Step) int { return int(a.At - b.At) })
+	return s, nil
+}
+
+func (x *scriptStep) step() Step {
+	s := Step{At: Micros(x.At), What: x.What, Names: x.Names, where: x.Pos}
+	if x.Leader {
+		s.Names = []string{"leader"}
+	}
+	if x.For != nil {
+		s.For = Micros(*x.For)
+	}
+	if x.Span != nil {
+		s.Span = Micros(*x.Span)
+	}
+	if x.Speed != nil {
+		s.Share = float64(*x.Speed)
+	}
+	switch {
+	case x.Ask != nil:
+		s.What, s.Work = "ask", &work.Item{Machine: x.Ask.Name, Span: max(Second, s.For), Urgent: x.Urgent, Restart: x.Until}
+		if x.Ask.Box {
+			s.Work.Kind, s.Work.Zone = work.ABox, "z0"
+		}
+	case x.Part != nil:
+		s.What, s.Names, s.Others = "part", x.Part.One, x.Part.Other
+	case x.Zone != nil:
+		s.What, s.Names = "lose zone", []string{*x.Zone}
+	case x.Loss != nil:
+		s.What, s.Share = "lose", float64(*x.Loss)
+	case x.Double != nil:
+		s.What, s.Share = "double", float64(*x.Double)
+	case x.Reset:
+		s.What = "reset connections"
+	case x.Restart:
+		s.What = "restart all"
+	case x.Hold:
+		s.What = "hold"
+	}
+	return s
+}
+
+// check tells of fronts and zones that there are not, and of what is missing.
+func (s *Script) check(x Step) error {
+	known := func(n string) bool {
+		i, err := strconv.Atoi(strings.TrimPrefix(n, "n"))
+		return n == "leader" || err == nil && strings.HasPrefix(n, "n") && i >= 0 && i < s.Fronts
+	}
+	if x.What == "lose zone" {
+		known = func(n string) bool {
+			i, err := strconv.Atoi(strings.TrimPrefix(n, "z"))
+			return err == nil && i >= 0 && i < s.Zones
+		}
+	}
+	for _, n := range append(slices.Clone(x.Names), x.Others...) {
+		if !known(n) {
+			return fmt.Errorf("there is no %q among %d fronts, n0 on, in %d zones, z0 on", n, s.Fronts, s.Zones)
+		}
+	}
+	if x.Work != nil && x.Work.Kind == work.AFront && !known(x.Work.Machine) {
+		return fmt.Errorf("there is no front %q", x.Work.Machine)
+	}
+	switch {
+	case (x.What == "delay" || x.What == "slow") && x.Span <= 0:
+		return fmt.Errorf("%s: by how much is missing", x.What)
+	case x.What == "clock" && (x.Share < 0.9 || x.Share > 1.1):
+		return errors.New("clock: 90% to 110% are possible")
+	case x.Share > 1 && x.What != "clock":
+		return fmt.Errorf("%s: over 100%%", x.What)
+	case x.At > s.For:
+		return fmt.Errorf("it begins after the day, which has %s", span(s.For))
+	}
+	return nil
+}
+
+// Virtual plays the script in virtual time.
+func (s *Script) Virtual(without replica.Rule, verbose func(string)) (Day, *World) {
+	r := ShortRules()
+	r.Alone, r.Hurt = s.Alone, 60
+	w := NewWorld(Spec{Fronts: s.Fronts, Zones: s.Zones, Seed: s.Seed, Rules: r, Without: without})
+	w.Verbose = verbose
+	c := &chaos{w: w, r: w.r, day: Day{Seed: s.Seed, Fronts: s.Fronts}, begun: map[uint64]Micros{}}
+	for _, f := range w.Fronts {
+		f.Start()
+	}
+	w.RunUntil(90*Second, w.Settled)
+	began := w.now
+	for i, x := range s.Steps {
+		w.at(began+x.At, func() { c.step(i, x) })
+	}
+	for w.now < began+s.For && !w.Checks.Failed() {
+		w.Run(min(w.now+Second, began+s.For))
+		c.tend()
+	}
+	return c.finish(), w
+}
+
+// step carries out one step in virtual time.
+func (c *chaos) step(i int, x Step) {
+	w := c.w
+	var fronts []*Front
+	for _, n := range x.Names {
+		if f := w.byName[n]; f != nil {
+			fronts = append(fronts, f)
+		} else if l := w.Leader(); n == "leader" && l != nil {
+			fronts = append(fronts, l)
+		}
+	}
+	after := func(do func()) {
+		if x.For > 0 {
+			w.After(x.For, do)
+		}
+	}
+	switch x.What {
+	case "ask":
+		c.day.Asked++
+		item := *x.Work
+		item.Why = fmt.Sprintf("step %d", i)
+		at := w.Leader()
+		if at == nil {
+			at = w.Fronts[0]
+		}
+		w.Ask(at, item, func(replica.Word, error) {})
+	case "part":
+		w.Part(x.Names, x.Others)
+		after(func() { w.Part() })
+	case "lose":
+		w.loss = x.Share
+		after(func() { w.loss = 0 })
+	case "double":
+		w.double = x.Share
+		after(func() { w.double = 0 })
+	case "hold":
+		w.Order(w.Fronts[0], replica.Order{What: replica.Hold}, func(replica.Word, error) {})
+		after(func() { w.Order(w.Fronts[0], replica.Order{What: replica.Resume}, func(replica.Word, error) {}) })
+	case "restart all", "lose zone":
+		for _, f := range w.Fronts {
+			if x.What == "restart all" || f.Zone == x.Names[0] {
+				f.Crash()
+				w.After(max(x.For, Second), f.Start)
+			}
+		}
+	}
+	for _, f := range fronts {
+		switch x.What {
+		case "kill", "tear":
+			f.Crash()
+			w.After(max(x.For, Milli), f.Start)
+		case "wipe":
+			if c.wipeable(f) {
+				f.Wipe()
+				w.After(max(x.For, Milli), f.Start)
+			}
+		case "stop":
+			f.Pause(true)
+			after(func() { f.Pause(false) })
+		case "mute", "deafen":
+			for _, o := range w.Fronts {
+				if x.What == "mute" {
+					w.Cut(f.Name, o.Name, true)
+				} else {
+					w.Cut(o.Name, f.Name, true)
+				}
+			}
+			after(func() { w.Part() })
+		case "delay":
+			w.lag[f.Name] = x.Span
+			after(func() { delete(w.lag, f.Name) })
+		case "fill":
+			f.full = true
+			after(func() { f.full = false })
+		case "slow":
+			f.slow = x.Span
+			after(func() { f.slow = 0 })
+		case "clock":
+			before := f.clock()
+			f.rate = x.Share
+			f.offset += before - f.clock()
+		}
+	}
+}
+
+// virtualOnly are the steps that started fronts can't be put to.
+var virtualOnly = []string{"fill", "slow", "lose", "double", "clock"}
+
+// Processes tells which step, if any, started fronts can't be put to.
+func (s *Script) Processes() error {
+	for _, x := range s.Steps {
+		if slices.Contains(virtualOnly, x.What) {
+			return fmt.Errorf("fleet: %s: %s: %w", x.where, x.What, ErrVirtual)
+		}
+	}
+	return nil
+}
+
+// Shortest drops steps of a script that breaks a promise in virtual time, as long as
+// it still does.
+func (s *Script) Shortest(without replica.Rule) (*Script, Day, *World) {
+	best := *s
+	d, w := best.Virtual(without, nil)
+	for size := max(1, len(best.Steps)/2); size >= 1 && len(d.Broken) > 0; {
+		shorter := false
+		for i := 0; i < len(best.Steps); {
+			x := best
+			x.Steps = slices.Delete(slices.Clone(best.Steps), i, min(i+size, len(best.Steps)))
+			if y, world := x.Virtual(without, nil); len(y.Broken) > 0 {
+				best, d, w, shorter = x, y, world, true
+			} else {
+				i += size
+			}
+		}
+		if !shorter || size > 1 {
+			size /= 2
+		}
+	}
+	return &best, d, w
+}
--- a/lab/fleet/virtual.go
+++ b/lab/fleet/virtual.go
@@ -30,12 +30,12 @@
 	Second Micros = 1_000_000
 )
 
-// seeded is a random source in place of the system's: the agreement library draws
+// stream is a random source in place of the system's: the agreement library draws
 // its election time-outs from crypto/rand.Reader, and virtual time must play the
 // same day for the same seed. It is for the process that plays.
-type seeded struct{ c *mathrand.ChaCha8 }
+type stream struct{ c *mathrand.ChaCha8 }
 
-func (s seeded) Read(p []byte) (int, error) { return s.c.Read(p) }
+func (s stream) Read(p []byte) (int, error) { return s.c.Read(p) }
 
 var seeding sync.Mutex
 
@@ -121,7 +121,7 @@
 type World struct {
 	spec     Spec
 	r        *mathrand.Rand
-	chance   seeded // of the agreement library
+	chance   stream // of the agreement library
 	drawing  bool
 	now      Micros
 	seq      uint64
@@ -150,7 +150,7 @@
 		delay: Milli, jitter: Milli, last: map[[2]string]Micros{}, lag: map[string]Micros{}, Sent: map[string]int{}, Bytes: map[string]int{}, restarts: true}
 	var seed [32]byte
 	binary.LittleEndian.PutUint64(seed[:], s.Seed)
-	w.chance = seeded{mathrand.NewChaCha8(seed)}
+	w.chance = stream{mathrand.NewChaCha8(seed)}
 	w.Checks = newChecker(w)
 	if s.Rules == (work.Rules{}) {
 		w.spec.Rules = ShortRules()
