Boxes in work have a bounded share of their hub's pace

Change: the front that is asked for a box takes its share of the ready weights of its kind in its zone from the list, and turns down a name that is not on it; rules.pace_percent (0: not looked at).

--- a/internal/decide/replica/replica.go
+++ b/internal/decide/replica/replica.go
@@ -29,7 +29,7 @@
 // read until the leader has heard that each of them reads a newer one.
 const (
 	first  = 1
-	leases = 2 // leases
+	leases = 2 // leases, and a hub's pace
 )
 
 // Bounds.
@@ -69,7 +69,8 @@
 
 // needs is the version that a command belongs to.
 func (c *Command) needs() int {
-	if c.Raise > 0 || c.Rules != nil && c.Rules.Alone > 0 || c.Found != nil && c.Found.Rules.Alone > 0 || c.Join != nil && c.Join.Front.Lease > 0 {
+	if c.Raise > 0 || c.Rules != nil && (c.Rules.Alone > 0 || c.Rules.Pace > 0) ||
+		c.Found != nil && (c.Found.Rules.Alone > 0 || c.Found.Rules.Pace > 0) || c.Ask != nil && c.Ask.Work.Pace > 0 || c.Join != nil && c.Join.Front.Lease > 0 {
 		return leases
 	}
 	return first
--- a/internal/decide/work/work.go
+++ b/internal/decide/work/work.go
@@ -99,6 +99,7 @@
 	Overdue    bool     `cbor:"21,keyasint,omitempty"`
 	Tries      int      `cbor:"22,keyasint,omitempty"` // leaves that were not accepted
 	Home       bool     `cbor:"23,keyasint,omitempty"` // returning: the front itself has said that it takes clients
+	Pace       int      `cbor:"24,keyasint,omitempty"` // of a box: percent of its hub's pace, as the front that was asked saw it; 0: not known
 }
 
 // Rules are the budgets and bounds, replicated so that all replicas use the same.
@@ -114,6 +115,7 @@
 	AgeStep  Micros `cbor:"9,keyasint"`            // waiting that counts as one step of importance
 	Patience Micros `cbor:"10,keyasint"`           // after which a work that waits is not passed over any more
 	Alone    Micros `cbor:"11,keyasint,omitempty"` // for which a front acts without hearing the fleet; 0: for ever
+	Pace     int    `cbor:"12,keyasint,omitempty"` // percent of a hub's pace that boxes out at once may have; 0: not looked at
 }
 
 // Defaults are the rules where the operators set none.
@@ -137,6 +139,9 @@
 			return fmt.Errorf("%s: %d is not %d to %d", x.key, x.n, x.least, x.most)
 		}
 	}
+	if r.Pace < 0 || r.Pace > 100 {
+		return fmt.Errorf("pace_percent: %d is not 0 to 100", r.Pace)
+	}
 	if r.Alone > 0 && r.Alone < second {
 		return fmt.Errorf("alone_s: %d us is under a second", r.Alone)
 	}
@@ -212,7 +217,7 @@
 	}
 	s.LastID++
 	s.Items = append(s.Items, Item{ID: s.LastID, Machine: x.Machine, Kind: x.Kind, Zone: x.Zone, Why: x.Why, Span: x.Span,
-		Latest: x.Latest, Importance: x.Importance, Apart: x.Apart, ZoneWise: x.ZoneWise, Urgent: x.Urgent, Restart: x.Restart,
+		Latest: x.Latest, Importance: x.Importance, Pace: max(0, min(x.Pace, 100)), Apart: x.Apart, ZoneWise: x.ZoneWise, Urgent: x.Urgent, Restart: x.Restart,
 		Asked: now, Since: now})
 	return s.LastID, nil
 }
@@ -402,13 +407,14 @@
 	out, fronts, lost int
 	hurt              int
 	zones             map[string]int
+	pace              map[string]int // of hubs: percent that boxes under way have
 	machines          map[string]bool
 	voters, heard     int // heard: those that are and stay in
 }
 
 // use counts. What has leave counts as out already: it may be accepted.
 func (s *State) use(fleet Fleet) usage {
-	u := usage{zones: map[string]int{}, machines: map[string]bool{}}
+	u := usage{zones: map[string]int{}, pace: map[string]int{}, machines: map[string]bool{}}
 	count := func(name, zone string, front bool) {
 		if u.machines[name] {
 			return
@@ -423,6 +429,7 @@
 	for i := range s.Items {
 		if x := &s.Items[i]; x.Phase == Permitted || x.Phase.IsOut() {
 			count(x.Machine, x.zone(fleet), x.Kind == AFront)
+			u.pace[x.Zone] += x.Pace
 		}
 	}
 	for _, m := range fleet {
@@ -499,6 +506,8 @@
 		return fmt.Sprintf("%d machines of zone %s are out or lost, %d may be", sameZone, zone, s.Rules.Zone)
 	case x.Kind == AFront && fronts+1 > max(1, len(fleet)*s.Rules.Percent/100):
 		return fmt.Sprintf("%d of %d fronts are out or lost, %d%% may be", fronts, len(fleet), s.Rules.Percent)
+	case x.Kind == ABox && s.Rules.Pace > 0 && u.pace[zone] > 0 && u.pace[zone]+x.Pace > s.Rules.Pace:
+		return fmt.Sprintf("boxes with %d%% of the pace of %s are out and this one has %d%%, together %d%% may be", u.pace[zone], zone, x.Pace, s.Rules.Pace)
 	case x.Kind == AFront && m.Yield:
 		return seatFirst
 	case x.Kind == AFront && m.Votes && u.voters > 1 && u.heard-1 < u.voters/2+1:
--- a/internal/fleet/calls.go
+++ b/internal/fleet/calls.go
@@ -96,6 +96,7 @@
 	AgeStepS  float64 `json:"age_step_s"`
 	PatienceS float64 `json:"patience_s"`
 	AloneS    float64 `json:"alone_s"`
+	Pace      int     `json:"pace_percent"`
 }
 
 // Ask is what a person asks for.
@@ -120,6 +121,7 @@
 	errNumber = errors.New("the work's number is wanted")
 	errWait   = errors.New("another process has the folder; this one waits for it to end")
 	errName   = errors.New("a name is wanted")
+	errBox    = errors.New("no box of that name is on this front's list")
 )
 
 // Call carries out a call of the operators' door, without its first word; answer is
@@ -188,7 +190,7 @@
 func (f *Fleet) rules(change string, give func(any), fail func(error)) {
 	r := f.node.Replica().State().Work.Rules
 	x := Rules{Out: r.Out, Zone: r.Zone, Percent: r.Percent, Hurt: r.Hurt, AcceptS: seconds(r.Accept), EmptyS: seconds(r.Empty), BackS: seconds(r.Back),
-		ColdS: seconds(r.Cold), AgeStepS: seconds(r.AgeStep), PatienceS: seconds(r.Patience), AloneS: seconds(r.Alone)}
+		ColdS: seconds(r.Cold), AgeStepS: seconds(r.AgeStep), PatienceS: seconds(r.Patience), AloneS: seconds(r.Alone), Pace: r.Pace}
 	if change == "" {
 		give(x)
 		return
@@ -201,7 +203,7 @@
 	}
 	micros := func(s float64) int64 { return int64(max(-1, min(s, 1e9)) * 1e6) }
 	r = work.Rules{Out: x.Out, Zone: x.Zone, Percent: x.Percent, Hurt: x.Hurt, Accept: micros(x.AcceptS), Empty: micros(x.EmptyS), Back: micros(x.BackS),
-		Cold: micros(x.ColdS), AgeStep: micros(x.AgeStepS), Patience: micros(x.PatienceS), Alone: micros(x.AloneS)}
+		Cold: micros(x.ColdS), AgeStep: micros(x.AgeStepS), Patience: micros(x.PatienceS), Alone: micros(x.AloneS), Pace: x.Pace}
 	if err := r.Check(); err != nil {
 		fail(err)
 		return
@@ -239,7 +241,15 @@
 		x := work.Item{Machine: a.Machine, Zone: a.Zone, Why: a.Why, Span: int64(a.SpanS * 1e6), Latest: int64(a.LatestS * 1e6),
 			Importance: max(-1000, min(a.Importance, 1000)), Apart: a.Apart, ZoneWise: a.ZoneWise, Urgent: a.Urgent, Restart: a.Restart}
 		if a.Box {
-			x.Kind = work.ABox
+			zone, pace, known := f.host.Share(a.Machine)
+			if !known {
+				fail(errBox)
+				return
+			}
+			x.Kind, x.Zone = work.ABox, cmp.Or(a.Zone, zone)
+			if s.Work.Rules.Pace > 0 {
+				x.Pace = pace
+			}
 		}
 		f.submit(replica.Command{Ask: &replica.Ask{Work: x, By: a.By}}, give, fail)
 	case "LIST":
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -45,6 +45,9 @@
 	// Leave has it send nothing new to boxes; it tells of each whether anything is
 	// still open there.
 	Leave(boxes []string) (open map[string]bool)
+	// Share tells where a box stands and which part of its hub's pace it has, in
+	// percent; known is false where the front has a list and the box is not on it.
+	Share(box string) (zone string, percent int, known bool)
 }
 
 // Counts are what has gone over the links.
--- a/internal/gateway/bars.go
+++ b/internal/gateway/bars.go
@@ -40,6 +40,28 @@
 	return m
 }
 
+// Share tells where a server stands, and which part of the pace of its kind there it
+// has by the list's weights, in percent; of what is listed as ready.
+func (b *Bars) Share(name string) (zone string, percent int, ok bool) {
+	m, ok := b.told[name]
+	if !ok {
+		return "", 0, false
+	}
+	own, all := m.Weight, 0.0
+	for _, o := range b.told {
+		if o.Zone == m.Zone && o.Kind == m.Kind && (o.State == rules.Ready || o.Name == name) {
+			all += o.Weight
+		}
+	}
+	if all <= 0 {
+		return m.Zone, 0, true
+	}
+	return m.Zone, int(100*own/all + 0.5), true
+}
+
+// Listed counts the servers of the list.
+func (b *Bars) Listed() int { return len(b.told) }
+
 // Set bars the servers named and no others. It tells of each whether anything is
 // still open there.
 func (b *Bars) Set(names []string) (open map[string]bool) {
--- a/internal/program/fleet.go
+++ b/internal/program/fleet.go
@@ -36,6 +36,9 @@
 	// Leave has it send nothing new to boxes; it tells of each whether anything is
 	// still open there.
 	Leave(boxes []string) (open map[string]bool)
+	// Share tells where a box stands and which part of its hub's pace it has, in
+	// percent; known is false where the front has a list and the box is not on it.
+	Share(box string) (zone string, percent int, known bool)
 }
 
 // Fleet begins a front's part in a fleet, under a name. It is set by the command
@@ -115,6 +118,12 @@
 // Leave is part of FleetHost.
 func (h fleetHost) Leave(boxes []string) (open map[string]bool) { return h.p.bars.Set(boxes) }
 
+// Share is part of FleetHost.
+func (h fleetHost) Share(box string) (zone string, percent int, known bool) {
+	zone, percent, known = h.p.bars.Share(box)
+	return zone, percent, known || h.p.bars.Listed() == 0
+}
+
 // Fleet carries out a call to the fleet.
 func (p *program) Fleet(call string, answer func(line string)) bool {
 	if p.fleet == nil {
