Versions reach the fleet part by part; bars shut out who acts on older ones; audits tell of it

Change: decide/versions (checking, steps, watch, back, bars, quota, fences, causes of lag), decide/audit (chains of records, ids' hashes, anchors in the log, holes, rolling up), versions and heads in beats, one entry a beat; program takes versions up over its own files; FLEET VERSIONS and AUDIT, commands.

--- a/internal/config/fleet.go
+++ b/internal/config/fleet.go
@@ -60,6 +60,7 @@
 	AgeStepS  float64 `json:"age_step_s,omitempty"`   // 60
 	PatienceS float64 `json:"patience_s,omitempty"`   // 600
 	AloneS    float64 `json:"alone_s,omitempty"`      // for which a front serves without hearing the fleet; 0: for ever
+	Lag       int     `json:"lag_percent,omitempty"`  // of the fronts, and of a zone's, that may be shut out for acting on old versions; 34
 	Pace      int     `json:"pace_percent,omitempty"` // of a hub's pace that boxes out at once may have; 0: not looked at
 }
 
@@ -69,7 +70,7 @@
 	span := func(s float64, absent int64) int64 { return cmp.Or(int64(max(-1, min(s, 1e9))*1e6), absent) }
 	return work.Rules{Out: cmp.Or(r.Out, d.Out), Zone: cmp.Or(r.Zone, d.Zone), Percent: cmp.Or(r.Percent, d.Percent), Hurt: cmp.Or(r.Hurt, d.Hurt),
 		Accept: span(r.AcceptS, d.Accept), Empty: span(r.EmptyS, d.Empty), Back: span(r.BackS, d.Back), Cold: span(r.ColdS, d.Cold),
-		AgeStep: span(r.AgeStepS, d.AgeStep), Patience: span(r.PatienceS, d.Patience), Alone: span(r.AloneS, d.Alone), Pace: r.Pace}
+		AgeStep: span(r.AgeStepS, d.AgeStep), Patience: span(r.PatienceS, d.Patience), Alone: span(r.AloneS, d.Alone), Pace: r.Pace, Quota: r.Lag}
 }
 
 // Bounds of the fleet section.
--- a/internal/decide/replica/replica.go
+++ b/internal/decide/replica/replica.go
@@ -19,6 +19,7 @@
 
 	"cherryramp/internal/decide/council"
 	"cherryramp/internal/decide/lease"
+	"cherryramp/internal/decide/versions"
 	"cherryramp/internal/decide/work"
 )
 
@@ -29,7 +30,7 @@
 // read until the leader has heard that each of them reads a newer one.
 const (
 	first  = 1
-	leases = 2 // leases, and a hub's pace
+	leases = 2 // leases, a hub's pace, versions
 )
 
 // Bounds.
@@ -65,11 +66,16 @@
 	Report  []Report    `cbor:"9,keyasint,omitempty"`
 	Rules   *work.Rules `cbor:"10,keyasint,omitempty"`
 	Raise   int         `cbor:"11,keyasint,omitempty"` // the version that all fronts read
+
+	Piece   []byte            `cbor:"12,keyasint,omitempty"` // of a version of what fronts act on
+	Propose *versions.Version `cbor:"13,keyasint,omitempty"` // a version, whose pieces came before
+	Stop    string            `cbor:"14,keyasint,omitempty"` // why the version on its way goes back
+	Stands  []versions.Stand  `cbor:"15,keyasint,omitempty"` // what fronts say of the versions that they act on
 }
 
 // needs is the version that a command belongs to.
 func (c *Command) needs() int {
-	if c.Raise > 0 || c.Rules != nil && (c.Rules.Alone > 0 || c.Rules.Pace > 0) ||
+	if c.Raise > 0 || c.Piece != nil || c.Propose != nil || c.Stop != "" || c.Stands != nil || c.Rules != nil && (c.Rules.Alone > 0 || c.Rules.Pace > 0 || c.Rules.Quota > 0) ||
 		c.Found != nil && (c.Found.Rules.Alone > 0 || c.Found.Rules.Pace > 0) || c.Ask != nil && c.Ask.Work.Pace > 0 || c.Join != nil && c.Join.Front.Lease > 0 {
 		return leases
 	}
@@ -152,7 +158,7 @@
 // Word is what became of a command.
 type Word struct {
 	Err  string `cbor:"1,keyasint,omitempty"`
-	Work uint64 `cbor:"2,keyasint,omitempty"` // that was asked for
+	Work uint64 `cbor:"2,keyasint,omitempty"` // that was asked for, or the version that was proposed
 }
 
 // seen is a command that was applied.
@@ -172,6 +178,8 @@
 	Work    work.State    `cbor:"6,keyasint"`
 	Seen    []seen        `cbor:"7,keyasint,omitempty"` // by age
 	Seats   council.Seats `cbor:"8,keyasint"`           // as the agreement has them
+
+	Versions versions.State `cbor:"9,keyasint,omitzero"`
 }
 
 // Rule is a rule that a mutation leaves out, for the checkers' own test.
@@ -225,6 +233,7 @@
 				m.Ended = f.Since + f.Lease
 			}
 		}
+		m.Lease = f.Lease
 		m.Yield = m.Votes && s.Council.Yields(f.ID, s.Seats, avoid)
 		if r.without == NoMajority {
 			m.Votes, m.Yield = false, false
@@ -315,17 +324,39 @@
 	slices.Sort(seats.Voters)
 	slices.Sort(seats.Learners)
 	r.s.Seats = seats
-	return r.settle()
+	return r.settle(false)
 }
 
-// settle draws the conclusions of a change.
-func (r *Replica) settle() (told []string) {
+// settle draws the conclusions of a change; facts tells that time has moved on.
+func (r *Replica) settle(facts bool) (told []string) {
 	for _, name := range r.s.Council.Settle(r.s.Seats) {
 		told = append(told, "front "+name+": has left")
 	}
-	return append(told, r.s.Work.Step(r.Fleet(), r.s.Now)...)
+	fleet := r.Fleet()
+	told = append(told, r.s.Work.Step(fleet, r.s.Now)...)
+	if r.s.Versions.Last > 0 || len(r.s.Versions.Pieces) > 0 {
+		told = append(told, r.s.Versions.Step(Machines(fleet), r.VersionRules(), r.s.Now, facts)...)
+	}
+	return told
+}
+
+// Machines is the fronts as versions see them.
+func Machines(fleet work.Fleet) []versions.Machine {
+	list := make([]versions.Machine, 0, len(fleet))
+	for _, m := range fleet {
+		list = append(list, versions.Machine{Name: m.Name, Zone: m.Zone, ID: m.ID, Start: m.Start, Lost: m.Lost, Away: m.Away, Ended: m.Ended, Lease: m.Lease})
+	}
+	return list
 }
 
+// VersionRules is what versions know of the fleet's rules.
+func (r *Replica) VersionRules() versions.Rules {
+	w := &r.s.Work.Rules
+	return versions.Rules{Alone: w.Alone, Quota: cmp.Or(w.Quota, defaultQuota), Cold: w.Cold, Empty: w.Empty}
+}
+
+const defaultQuota = 34 // percent
+
 // Apply applies a command. Told is what has happened, a line each.
 func (r *Replica) Apply(c Command) (w Word, told []string) {
 	if i, ok := r.byID[c.ID]; ok && c.ID != (ID{}) && r.without != NoOnce {
@@ -336,7 +367,7 @@
 		text := err.Error()
 		w.Err = text[:min(len(text), mostWord)]
 	}
-	told = append(told, r.settle()...)
+	told = append(told, r.settle(c.Facts != nil)...)
 	r.remember(c.ID, w)
 	return w, told
 }
@@ -426,6 +457,24 @@
 			errs = append(errs, r.report(x))
 		}
 		return w, nil, errors.Join(errs...)
+	case c.Piece != nil:
+		_, err = s.Versions.Keep(c.Piece, s.Now)
+		return w, nil, err
+	case c.Propose != nil:
+		w.Work, err = s.Versions.Propose(*c.Propose, r.VersionRules(), s.Now)
+		if err == nil {
+			told = []string{fmt.Sprintf("version %d was proposed: %s", w.Work, cmp.Or(c.Propose.Why, "no reason given"))}
+		}
+		return w, told, err
+	case c.Stop != "":
+		return w, nil, s.Versions.Stop(c.Stop, s.Now)
+	case c.Stands != nil:
+		for _, x := range c.Stands[:min(len(c.Stands), mostBatch)] {
+			if f := s.Council.Find(x.Name); f != nil && f.ID == x.ID && f.Start == x.Start {
+				s.Versions.Reported(x, s.Now)
+			}
+		}
+		return w, nil, nil
 	case c.Raise > 0:
 		if c.Raise <= s.Version {
 			return w, nil, nil
--- a/internal/decide/work/work.go
+++ b/internal/decide/work/work.go
@@ -116,6 +116,7 @@
 	Patience Micros `cbor:"10,keyasint"`           // after which a work that waits is not passed over any more
 	Alone    Micros `cbor:"11,keyasint,omitempty"` // for which a front acts without hearing the fleet; 0: for ever
 	Pace     int    `cbor:"12,keyasint,omitempty"` // percent of a hub's pace that boxes out at once may have; 0: not looked at
+	Quota    int    `cbor:"13,keyasint,omitempty"` // percent of the fronts, and of a zone's, that may be shut out for acting on old versions; 0: 34
 }
 
 // Defaults are the rules where the operators set none.
@@ -142,6 +143,9 @@
 	if r.Pace < 0 || r.Pace > 100 {
 		return fmt.Errorf("pace_percent: %d is not 0 to 100", r.Pace)
 	}
+	if r.Quota < 0 || r.Quota > 100 {
+		return fmt.Errorf("lag_percent: %d is not 0 to 100", r.Quota)
+	}
 	if r.Alone > 0 && r.Alone < second {
 		return fmt.Errorf("alone_s: %d us is under a second", r.Alone)
 	}
@@ -160,6 +164,7 @@
 	Votes bool
 	Yield bool   // it votes, and another front can take its seat, or it can be done without
 	Ended Micros // lost: fleet time at which its lease is surely over, with all that it had open; 0: never
+	Lease Micros // the longest that it acts without hearing the fleet; 0: for ever
 }
 
 // Fleet is the fronts as the council's state has them, ordered by name.
--- a/internal/fleet/agree/feed.go
+++ b/internal/fleet/agree/feed.go
@@ -182,7 +182,7 @@
 	if n.ticks%beatTicks != 0 || s.Fleet == 0 || n.stale != nil {
 		return
 	}
-	n.heard[n.cfg.Name] = heard{id: n.id, start: n.cfg.Start, at: n.now, away: n.away, hurt: n.hurt, applied: n.applied}
+	n.heard[n.cfg.Name] = heard{id: n.id, start: n.cfg.Start, at: n.now, away: n.away, hurt: n.hurt, applied: n.applied, stand: n.stand}
 	var contacts []replica.Contact
 	for _, f := range s.Council.Fronts {
 		h, ok := n.heard[f.Name]
@@ -211,6 +211,7 @@
 		}
 	}
 	n.gatherLeft()
+	n.gatherStands()
 	n.granting()
 	n.raise()
 	n.handOver()
@@ -220,7 +221,7 @@
 // timeMatters tells whether anything in the state waits for time to pass.
 func (n *Node) timeMatters() bool {
 	s := n.rep.State()
-	return len(s.Work.Items) > 0 ||
+	return len(s.Work.Items) > 0 || s.Versions.Waiting() ||
 		slices.ContainsFunc(s.Council.Fronts, func(f council.Front) bool { return f.Lost && s.Seats.Has(f.ID) })
 }
 
--- a/internal/fleet/agree/lease.go
+++ b/internal/fleet/agree/lease.go
@@ -105,7 +105,7 @@
 	s := n.rep.State()
 	for _, a := range list {
 		f := s.Council.Find(a.Name)
-		if f == nil || f.ID != a.ID || f.Lost {
+		if f == nil || f.ID != a.ID || f.Lost || n.fenced(a.Name) {
 			continue
 		}
 		g := lease.Grant{Stamp: a.Ask.Stamp, Span: s.Work.Rules.Alone, Index: index}
@@ -131,7 +131,7 @@
 		return
 	}
 	f := n.rep.State().Council.Find(from)
-	if f == nil || f.ID != a.ID || f.Lost || n.Lives() == 0 {
+	if f == nil || f.ID != a.ID || f.Lost || n.Lives() == 0 || n.fenced(from) {
 		return
 	}
 	if g, ok := n.leases.own.Pass(a.Lease, n.now); ok {
@@ -139,6 +139,13 @@
 	}
 }
 
+// fenced tells whether a front is shut out for acting on an old version: it is granted
+// nothing until it has come up to what it is shut out below.
+func (n *Node) fenced(name string) bool {
+	x := n.rep.State().Versions.Stand(name)
+	return x != nil && x.Fenced > 0
+}
+
 // granted takes a grant in.
 func (n *Node) granted(g lease.Grant) {
 	if span := n.Lives(); span > 0 && n.stale == nil {
--- a/internal/fleet/agree/messages.go
+++ b/internal/fleet/agree/messages.go
@@ -12,6 +12,7 @@
 	"cherryramp/internal/decide/council"
 	"cherryramp/internal/decide/lease"
 	"cherryramp/internal/decide/replica"
+	"cherryramp/internal/decide/versions"
 )
 
 // Kind is what a message between two fronts is.
@@ -19,15 +20,17 @@
 
 // The kinds.
 const (
-	KindRaft    Kind = iota + 1 // the agreement library's own, as it marshals them
-	KindPropose                 // a command on its way to the leader
-	KindBeat                    // a front is there, and those below it
-	KindAsk                     // feed me, from this entry on
-	KindFeed                    // entries that are committed, as the leader's own message
-	KindFed                     // you are fed, from below this path; or ask another one
-	KindProbe                   // do you belong to a fleet?
-	KindTell                    // the answer
-	KindGrant                   // a lease, for who asked for one with a beat or an ask
+	KindRaft     Kind = iota + 1 // the agreement library's own, as it marshals them
+	KindPropose                  // a command on its way to the leader
+	KindBeat                     // a front is there, and those below it
+	KindAsk                      // feed me, from this entry on
+	KindFeed                     // entries that are committed, as the leader's own message
+	KindFed                      // you are fed, from below this path; or ask another one
+	KindProbe                    // do you belong to a fleet?
+	KindTell                     // the answer
+	KindGrant                    // a lease, for who asked for one with a beat or an ask
+	KindQuestion                 // of a front's audit; not for the node
+	KindAnswer                   // and what it says
 )
 
 // Beat tells that a front is there, and who is below it.
@@ -44,6 +47,8 @@
 	Lease lease.Ask `cbor:"9,keyasint,omitzero"`   // of the sender itself, to the leader
 	Left  []uint64  `cbor:"10,keyasint,omitempty"` // permits of boxes that it has left
 	Reads int       `cbor:"11,keyasint,omitempty"` // the newest version of the state that its build reads
+
+	Stand *versions.Stand `cbor:"12,keyasint,omitempty"` // which version it acts on
 }
 
 // mostLeft bounds the boxes of one beat.
@@ -200,7 +205,7 @@
 
 // beat tells that this front is there: a voter to the leader, others to who feeds them.
 func (n *Node) beat() {
-	b := Beat{Name: n.cfg.Name, ID: n.id, Start: n.cfg.Start, Away: n.away, Hurt: n.hurt, Applied: n.applied, Left: n.leftPermits(), Reads: replica.Version}
+	b := Beat{Name: n.cfg.Name, ID: n.id, Start: n.cfg.Start, Away: n.away, Hurt: n.hurt, Applied: n.applied, Left: n.leftPermits(), Reads: replica.Version, Stand: n.stand}
 	to := n.feeder
 	if lead, _ := n.Leader(); n.led() || to == "" {
 		to, b.Lease = n.nameOf(lead), n.wants()
@@ -210,13 +215,13 @@
 	}
 	for _, c := range n.children {
 		if h, ok := n.heard[c.name]; ok && n.now-h.at < n.cfg.Lost {
-			b.Below = append(b.Below, Beat{Name: c.name, ID: h.id, Start: h.start, Away: h.away, Hurt: h.hurt, Applied: h.applied, Age: n.now - h.at, Left: h.left, Reads: h.reads})
+			b.Below = append(b.Below, Beat{Name: c.name, ID: h.id, Start: h.start, Away: h.away, Hurt: h.hurt, Applied: h.applied, Age: n.now - h.at, Left: h.left, Reads: h.reads, Stand: h.stand})
 		}
 	}
 	// And those below them, as they told.
 	for name, h := range n.heard {
 		if n.now-h.at < n.cfg.Lost && !slices.ContainsFunc(n.children, func(c *child) bool { return c.name == name }) {
-			b.Below = append(b.Below, Beat{Name: name, ID: h.id, Start: h.start, Away: h.away, Hurt: h.hurt, Applied: h.applied, Age: n.now - h.at, Left: h.left, Reads: h.reads})
+			b.Below = append(b.Below, Beat{Name: name, ID: h.id, Start: h.start, Away: h.away, Hurt: h.hurt, Applied: h.applied, Age: n.now - h.at, Left: h.left, Reads: h.reads, Stand: h.stand})
 		}
 	}
 	slices.SortFunc(b.Below, func(x, y Beat) int { return compare(x.Name, y.Name) })
@@ -241,7 +246,7 @@
 	note := func(b Beat) {
 		at := n.now - max(0, b.Age)
 		if old, ok := n.heard[b.Name]; !ok || old.at <= at {
-			n.heard[b.Name] = heard{id: b.ID, start: b.Start, at: at, away: b.Away, hurt: b.Hurt, applied: b.Applied, left: b.Left[:min(len(b.Left), mostLeft)], reads: b.Reads}
+			n.heard[b.Name] = heard{id: b.ID, start: b.Start, at: at, away: b.Away, hurt: b.Hurt, applied: b.Applied, left: b.Left[:min(len(b.Left), mostLeft)], reads: b.Reads, stand: b.Stand}
 		}
 	}
 	note(b)
--- a/internal/fleet/agree/node.go
+++ b/internal/fleet/agree/node.go
@@ -20,6 +20,7 @@
 
 	"cherryramp/internal/decide/council"
 	"cherryramp/internal/decide/replica"
+	"cherryramp/internal/decide/versions"
 	"cherryramp/internal/decide/work"
 )
 
@@ -114,6 +115,7 @@
 	applied   uint64
 	left      []uint64 // permits of boxes that it has left
 	reads     int      // the newest version of the state that its build reads; 0: the first
+	stand     *versions.Stand
 }
 
 // Node is one front's part.
@@ -177,6 +179,9 @@
 	empty  bool
 	hurt   bool
 	boxes  map[string]Micros // boxes in work that it has left, since when
+	stand  *versions.Stand   // which version it acts on; nil: it takes none up
+	stood  map[string]stood  // of the leader: what it has proposed of fronts' stands
+	heads  Micros            // when heads of audits were last proposed
 	duty   duty
 	leases leases
 }
@@ -271,6 +276,11 @@
 // committed when it first heard the fleet.
 func (n *Node) Fresh() bool { return n.fresh || n.leads }
 
+// InContact tells whether the fleet's leader is heard, directly or by who feeds this front.
+func (n *Node) InContact() bool {
+	return n.leads || n.led() || n.feeder != "" && n.now-n.fed < n.span(feederTicks)
+}
+
 // Stale tells why this front applies no more entries; nil: it does.
 func (n *Node) Stale() error { return n.stale }
 
--- a/internal/fleet/calls.go
+++ b/internal/fleet/calls.go
@@ -97,6 +97,7 @@
 	PatienceS float64 `json:"patience_s"`
 	AloneS    float64 `json:"alone_s"`
 	Pace      int     `json:"pace_percent"`
+	Lag       int     `json:"lag_percent"`
 }
 
 // Ask is what a person asks for.
@@ -117,7 +118,7 @@
 
 // Errors of calls.
 var (
-	errCall   = errors.New("unknown call; FLEET takes STATUS, MEMBERS, INIT, LEAVE NAME, and RULES, and WORK with ASK, LIST, PLAN, WHY, CANCEL, HOLD, RESUME, LOST, DONE")
+	errCall   = errors.New("unknown call; FLEET takes STATUS, MEMBERS, INIT, LEAVE NAME, and RULES, VERSIONS with LIST, WHY, LAG, STAGE, PROPOSE, STOP, AUDIT, and WORK with ASK, LIST, PLAN, WHY, CANCEL, HOLD, RESUME, LOST, DONE")
 	errNumber = errors.New("the work's number is wanted")
 	errWait   = errors.New("another process has the folder; this one waits for it to end")
 	errName   = errors.New("a name is wanted")
@@ -164,6 +165,10 @@
 		f.submit(replica.Command{Leave: &replica.Leave{Name: rest}}, give, fail)
 	case "RULES":
 		f.rules(rest, give, fail)
+	case "VERSIONS":
+		f.versionsCall(rest, give, fail)
+	case "AUDIT":
+		f.auditCall(rest, give, fail)
 	case "WORK":
 		f.work(rest, give, fail)
 	default:
@@ -190,7 +195,7 @@
 func (f *Fleet) rules(change string, give func(any), fail func(error)) {
 	r := f.node.Replica().State().Work.Rules
 	x := Rules{Out: r.Out, Zone: r.Zone, Percent: r.Percent, Hurt: r.Hurt, AcceptS: seconds(r.Accept), EmptyS: seconds(r.Empty), BackS: seconds(r.Back),
-		ColdS: seconds(r.Cold), AgeStepS: seconds(r.AgeStep), PatienceS: seconds(r.Patience), AloneS: seconds(r.Alone), Pace: r.Pace}
+		ColdS: seconds(r.Cold), AgeStepS: seconds(r.AgeStep), PatienceS: seconds(r.Patience), AloneS: seconds(r.Alone), Pace: r.Pace, Lag: r.Quota}
 	if change == "" {
 		give(x)
 		return
@@ -203,7 +208,7 @@
 	}
 	micros := func(s float64) int64 { return int64(max(-1, min(s, 1e9)) * 1e6) }
 	r = work.Rules{Out: x.Out, Zone: x.Zone, Percent: x.Percent, Hurt: x.Hurt, Accept: micros(x.AcceptS), Empty: micros(x.EmptyS), Back: micros(x.BackS),
-		Cold: micros(x.ColdS), AgeStep: micros(x.AgeStepS), Patience: micros(x.PatienceS), Alone: micros(x.AloneS), Pace: x.Pace}
+		Cold: micros(x.ColdS), AgeStep: micros(x.AgeStepS), Patience: micros(x.PatienceS), Alone: micros(x.AloneS), Pace: x.Pace, Quota: x.Lag}
 	if err := r.Check(); err != nil {
 		fail(err)
 		return
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -20,6 +20,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"cherryramp/internal/decide/audit"
 	"cherryramp/internal/fleet/agree"
 	"cherryramp/internal/journal"
 	"cherryramp/internal/link/peers"
@@ -48,6 +49,16 @@
 	// Share tells where a box stands and which part of its hub's pace it has, in
 	// percent; known is false where the front has a list and the box is not on it.
 	Share(box string) (zone string, percent int, known bool)
+	// Check looks through a version's file whole, with this front's own files beneath
+	// it, and tells later whether it can act on it.
+	Check(content []byte, done func(error))
+	// TakeUp has it act on a version that was checked; nil: on its own files alone.
+	TakeUp(n uint64, content []byte) error
+	// Fares is how many percent of its requests were refused or failed lately; seen is
+	// false where they are too few to tell.
+	Fares() (bad int, seen bool)
+	// Classes names the classes of requests by their places.
+	Classes() []string
 }
 
 // Counts are what has gone over the links.
@@ -89,6 +100,11 @@
 	began    time.Time // the node's clock counts from here on, and only goes forward
 	opened   bool      // since its lease holds, all that the state wants has been carried out
 	told     bool      // that its lease holds, by the log
+	ver      acting    // which version it acts on
+	book     book      // its audit
+	gather   map[uint64]*gathering
+	asks     uint64
+	staged   map[string]*staged
 
 	toldForeign, toldRefused loop.Micros
 }
@@ -155,6 +171,10 @@
 		return
 	}
 	f.disk = disk
+	if err := f.openBook(); err != nil {
+		f.breaks(err)
+		return
+	}
 	if torn > 0 {
 		f.log.Warn("fleet: the journal had a torn end, which is cut off", "bytes", torn)
 	}
@@ -189,6 +209,7 @@
 		return
 	}
 	f.node = node
+	f.beginBook()
 	if f.listener, err = net.Listen("tcp", f.cfg.Listen); err != nil {
 		f.breaks(fmt.Errorf("listen: %w", err))
 		return
@@ -206,6 +227,8 @@
 	now := f.loop.Now()
 	f.loop.Set(&f.tick, now+f.cfg.Tick/2)
 	f.serve()
+	f.versions()
+	f.keepBook()
 	f.node.Tick(f.now())
 	if now-f.swept > sweepEvery {
 		f.swept = now
@@ -242,6 +265,9 @@
 		return
 	}
 	f.told = holds
+	if f.node.Lives() > 0 || !holds {
+		f.write1(audit.Record{Kind: audit.Lease, Text: map[bool]string{true: "held", false: "over"}[holds]})
+	}
 	if holds {
 		f.log.Info("fleet: the front acts on its lease", "alone_s", seconds(f.node.Lives()))
 	} else {
@@ -259,11 +285,13 @@
 	case f.broken != nil:
 		ok = f.node.Lives() == 0
 	case f.opened:
-		if ok = f.node.Holds(f.now()); !ok {
+		now := f.now()
+		if ok = f.node.Holds(now); !ok {
 			f.opened = false
 		}
+		ok = ok && now < f.ver.may
 	default:
-		ok = f.node.Lives() == 0
+		ok = f.node.Lives() == 0 && f.node.Stale() == nil && f.now() < f.ver.may
 	}
 	return ok, awayUnknown
 }
@@ -387,7 +415,7 @@
 		g.conn.Close()
 	}
 	if f.disk != nil {
-		err = errors.Join(err, f.disk.Close())
+		err = errors.Join(err, f.closeBook(), f.disk.Close())
 	}
 	if f.lock != nil {
 		err = errors.Join(err, f.lock.Close())
--- a/internal/fleet/peers.go
+++ b/internal/fleet/peers.go
@@ -287,7 +287,11 @@
 		if err == nil {
 			g.f.counts.Received++
 			g.f.node.Clock(g.f.now())
-			err = g.f.node.Receive(g.name, kind, slices.Clone(payload))
+			if kind == agree.KindQuestion || kind == agree.KindAnswer {
+				g.f.heardOfAudit(g.name, kind, slices.Clone(payload))
+			} else {
+				err = g.f.node.Receive(g.name, kind, slices.Clone(payload))
+			}
 			used += n
 		}
 		if err != nil {
--- /dev/null
+++ b/internal/fleet/versioncalls.go
@@ -0,0 +1,296 @@
+package fleet
+
+import (
+	"encoding/base64"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+
+	"cherryramp/internal/decide/audit"
+	"cherryramp/internal/decide/replica"
+	"cherryramp/internal/decide/versions"
+)
+
+// Version is one as a person reads it.
+type Version struct {
+	N      uint64   `json:"version"`
+	Digest string   `json:"digest"`
+	Phase  string   `json:"phase"`
+	Why    string   `json:"why,omitempty"`
+	By     string   `json:"by,omitempty"`
+	Urgent bool     `json:"urgent,omitempty"`
+	BarS   float64  `json:"bar_s,omitempty"`
+	Passed bool     `json:"bar_passed,omitempty"`
+	Acts   int      `json:"acts"` // fronts that act on it
+	Fronts int      `json:"fronts"`
+	For    float64  `json:"for_s"`
+	Note   string   `json:"note,omitempty"`
+	Waits  string   `json:"waits,omitempty"` // the whole sentence
+	Spared []string `json:"spared,omitempty"`
+}
+
+// Lag is where a front stands.
+type Lag struct {
+	Front   string `json:"front"`
+	Zone    string `json:"zone"`
+	Acts    uint64 `json:"acts_on"`
+	Target  uint64 `json:"wanted"`
+	Behind  uint64 `json:"behind"`
+	Cause   string `json:"cause,omitempty"`
+	Shut    bool   `json:"shut_out,omitempty"`
+	Warming bool   `json:"warming,omitempty"`
+	Oldest  uint64 `json:"oldest_open,omitempty"` // version, and one, under which it has requests open
+	Build   string `json:"build"`
+	Record  uint64 `json:"audit_record"` // of its audit, that the log knows the head of
+}
+
+// Propose is what a person proposes; the file was staged before.
+type Propose struct {
+	Upload string  `json:"upload"`
+	Why    string  `json:"why,omitempty"`
+	By     string  `json:"by,omitempty"`
+	Urgent bool    `json:"urgent,omitempty"`
+	BarS   float64 `json:"bar_s,omitempty"`
+	WatchS float64 `json:"watch_s"`
+	Steps  []int   `json:"steps,omitempty"`
+	Base   *uint64 `json:"base,omitempty"` // what it was made on; what stands by default
+}
+
+// staged is a file on its way to this front.
+type staged struct {
+	data []byte
+	at   int64
+}
+
+const (
+	mostStaged = 8
+	stagedFor  = 60_000_000 // us
+)
+
+// Errors of calls about versions.
+var (
+	errStage  = errors.New("STAGE takes a name for the upload and the next bytes in base64")
+	errUpload = errors.New("no file of that name was staged here lately")
+	errBig    = fmt.Errorf("a version of 1 to %d bytes is wanted", versions.MostSize)
+)
+
+func (f *Fleet) versionsCall(call string, give func(any), fail func(error)) {
+	r := f.node.Replica()
+	s, fleet := r.State(), replica.Machines(r.Fleet())
+	word, rest, _ := strings.Cut(call, " ")
+	rest = strings.TrimSpace(rest)
+	switch word {
+	case "LIST":
+		list := []Version{}
+		for i := range slices.Backward(s.Versions.Versions) {
+			v := &s.Versions.Versions[i]
+			x := Version{N: v.N, Digest: v.Digest[:min(16, len(v.Digest))], Phase: v.Phase.String(), Why: v.Why, By: v.By, Urgent: v.Urgent,
+				BarS: seconds(v.Bar), Passed: v.Passed > 0, Fronts: len(fleet), For: seconds(s.Now - v.Since), Note: v.Note,
+				Waits: s.Versions.Why(v.N, fleet, r.VersionRules(), s.Now), Spared: v.Spared}
+			for _, y := range s.Versions.Stands {
+				if y.Acts == v.N {
+					x.Acts++
+				}
+			}
+			list = append(list, x)
+		}
+		give(list)
+	case "LAG":
+		list := []Lag{}
+		for _, l := range s.Versions.Lags(fleet, s.Now) {
+			c := s.Council.Find(l.Name)
+			x := Lag{Front: l.Name, Zone: c.Zone, Acts: l.Acts, Target: l.Target, Behind: l.Behind, Cause: l.Cause, Shut: l.Shut, Warming: l.Warm,
+				Oldest: l.Oldest, Build: c.Build}
+			if y := s.Versions.Stand(l.Name); y != nil {
+				x.Record = y.Seq
+			}
+			list = append(list, x)
+		}
+		give(list)
+	case "WHY":
+		n, err := strconv.ParseUint(rest, 10, 64)
+		if err != nil {
+			fail(errNumber)
+			return
+		}
+		give(map[string]string{"why": s.Versions.Why(n, fleet, r.VersionRules(), s.Now)})
+	case "STAGE":
+		name, text, _ := strings.Cut(rest, " ")
+		b, err := base64.StdEncoding.DecodeString(strings.TrimSpace(text))
+		if err != nil || name == "" {
+			fail(errStage)
+			return
+		}
+		f.stage(name, b, give, fail)
+	case "PROPOSE":
+		var p Propose
+		d := json.NewDecoder(strings.NewReader(rest))
+		d.DisallowUnknownFields()
+		if err := d.Decode(&p); err != nil {
+			fail(fmt.Errorf("PROPOSE: %w", err))
+			return
+		}
+		f.propose(p, give, fail)
+	case "STOP":
+		if rest == "" {
+			rest = "stopped by a person"
+		}
+		f.submit(replica.Command{Stop: rest}, give, fail)
+	default:
+		fail(errCall)
+	}
+}
+
+// stage keeps the next bytes of a file until it is proposed, or for a minute.
+func (f *Fleet) stage(name string, b []byte, give func(any), fail func(error)) {
+	now := f.loop.Now()
+	if f.staged == nil {
+		f.staged = map[string]*staged{}
+	}
+	for n, x := range f.staged {
+		if now-x.at > stagedFor {
+			delete(f.staged, n)
+		}
+	}
+	x := f.staged[name]
+	if x == nil {
+		if len(f.staged) >= mostStaged {
+			fail(ErrMany)
+			return
+		}
+		x = &staged{}
+		f.staged[name] = x
+	}
+	if len(x.data)+len(b) > versions.MostSize {
+		delete(f.staged, name)
+		fail(errBig)
+		return
+	}
+	x.data, x.at = append(x.data, b...), now
+	give(map[string]int{"bytes": len(x.data)})
+}
+
+// ErrMany tells that too many files are on their way to a front.
+var ErrMany = fmt.Errorf("%d files are staged here, which is the most", mostStaged)
+
+// propose has a staged file checked here, its pieces agreed on, and then the version
+// itself: whoever vanishes before that leaves pieces that nobody names.
+func (f *Fleet) propose(p Propose, give func(any), fail func(error)) {
+	x := f.staged[p.Upload]
+	delete(f.staged, p.Upload)
+	switch {
+	case x == nil:
+		fail(errUpload)
+		return
+	case len(x.data) == 0:
+		fail(errBig)
+		return
+	case !(p.BarS >= 0 && p.BarS < 1e6 && p.WatchS >= 0 && p.WatchS < 1e6):
+		fail(versions.ErrSpans)
+		return
+	}
+	base := f.node.Replica().State().Versions.Good
+	if p.Base != nil {
+		base = *p.Base
+	}
+	f.host.Check(x.data, func(err error) {
+		if err != nil {
+			fail(fmt.Errorf("this front can't act on it: %w", err))
+			return
+		}
+		v := versions.Version{Digest: versions.Hash(x.data), Why: p.Why, By: p.By, Urgent: p.Urgent, Bar: int64(p.BarS * 1e6), Watch: int64(p.WatchS * 1e6),
+			Steps: p.Steps, Base: base}
+		pieces := slices.Collect(slices.Chunk(x.data, versions.MostPiece))
+		left, failed := len(pieces), error(nil)
+		for _, piece := range pieces {
+			v.Pieces = append(v.Pieces, versions.Hash(piece))
+		}
+		one := func(err error) {
+			if failed == nil {
+				failed = err
+			}
+			if left--; left > 0 {
+				return
+			}
+			if failed != nil {
+				fail(failed)
+				return
+			}
+			f.loop.Post(func() { // not from within the word on a piece
+				f.submit(replica.Command{Propose: &v}, func(x any) {
+					give(map[string]uint64{"version": x.(map[string]uint64)["work"]})
+				}, fail)
+			})
+		}
+		for _, piece := range pieces {
+			f.submit(replica.Command{Piece: piece}, func(any) { one(nil) }, one)
+		}
+	})
+}
+
+// Report is an answer about audits, put together from those that were reached.
+type Report struct {
+	Question audit.Question `json:"question"`
+	FleetS   float64        `json:"fleet_time_s"`
+	Answers  []audit.Answer `json:"answers"`
+	Missing  []string       `json:"missing,omitempty"` // fronts that did not answer
+	Lost     []Lost         `json:"lost,omitempty"`    // audits that are gone with their disks
+}
+
+// Lost is an audit that is gone: its front came back under another incarnation.
+type Lost struct {
+	Front       string  `json:"front"`
+	Incarnation string  `json:"incarnation"`
+	Records     uint64  `json:"records"` // at least: as far as the log knew of them
+	Head        string  `json:"head"`
+	Before      float64 `json:"before_fleet_s"`
+}
+
+// auditCall asks the fronts for their audits.
+func (f *Fleet) auditCall(call string, give func(any), fail func(error)) {
+	var ask struct {
+		audit.Question
+		Name string `json:"name,omitempty"` // one front; empty: all
+	}
+	d := json.NewDecoder(strings.NewReader(call))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&ask); err != nil {
+		fail(fmt.Errorf("AUDIT: %w", err))
+		return
+	}
+	s := f.node.Replica().State()
+	var names []string
+	for _, x := range s.Council.Fronts {
+		if ask.Name == "" || ask.Name == x.Name {
+			names = append(names, x.Name)
+		}
+	}
+	if len(names) == 0 {
+		fail(fmt.Errorf("no front %q", ask.Name))
+		return
+	}
+	err := f.askAll(ask.Question, names, func(answers []audit.Answer, missing []string) {
+		r := Report{Question: ask.Question, FleetS: seconds(s.Now), Answers: answers, Missing: missing}
+		for _, h := range s.Versions.Holes {
+			if ask.Name == "" || ask.Name == h.Name {
+				r.Lost = append(r.Lost, Lost{Front: h.Name, Incarnation: fmt.Sprintf("%016x", h.ID), Records: h.Seq, Head: h.Head, Before: seconds(h.At)})
+			}
+		}
+		if ask.Request != "" { // whoever surely did not decide it has nothing to say
+			r.Answers = slices.DeleteFunc(r.Answers, func(a audit.Answer) bool {
+				return len(a.Spans) == 0 && a.Error == "" && a.Broken == "" && len(a.Gaps) == 0
+			})
+		}
+		give(r)
+	})
+	if err != nil {
+		fail(err)
+	}
+}
+
+// headOf is a chain's head as it is told.
+func headOf(b []byte) string { return hex.EncodeToString(b) }
--- a/internal/front/session/session.go
+++ b/internal/front/session/session.go
@@ -54,6 +54,16 @@
 	crowdShare   = 0.9       // part of the places from which new clients have others make room
 )
 
+// Audit follows calls from where they came to their one answer.
+type Audit interface {
+	// Came notes in the call what it came under.
+	Came(c *gateway.Call)
+	// Answered tells that it was answered.
+	Answered(c *gateway.Call, k gateway.Kind)
+	// Left tells that its client has gone: it gets no answer.
+	Left(c *gateway.Call)
+}
+
 // Config bounds the connections.
 type Config struct {
 	Name        string // of the front, for the log
@@ -72,6 +82,7 @@
 	Spare       int               // of them that stay free
 	Admission   *Queue            // of requests, for all fronts that share it; nil: none
 	Figures     *figures.Figures  // where the answers to calls are counted, by class; nil: nowhere
+	Audit       Audit             // is told of each call; nil: nobody is
 }
 
 // App gives requests and outcomes their meaning.
@@ -554,6 +565,9 @@
 func (c *conn) submit(call *gateway.Call) {
 	call.Caller = c
 	c.call = call
+	if a := c.server.cfg.Audit; a != nil {
+		a.Came(call)
+	}
 	if q := c.server.cfg.Admission; q != nil {
 		q.ask(c)
 		return
@@ -575,6 +589,9 @@
 	if f := c.server.cfg.Figures; f != nil {
 		f.Answered(c.call.Class, outcome(a.Kind))
 	}
+	if x := c.server.cfg.Audit; x != nil {
+		x.Answered(c.call, a.Kind)
+	}
 	c.call = nil
 	if r := c.server.app.Reply(c.x, a); r != nil {
 		c.reply(r)
@@ -652,6 +669,9 @@
 		if !waits {
 			c.server.desk.Leave(c.call)
 		}
+		if a := c.server.cfg.Audit; a != nil {
+			a.Left(c.call)
+		}
 		c.call = nil
 	}
 	if c.x != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -61,6 +61,7 @@
 	Repeat   bool
 	Deadline Micros // when the client stops waiting
 	Caller   Caller
+	Version  uint64 // of what its front acts on, under which it came
 
 	id       rules.RequestID
 	attempts []*Attempt
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -63,6 +63,8 @@
 	done chan error // of the writer's end
 	post func(func())
 
+	told int64 // of size; its owner's
+
 	// The writer's.
 	f    file
 	size int64 // of whole records that are durable
@@ -101,12 +103,26 @@
 	if err != nil {
 		return nil, 0, errors.Join(fmt.Errorf("journal: %s: %w", path, err), f.Close())
 	}
-	j = &Journal{path: path, jobs: make(chan job, most), done: make(chan error, 1), post: post, f: f, size: size,
+	j = &Journal{path: path, jobs: make(chan job, most), done: make(chan error, 1), post: post, f: f, size: size, told: size,
 		make: func(path string) (file, error) { return os.OpenFile(path, os.O_RDWR|os.O_CREATE|os.O_TRUNC, 0o600) }}
 	go j.write()
 	return j, torn, nil
 }
 
+// Scan hands over the records of a journal that may be open and being written: what
+// is not whole at its end yet is left out.
+func Scan(path string, each func(record []byte) error) error {
+	f, err := os.Open(path)
+	if err != nil {
+		return fmt.Errorf("journal: %w", err)
+	}
+	defer func() { _ = f.Close() }()
+	if _, _, err := read(f, each); err != nil {
+		return fmt.Errorf("journal: %s: %w", path, err)
+	}
+	return nil
+}
+
 // read goes through a file's records, and tells where the whole ones end and how
 // much stands behind them.
 func read(f *os.File, each func([]byte) error) (size, torn int64, err error) {
@@ -126,7 +142,7 @@
 		return 0, all, nil
 	}
 	size = int64(len(magic))
-	r := bufio.NewReaderSize(f, 1<<20)
+	r := bufio.NewReaderSize(io.LimitReader(f, all-size), 1<<20) // it may be growing meanwhile
 	var b [frameHead]byte
 	var buf []byte
 	for {
@@ -188,6 +204,9 @@
 // does not have; 0: there is none. It looks as far as one write may have torn, and
 // a frame more.
 func wholeAfter(f *os.File, from, all int64) (int64, error) {
+	if from >= all {
+		return 0, nil
+	}
 	b := make([]byte, min(all-from, 2*mostFrame))
 	if _, err := f.ReadAt(b, from); err != nil && err != io.EOF {
 		return 0, err
@@ -225,6 +244,10 @@
 	return dst
 }
 
+// Size is the bytes of the file as far as the owner of post knows: it is told with
+// what was kept.
+func (j *Journal) Size() int64 { return j.told }
+
 // Append has a record written; kept is posted once it is durable, or is not. The
 // bytes must stay as they are until then. A record that is told not to be kept does
 // not come back at the next start.
@@ -295,7 +318,9 @@
 }
 
 func (j *Journal) tell(batch []job, err error) {
+	size := j.size
 	j.post(func() {
+		j.told = size
 		for _, x := range batch {
 			x.kept(err)
 		}
--- a/internal/program/fleet.go
+++ b/internal/program/fleet.go
@@ -6,9 +6,11 @@
 	"log/slog"
 	"os"
 	"path/filepath"
+	"slices"
 	"syscall"
 
 	"cherryramp/internal/config"
+	"cherryramp/internal/decide/figures"
 	"cherryramp/internal/decide/hurt"
 	"cherryramp/internal/loop"
 )
@@ -20,6 +22,11 @@
 	// Holds tells whether the front may act now, and if not, after how many us to come
 	// back. It is asked before each act.
 	Holds() (ok bool, away int64)
+	// Came tells of a request that came, and gives the version that it is under.
+	Came() (version uint64)
+	// Answered tells how one was ended; Left that its client has gone.
+	Answered(version uint64, class int, o figures.Outcome, id string)
+	Left(version uint64)
 	// Rejoin tells that a person has the front take clients again.
 	Rejoin()
 	// Close ends the part, after the loop has.
@@ -39,6 +46,16 @@
 	// Share tells where a box stands and which part of its hub's pace it has, in
 	// percent; known is false where the front has a list and the box is not on it.
 	Share(box string) (zone string, percent int, known bool)
+	// Check looks through a version's file whole, with this front's own files beneath
+	// it, and tells later whether it can act on it.
+	Check(content []byte, done func(error))
+	// TakeUp has it act on a version that was checked; nil: on its own files alone.
+	TakeUp(n uint64, content []byte) error
+	// Fares is how many percent of its requests were refused or failed lately; seen is
+	// false where they are too few to tell.
+	Fares() (bad int, seen bool)
+	// Classes names the classes of requests by their places.
+	Classes() []string
 }
 
 // Fleet begins a front's part in a fleet, under a name. It is set by the command
@@ -116,7 +133,16 @@
 }
 
 // Leave is part of FleetHost.
-func (h fleetHost) Leave(boxes []string) (open map[string]bool) { return h.p.bars.Set(boxes) }
+func (h fleetHost) Leave(boxes []string) (open map[string]bool) { return h.p.bars.Set(h.p.away(boxes)) }
+
+// away is the boxes that nothing new goes to: those in work, and those that the
+// version in force names.
+func (p *program) away(boxes []string) []string {
+	if v := p.versions.current; v != nil && len(v.Drain) > 0 {
+		return append(slices.Clone(boxes), v.Drain...)
+	}
+	return boxes
+}
 
 // Share is part of FleetHost.
 func (h fleetHost) Share(box string) (zone string, percent int, known bool) {
--- a/internal/program/serve.go
+++ b/internal/program/serve.go
@@ -8,7 +8,6 @@
 
 import (
 	"cmp"
-	"errors"
 	"fmt"
 	"log/slog"
 	"os"
@@ -128,6 +127,7 @@
 	watched  hurt.Watch    // of what the fleet must know of this front
 	hurt     bool
 	byHand   bool // nor did it before, as a person wanted
+	versions versions
 }
 
 // build wires the parts and starts to serve.
@@ -185,6 +185,9 @@
 	p.held.apply(&limits, cfg.Sockets)
 	p.queue = limiter(p.loop, cfg, operator.Clients)
 	limits.Admission, limits.Figures = p.queue, p.figures
+	if operator.Fleet != nil {
+		limits.Audit = auditor{p}
+	}
 	p.platform = platform.New(p.named(), log)
 	p.fronts = append(p.fronts, session.New(limits, p.loop, p.platform, p.gate, log))
 	if operator.Signed != nil {
@@ -197,7 +200,7 @@
 		}
 		links := session.Config{Name: "signed", Listen: operator.Signed.Listen, Limits: signed.Limits,
 			Buffer: signed.Buffer, Connections: int(signedShare * float64(cfg.Sockets)), Admission: limits.Admission,
-			Figures: p.figures}
+			Figures: p.figures, Audit: limits.Audit}
 		bound(&links, operator.Clients)
 		p.held.apply(&links, cfg.Sockets)
 		p.fronts = append(p.fronts, session.New(links, p.loop, p.signed, p.gate, log))
@@ -311,9 +314,10 @@
 			p.loop.Post(func() { p.stop(got) })
 			continue
 		}
-		cfg, err := config.Load(os.Getenv)
-		operator, err2 := config.LoadOperator(os.Getenv)
-		if err := errors.Join(err, err2); err != nil {
+		version := make(chan *config.Version, 1)
+		p.loop.Post(func() { version <- p.versions.current })
+		cfg, operator, err := config.LoadVersion(os.Getenv, <-version)
+		if err != nil {
 			p.log.Error("configuration can't be used, the old one stays", "error", err)
 			p.loop.Post(func() { p.figures.Loaded(false) })
 			continue
@@ -324,12 +328,21 @@
 
 // reload takes over what a new configuration may change while the program runs.
 func (p *program) reload(cfg *config.Config, operator *config.Operator) {
-	next, fixed := p.cfg.Next(cfg)
-	if err := p.settle(next); err != nil {
+	if err := p.take(cfg, operator); err != nil {
 		p.log.Error("configuration can't be used, the old one stays", "error", err)
 		p.figures.Loaded(false)
 		return
 	}
+	p.figures.Loaded(true)
+	p.log.Info("configuration read again", "board", p.cfg.Board, "generation", p.table.Number(), "settings", p.cfg.Digest)
+}
+
+// take has all parts take a configuration over, or none.
+func (p *program) take(cfg *config.Config, operator *config.Operator) error {
+	next, fixed := p.cfg.Next(cfg)
+	if err := p.settle(next); err != nil {
+		return err
+	}
 	if fixed = append(fixed, p.operator.Fixed(operator)...); len(fixed) > 0 {
 		p.log.Warn("configuration: these keys need a restart, their old values stay", "keys", fixed)
 	}
@@ -351,8 +364,7 @@
 		p.links = cmp.Or(operator.Signed, p.links)
 		p.signed.Reload(p.signedPolicy(p.links))
 	}
-	p.figures.Loaded(true)
-	p.log.Info("configuration read again", "board", p.cfg.Board, "generation", p.table.Number(), "settings", p.cfg.Digest)
+	return nil
 }
 
 // stop goes on serving while clients may still come, then ends once all is
--- a/lab/fleet/lease_test.go
+++ b/lab/fleet/lease_test.go
@@ -12,7 +12,11 @@
 
 // page asks a front for a page, and tells its status and when to come back.
 func page(p *Process, id string) (status int, away string, err error) {
-	r, err := http.NewRequest(http.MethodGet, "http://"+p.Listen+"/call/page-asset/o1", nil)
+	return pageOf(p, "page-asset", id)
+}
+
+func pageOf(p *Process, class, id string) (status int, away string, err error) {
+	r, err := http.NewRequest(http.MethodGet, "http://"+p.Listen+"/call/"+class+"/o1", nil)
 	if err != nil {
 		return 0, "", err
 	}
--- /dev/null
+++ b/lab/fleet/versions_test.go
@@ -0,0 +1,190 @@
+package fleet
+
+import (
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"cherryramp/internal/fleet"
+	"cherryramp/lab/site"
+)
+
+// probes is a version whose settings have one class more, by which a front's answers
+// show what it acts on: it serves "probe-N" and no other probe.
+func probes(n int) string {
+	var s map[string]any
+	if err := json.Unmarshal([]byte(site.Settings()), &s); err != nil {
+		panic(err) // the laboratory's own
+	}
+	grades := s["grades"].([]any)
+	for _, g := range grades {
+		if g.(map[string]any)["name"] == "page-asset" {
+			x := map[string]any{}
+			for k, v := range g.(map[string]any) {
+				x[k] = v
+			}
+			x["name"] = fmt.Sprintf("probe-%d", n)
+			grades = append(grades, x)
+			break
+		}
+	}
+	text, err := json.Marshal(map[string]any{"settings": map[string]any{"grades": grades}})
+	if err != nil {
+		panic(err)
+	}
+	return string(text)
+}
+
+// serves asks a front for a page of a class, and tells its status.
+func serves(p *Process, class string) int {
+	status, _, err := pageOf(p, class, fmt.Sprintf("%016x", time.Now().UnixNano()))
+	if err != nil {
+		return 0
+	}
+	return status
+}
+
+// propose stages a file at a front and proposes it.
+func (p *Process) propose(file string, x fleet.Propose) (uint64, error) {
+	x.Upload = fmt.Sprint(time.Now().UnixNano())
+	for b := []byte(file); len(b) > 0; {
+		n := min(len(b), 2400)
+		if err := p.Call("FLEET VERSIONS STAGE "+x.Upload+" "+base64.StdEncoding.EncodeToString(b[:n]), nil); err != nil {
+			return 0, err
+		}
+		b = b[n:]
+	}
+	text, err := json.Marshal(x)
+	if err != nil {
+		return 0, err
+	}
+	var word map[string]uint64
+	err = p.Call("FLEET VERSIONS PROPOSE "+string(text), &word)
+	return word["version"], err
+}
+
+// version is one as a front knows it.
+func (p *Process) version(n uint64) (v fleet.Version) {
+	var list []fleet.Version
+	if p.Call("FLEET VERSIONS LIST", &list) == nil {
+		for _, x := range list {
+			if x.N == n {
+				return x
+			}
+		}
+	}
+	return v
+}
+
+func (p *Process) lags() map[string]fleet.Lag {
+	var list []fleet.Lag
+	out := map[string]fleet.Lag{}
+	if p.Call("FLEET VERSIONS LAG", &list) == nil {
+		for _, x := range list {
+			out[x.Front] = x
+		}
+	}
+	return out
+}
+
+func (p *Process) audit(t *testing.T, question string) (r fleet.Report) {
+	t.Helper()
+	if err := p.Call("FLEET AUDIT "+question, &r); err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+// versionRules are rules with leases, for versions with bars.
+func versionRules() map[string]any {
+	r := shortRules()
+	r["alone_s"], r["empty_s"], r["hurt_percent"], r["lag_percent"] = 3, 1, 90, 60
+	return r
+}
+
+// Three fronts: a version proposed at one is acted on by all; one is stopped across
+// the next, is shut out, and comes back; the audit tells all of it.
+func TestVersions(t *testing.T) {
+	f := started(t, Options{Fronts: 3, Zones: 3, Seed: 21, Lines: true, Rules: versionRules()})
+	h := hard{f, t}
+	clients := NewClients(f, 60)
+	l := h.leader()
+	n, err := h.other(l).propose(probes(1), fleet.Propose{Why: "the first", WatchS: 0.5})
+	if err != nil || n != 1 {
+		t.Fatal(n, err)
+	}
+	await(t, "all act on it", func() bool {
+		for _, p := range f.List {
+			if serves(p, "probe-1") != 200 {
+				return false
+			}
+		}
+		return l.version(1).Phase == "standing"
+	})
+	stopped := h.other(l)
+	stopped.Signal(syscall.SIGSTOP)
+	n, err = l.propose(probes(2), fleet.Propose{Why: "the second", WatchS: 0.5, BarS: 1})
+	if err != nil || n != 2 {
+		t.Fatal(n, err)
+	}
+	await(t, "it stands", func() bool { return l.version(2).Phase == "standing" })
+	if v := l.version(2); v.Passed {
+		t.Errorf("its bar has passed beside a front that may act: %+v", v)
+	}
+	if why := l.version(2).Waits; !strings.Contains(why, stopped.Name) {
+		t.Error(why)
+	}
+	await(t, "its bar has passed", func() bool { return l.version(2).Passed })
+	stopped.Signal(syscall.SIGCONT)
+	if status := serves(stopped, "probe-1"); status == 200 {
+		t.Error("a front that woke after the bar acts on the old version")
+	}
+	await(t, "it is brought up", func() bool { return serves(stopped, "probe-2") == 200 })
+	if status := serves(stopped, "probe-1"); status == 200 {
+		t.Error("it serves both")
+	}
+	id := fmt.Sprintf("%016x", 424242)
+	if status, _, err := pageOf(stopped, "probe-2", id); status != 200 {
+		t.Fatal(status, err)
+	}
+	await(t, "the log knows of it", func() bool {
+		r := l.audit(t, fmt.Sprintf(`{"request":%q}`, id))
+		for _, a := range r.Answers {
+			if a.Front == stopped.Name && len(a.Spans) == 1 && a.Spans[0].Version == 2 && a.Spans[0].Before > 0 {
+				return len(r.Missing) == 0
+			}
+		}
+		return false
+	})
+	r := l.audit(t, `{"by_version":true,"version":1}`)
+	if len(r.Answers) != 3 {
+		t.Fatalf("%+v", r)
+	}
+	for _, a := range r.Answers {
+		if a.Broken != "" || len(a.Spans) == 0 || len(a.Spans[0].Counts) == 0 {
+			t.Errorf("%+v", a)
+		}
+		if a.Front == stopped.Name {
+			over := false
+			for _, e := range a.Events {
+				over = over || e.Kind == "lease" && e.Text == "over"
+			}
+			if !over {
+				t.Errorf("its audit does not tell that its lease was over: %+v", a.Events)
+			}
+		}
+	}
+	for _, a := range l.audit(t, `{"verify":true}`).Answers {
+		if a.Broken != "" || a.Proven == "" {
+			t.Errorf("%+v", a)
+		}
+	}
+	if lost := clients.Stop(); lost != "" {
+		t.Error(lost)
+	}
+	t.Logf("served %d, refused %d, failed %d", clients.Served.Load(), clients.Refused.Load(), clients.Failed.Load())
+}
--- a/lab/site/site.go
+++ b/lab/site/site.go
@@ -261,3 +261,6 @@
 	}
 	return ln.Addr().String(), ln.Close()
 }
+
+// Settings is the settings of the site's fronts, as JSON.
+func Settings() string { return settings }
