--- a/internal/decide/lease/lease.go
+++ b/internal/decide/lease/lease.go
@@ -115,6 +115,7 @@
 type Asker struct {
 	Name string
 	ID   uint64 // incarnation
+	From uint64 // process
 	Ask  Ask
 }
 
--- a/internal/decide/versions/taker.go
+++ b/internal/decide/versions/taker.go
@@ -1,6 +1,9 @@
 package versions
 
-import "slices"
+import (
+	"math"
+	"slices"
+)
 
 // survives is for how long, by its own clock, a process must go on after it took a
 // version up for the version to be no cause of its end.
@@ -22,6 +25,8 @@
 type Notes struct {
 	Trying   uint64 `cbor:"1,keyasint,omitempty"` // the last that was taken up
 	Survived bool   `cbor:"2,keyasint,omitempty"` // the process went on with it
+	Tries    int    `cbor:"3,keyasint,omitempty"` // processes that took it up, one after the other, and did not
+	Ended    uint64 `cbor:"4,keyasint,omitempty"` // the last version that ended a process
 }
 
 // Taker is a front's own side: which version it acts on, and what it does to act on
@@ -34,14 +39,25 @@
 	crashed uint64
 	notes   Notes
 	busy    bool
+	again   bool   // a note was kept for the version that ended a process before
 	took    Micros // own clock
 	tried   Micros
 	begun   bool
+
+	// The bar that it is measured by.
+	may   Micros
+	shut  uint64
+	below uint64
+	since Micros
 }
 
+// mostTries is how many processes take up a version that stands, where each of them
+// ended soon after; one that is only on its way goes back at the first.
+const mostTries = 3
+
 // NewTaker makes a front's side on what its disk knows.
 func NewTaker(n Notes) *Taker {
-	t := &Taker{notes: n}
+	t := &Taker{notes: n, crashed: n.Ended}
 	if n.Trying > 0 && !n.Survived {
 		t.crashed = n.Trying
 	}
@@ -55,9 +71,47 @@
 // until the first time it acts on nothing at all.
 func (t *Taker) Settled() bool { return t.begun }
 
+// Forever is past all moments.
+const Forever Micros = math.MaxInt64
+
+// Measure sees, at a moment of the front's own clock, up to when it may act on the
+// version that it acts on. A front that has once said that it acts on nothing below a
+// version keeps to it until it acts on that one.
+func (t *Taker) Measure(s *State, name string, now Micros) {
+	least, bar := s.Least(name)
+	if least != t.below {
+		t.below, t.since = least, now
+	}
+	switch {
+	case t.acts >= least && (s.Good == 0 || t.begun):
+		t.may = Forever
+	case t.acts >= least: // it has only just started, and has not taken up what stands
+		t.may = 0
+	case bar > 0:
+		t.may = t.since + bar
+	default:
+		t.may = 0
+	}
+	if t.acts < least && now >= t.may {
+		t.shut = max(t.shut, least)
+	}
+	if t.acts < t.shut && t.acts < least {
+		t.may = 0
+	}
+}
+
+// May tells whether the front may act at a moment of its own clock, by its version.
+func (t *Taker) May(now Micros) bool { return now < t.may }
+
+// Below is the version below which it may not act, by what it was measured by last.
+func (t *Taker) Below() uint64 { return t.below }
+
 // Report is what the front says of itself.
 func (t *Taker) Report() Stand {
 	x := Stand{Acts: t.acts, Refused: t.refused, Why: t.why, Crashed: t.crashed}
+	if t.shut > t.acts {
+		x.Shut = t.shut
+	}
 	if len(t.good) > 0 {
 		x.Checked = slices.Max(t.good)
 	}
@@ -70,19 +124,19 @@
 	if t.busy || now < t.tried {
 		return Rest, 0
 	}
-	if target != t.acts && target != t.refused && target != t.crashed {
+	if target != t.acts && target != t.refused && !t.ends(target, candidate) {
 		switch {
 		case target > 0 && !slices.Contains(t.good, target):
 			t.busy = true
 			return Check, target
-		case t.notes.Trying != target:
+		case t.notes.Trying != target || target == t.crashed && !t.again:
 			t.busy = true
 			return Note, target
 		}
 		t.busy = true
 		return Take, target
 	}
-	if candidate > 0 && candidate != t.refused && candidate != t.crashed && !slices.Contains(t.good, candidate) {
+	if candidate > 0 && candidate != t.refused && !t.ends(candidate, candidate) && !slices.Contains(t.good, candidate) {
 		t.busy = true
 		return Check, candidate
 	}
@@ -94,8 +148,29 @@
 	return Rest, 0
 }
 
-// again is after how long what came to nothing is tried once more.
-const again = second
+// ends tells whether a version has ended this front's process, so that it must not be
+// taken up again.
+func (t *Taker) ends(n, candidate uint64) bool {
+	return n > 0 && n == t.crashed && (n == candidate || t.notes.Trying == n && t.notes.Tries >= mostTries)
+}
+
+// Noting is the note to keep for an action.
+func (t *Taker) Noting(do Action, n uint64) Notes {
+	x := Notes{Trying: n, Survived: do == Survive || n == 0, Ended: t.crashed}
+	if do == Survive && n == t.crashed {
+		x.Ended = 0
+	}
+	if !x.Survived {
+		x.Tries = 1
+		if t.notes.Trying == n {
+			x.Tries = t.notes.Tries + 1
+		}
+	}
+	return x
+}
+
+// later is after how long what came to nothing is tried once more.
+const later = second
 
 // Checked tells what came of a check; an error names the key at fault.
 func (t *Taker) Checked(n uint64, err error) {
@@ -115,10 +190,11 @@
 func (t *Taker) Noted(n Notes, ok bool, now Micros) {
 	t.busy = false
 	if !ok {
-		t.tried = now + again
+		t.tried = now + later
 		return
 	}
 	t.notes = n
+	t.again, t.crashed = !n.Survived, n.Ended
 }
 
 // Took tells that the front acts on a version, or why it could not.
--- a/internal/decide/versions/versions.go
+++ b/internal/decide/versions/versions.go
@@ -15,6 +15,7 @@
 	"errors"
 	"fmt"
 	"hash/fnv"
+	"maps"
 	"slices"
 	"strings"
 
@@ -85,6 +86,7 @@
 	Acted  Micros   `cbor:"14,keyasint,omitempty"` // rolling: when all of the step acted on it; 0: not yet
 	Note   string   `cbor:"15,keyasint,omitempty"` // why it ended, or what is unusual
 	Passed Micros   `cbor:"16,keyasint,omitempty"` // when its bar had passed; 0: not yet, or none
+	Part   []string `cbor:"18,keyasint,omitempty"` // rolling: who takes it up in this step, by name; none: all
 	Spared []string `cbor:"17,keyasint,omitempty"` // fronts that are older and go on, since too many would be shut out
 }
 
@@ -314,7 +316,7 @@
 	if old := s.Find(s.Good); old != nil {
 		old.Phase, old.Since = Replaced, now
 	}
-	v.Phase, v.Since, v.Step = Standing, now, len(v.Steps)-1
+	v.Phase, v.Since, v.Step, v.Part = Standing, now, len(v.Steps)-1, nil
 	s.Good = v.N
 }
 
@@ -367,10 +369,19 @@
 	return h.Sum64()
 }
 
-// Part is who acts on a version at a step: one a zone, or so many percent, of those
-// that are heard and serve; at 100 all. A later step has all of the one before.
-func Part(v *Version, step int, fleet []Machine) map[string]bool {
+// begin begins a version's step, and says who takes it up: one a zone, or so many
+// percent, of those that are heard and serve, and all of the step before; at 100 all.
+func (s *State) begin(v *Version, step int, fleet []Machine, now Micros) {
 	part := map[string]bool{}
+	for _, name := range v.Part {
+		part[name] = true
+	}
+	v.Phase, v.Step, v.Since, v.Acted = Rolling, step, now, 0
+	s.began()
+	if v.Steps[step] >= 100 {
+		v.Part = nil
+		return
+	}
 	order := make([]*Machine, 0, len(fleet))
 	for i := range fleet {
 		if m := &fleet[i]; !m.Lost && !m.Away {
@@ -380,41 +391,38 @@
 	slices.SortFunc(order, func(a, b *Machine) int {
 		return cmp.Or(cmp.Compare(rank(v.N, a.Name), rank(v.N, b.Name)), cmp.Compare(a.Name, b.Name))
 	})
-	for _, percent := range v.Steps[:step+1] {
-		switch {
-		case percent == 0:
-			zones := map[string]bool{}
-			for _, m := range order {
-				if !zones[m.Zone] {
-					zones[m.Zone], part[m.Name] = true, true
-				}
-			}
-		case percent >= 100:
-			for _, m := range fleet {
-				part[m.Name] = true
+	if percent := v.Steps[step]; percent == 0 {
+		zones := map[string]bool{}
+		for _, m := range order {
+			if !zones[m.Zone] {
+				zones[m.Zone], part[m.Name] = true, true
 			}
-		default:
-			want := (len(order)*percent + 99) / 100
-			for _, m := range order {
-				if len(part) >= want {
-					break
-				}
-				part[m.Name] = true
+		}
+	} else {
+		want := (len(order)*percent + 99) / 100
+		for _, m := range order {
+			if len(part) >= want {
+				break
 			}
+			part[m.Name] = true
 		}
 	}
-	return part
+	v.Part = slices.Sorted(maps.Keys(part))
+}
+
+// has tells whether a front is of the step's part.
+func (v *Version) has(name string) bool {
+	if v.Steps[v.Step] >= 100 {
+		return true
+	}
+	_, ok := slices.BinarySearch(v.Part, name)
+	return ok
 }
 
 // Target is the version that a front is to act on, by the state alone.
-func (s *State) Target(name string, fleet []Machine) uint64 {
-	if c := s.Candidate(); c != nil && c.Phase == Rolling {
-		if i, ok := find(s.Stands, name, func(x *Stand) string { return x.Name }); ok && s.Stands[i].Acts == c.N {
-			return c.N // it was of the part when it took it up
-		}
-		if Part(c, c.Step, fleet)[name] {
-			return c.N
-		}
+func (s *State) Target(name string) uint64 {
+	if c := s.Candidate(); c != nil && c.Phase == Rolling && c.has(name) {
+		return c.N
 	}
 	return s.Good
 }
@@ -497,8 +505,7 @@
 		}
 	}
 	if waits == "" {
-		c.Phase, c.Since, c.Step, c.Acted = Rolling, now, 0, 0
-		s.began()
+		s.begin(c, 0, fleet, now)
 	} else if now-c.Since > checkFor {
 		s.end(c, TurnedDown, fmt.Sprintf("%s has not checked it in %d s", waits, checkFor/second), now)
 	}
@@ -514,7 +521,6 @@
 
 // roll goes on with a version's step, or goes back.
 func (s *State) roll(c *Version, fleet []Machine, now Micros) {
-	part := Part(c, c.Step, fleet)
 	waits, acting := "", 0
 	for i := range fleet {
 		m := &fleet[i]
@@ -523,12 +529,12 @@
 		case x.Crashed == c.N:
 			s.end(c, Back, m.Name+" ended soon after it had taken it up", now)
 			return
-		case x.Refused == c.N && part[m.Name]:
+		case x.Refused == c.N && c.has(m.Name):
 			s.end(c, Back, m.Name+" turned it down: "+x.Why, now)
 			return
 		case x.Acts == c.N:
 			acting++
-		case part[m.Name] && !m.Lost && waits == "":
+		case c.has(m.Name) && !m.Lost && waits == "":
 			waits = m.Name
 		}
 	}
@@ -546,8 +552,7 @@
 		c.Acted = max(1, now)
 	case now-c.Acted < c.Watch:
 	case c.Step+1 < len(c.Steps):
-		c.Step, c.Since, c.Acted = c.Step+1, now, 0
-		s.began()
+		s.begin(c, c.Step+1, fleet, now)
 	default:
 		s.stands(c, now)
 	}
@@ -758,7 +763,7 @@
 				x.Acts = y.Acts
 			}
 		}
-		l := Lag{Name: m.Name, Acts: x.Acts, Target: s.Target(m.Name, fleet), Oldest: x.Oldest, Refused: x.Refused, Why: x.Why}
+		l := Lag{Name: m.Name, Acts: x.Acts, Target: s.Target(m.Name), Oldest: x.Oldest, Refused: x.Refused, Why: x.Why}
 		if y := s.Stand(m.Name); y != nil {
 			l.Shut, l.Warm = y.Fenced > y.Acts, now < y.WarmAt
 		}
@@ -789,9 +794,8 @@
 		}
 		return fmt.Sprintf("version %d is being checked for %d s and waits for %s.", n, (now-v.Since)/second, few(waits))
 	case Rolling:
-		part := Part(v, v.Step, fleet)
 		for i := range fleet {
-			if m := &fleet[i]; part[m.Name] && !m.Lost && s.of(m).Acts != n {
+			if m := &fleet[i]; v.has(m.Name) && !m.Lost && s.of(m).Acts != n {
 				waits = append(waits, m.Name)
 			}
 		}
--- a/internal/fleet/agree/feed.go
+++ b/internal/fleet/agree/feed.go
@@ -33,7 +33,7 @@
 		to = list[n.tried%len(list)]
 		n.asked = n.now
 	}
-	n.send(to, KindAsk, encode(Ask{ID: n.id, Next: n.applied + 1, Address: n.cfg.Address, Lease: n.wants()}))
+	n.send(to, KindAsk, encode(Ask{ID: n.id, Next: n.applied + 1, Address: n.cfg.Address, Lease: n.wants(), Start: n.cfg.Start}))
 }
 
 // led tells whether this front leads, or has a seat and hears the leader itself.
--- a/internal/fleet/agree/lease.go
+++ b/internal/fleet/agree/lease.go
@@ -43,6 +43,9 @@
 	return n.Lives() == 0 || n.leases.own.Holds(now) || n.rep.Leaves(replica.NoLook)
 }
 
+// Rep tells whether the replica leaves a rule out.
+func (n *Node) Rep(rule replica.Rule) bool { return n.rep.Leaves(rule) }
+
 // LeaseEnd is the moment up to which it may; 0: for ever, or not at all.
 func (n *Node) LeaseEnd() Micros { return n.leases.own.End() }
 
@@ -79,7 +82,7 @@
 		l.grantor.Reset()
 	}
 	if a := n.wants(); a.Stamp != 0 {
-		l.grantor.Asked(lease.Asker{Name: n.cfg.Name, ID: n.id, Ask: a}, council.MostFronts)
+		l.grantor.Asked(lease.Asker{Name: n.cfg.Name, ID: n.id, From: n.cfg.Start, Ask: a}, council.MostFronts)
 	}
 	if _, done := n.rep.Seen(n.factsID); !done && n.factsLost {
 		return
@@ -99,13 +102,15 @@
 }
 
 // grant answers those whose round was confirmed and who are not lost in the state up
-// to there.
+// to there, under the process that the state knows: what an earlier process of a front
+// has said of boxes and versions counts until the state knows of the next, which
+// therefore may not act before that.
 func (n *Node) grant() {
 	list, index := n.leases.grantor.Answers(n.applied)
 	s := n.rep.State()
 	for _, a := range list {
 		f := s.Council.Find(a.Name)
-		if f == nil || f.ID != a.ID || f.Lost || n.fenced(a.Name) {
+		if f == nil || f.ID != a.ID || f.Start != a.From || f.Lost || n.fenced(a.Name) {
 			continue
 		}
 		g := lease.Grant{Stamp: a.Ask.Stamp, Span: s.Work.Rules.Alone, Index: index}
@@ -127,11 +132,11 @@
 		return
 	}
 	if n.leads {
-		n.leases.grantor.Asked(lease.Asker{Name: from, ID: a.ID, Ask: a.Lease}, council.MostFronts)
+		n.leases.grantor.Asked(lease.Asker{Name: from, ID: a.ID, From: a.Start, Ask: a.Lease}, council.MostFronts)
 		return
 	}
 	f := n.rep.State().Council.Find(from)
-	if f == nil || f.ID != a.ID || f.Lost || n.Lives() == 0 || n.fenced(from) {
+	if f == nil || f.ID != a.ID || f.Start != a.Start || f.Lost || n.Lives() == 0 || n.fenced(from) {
 		return
 	}
 	if g, ok := n.leases.own.Pass(a.Lease, n.now); ok {
--- a/internal/fleet/agree/messages.go
+++ b/internal/fleet/agree/messages.go
@@ -61,6 +61,7 @@
 	Address string `cbor:"3,keyasint"` // where to answer: the fleet may not know this front yet
 
 	Lease lease.Ask `cbor:"4,keyasint,omitzero"`
+	Start uint64    `cbor:"5,keyasint,omitempty"` // of its process
 }
 
 // Fed is the answer.
@@ -251,7 +252,7 @@
 	}
 	note(b)
 	if n.leads {
-		n.leases.grantor.Asked(lease.Asker{Name: from, ID: b.ID, Ask: b.Lease}, council.MostFronts)
+		n.leases.grantor.Asked(lease.Asker{Name: from, ID: b.ID, From: b.Start, Ask: b.Lease}, council.MostFronts)
 	}
 	for _, x := range b.Below {
 		if x.Name != n.cfg.Name {
--- a/internal/fleet/book.go
+++ b/internal/fleet/book.go
@@ -105,7 +105,6 @@
 // beginBook notes that this process begins.
 func (f *Fleet) beginBook() {
 	f.book.chain.Classes(f.host.Classes())
-	f.ver.may = forever
 	f.write1(audit.Record{Kind: audit.Began, ID: f.node.ID(), Start: f.cfg.Start, Text: f.book.began})
 	f.versions()
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -289,9 +289,9 @@
 		if ok = f.node.Holds(now); !ok {
 			f.opened = false
 		}
-		ok = ok && now < f.ver.may
+		ok = ok && f.ver.taker.May(now)
 	default:
-		ok = f.node.Lives() == 0 && f.node.Stale() == nil && f.now() < f.ver.may
+		ok = f.node.Lives() == 0 && f.node.Stale() == nil && f.ver.taker.May(f.now())
 	}
 	return ok, awayUnknown
 }
--- a/internal/fleet/versions.go
+++ b/internal/fleet/versions.go
@@ -3,20 +3,14 @@
 import (
 	"errors"
 	"fmt"
-	"math"
 
 	"cherryramp/internal/decide/audit"
-	"cherryramp/internal/decide/replica"
 	"cherryramp/internal/decide/versions"
 )
 
 // acting is the version that this front acts on.
 type acting struct {
 	taker   *versions.Taker
-	may     int64 // moment of the node's clock up to which it may act on it
-	shut    uint64
-	below   uint64 // the bar that it is measured by, since when
-	since   int64
 	applied uint64
 	target  uint64
 	next    uint64
@@ -30,9 +24,6 @@
 	n       int
 }
 
-// forever is past all moments.
-const forever = math.MaxInt64
-
 // errGone tells of a version whose bytes are not kept any more.
 var errGone = errors.New("its pieces are not in the fleet's state")
 
@@ -40,8 +31,7 @@
 // fleet where it stands.
 func (f *Fleet) versions() {
 	v := &f.ver
-	r := f.node.Replica()
-	s := &r.State().Versions
+	s := &f.node.Replica().State().Versions
 	if f.node.Stale() != nil {
 		return
 	}
@@ -49,7 +39,7 @@
 		v.applied, v.target, v.next = at, s.Good, 0
 		if c := s.Candidate(); c != nil {
 			v.next = c.N
-			v.target = s.Target(f.cfg.Name, replica.Machines(r.Fleet()))
+			v.target = s.Target(f.cfg.Name)
 		}
 	}
 	f.measure(s)
@@ -67,7 +57,7 @@
 			}
 		})
 	case versions.Note, versions.Survive:
-		notes := versions.Notes{Trying: n, Survived: do == versions.Survive || n == 0}
+		notes := v.taker.Noting(do, n)
 		f.note(notes, func(err error) {
 			if err != nil {
 				f.log.Error("fleet: the disk takes no note, and no version without one is taken up", "error", err)
@@ -94,41 +84,23 @@
 	f.stand()
 }
 
-// measure sees up to when the front may act on the version that it acts on.
+// measure sees whether the front may act on the version that it acts on.
 func (f *Fleet) measure(s *versions.State) {
 	v, now := &f.ver, f.now()
-	acts := v.taker.Acts()
-	least, bar := s.Least(f.cfg.Name)
-	if least != v.below {
-		v.below, v.since = least, now
-	}
-	switch {
-	case acts >= least && (s.Good == 0 || v.taker.Settled()):
-		v.may = forever
-	case acts >= least: // it has only just started, and has not taken up what stands
-		v.may = 0
-	case bar > 0:
-		v.may = v.since + bar
-	default:
-		v.may = 0
-	}
-	if acts < least && now >= v.may {
-		v.shut = max(v.shut, least)
-	}
-	if acts < v.shut && acts < least { // it has said that it acts on nothing older
-		v.may = 0
+	v.taker.Measure(s, f.cfg.Name, now)
+	told := !v.taker.May(now)
+	if told == v.told {
+		return
 	}
-	if told := now >= v.may; told != v.told {
-		v.told = told
-		text := fmt.Sprintf("below version %d", least)
-		if told {
-			f.log.Warn("fleet: the front acts on a version that is too old, and refuses requests", "version", acts, "wanted", least)
-		} else {
-			text = "no more"
-			f.log.Info("fleet: the front may act on its version", "version", acts)
-		}
-		f.write1(audit.Record{Kind: audit.Shut, Text: text})
+	v.told = told
+	text := "no more"
+	if told {
+		text = fmt.Sprintf("below version %d", v.taker.Below())
+		f.log.Warn("fleet: the front acts on a version that is too old, and refuses requests", "version", v.taker.Acts(), "wanted", v.taker.Below())
+	} else {
+		f.log.Info("fleet: the front may act on its version", "version", v.taker.Acts())
 	}
+	f.write1(audit.Record{Kind: audit.Shut, Text: text})
 }
 
 // stand tells the fleet which version this front acts on.
@@ -140,9 +112,6 @@
 		}
 	}
 	x.Bad, x.Seen = f.host.Fares()
-	if x.Shut = f.ver.shut; x.Shut <= x.Acts {
-		x.Shut = 0
-	}
 	x.Seq, x.Head = f.book.seq, f.book.head
 	f.node.SetStand(x)
 }
--- a/lab/fleet/chaos.go
+++ b/lab/fleet/chaos.go
@@ -6,20 +6,23 @@
 	"slices"
 
 	"cherryramp/internal/decide/replica"
+	"cherryramp/internal/decide/versions"
 	"cherryramp/internal/decide/work"
 )
 
 // Day is what became of a random day.
 type Day struct {
-	Seed    uint64
-	Fronts  int
-	Asked   int
-	Ended   int
-	Most    int // fronts out at once
-	Checked int // states compared
-	Entries uint64
-	Digest  string
-	Broken  []string
+	Seed     uint64
+	Fronts   int
+	Asked    int
+	Ended    int
+	Most     int // fronts out at once
+	Proposed int // versions
+	Bars     int // that have passed
+	Checked  int // states compared
+	Entries  uint64
+	Digest   string
+	Broken   []string
 }
 
 // Chaos plays a random day: works asked for at any front, while fronts crash, stop,
@@ -45,6 +48,9 @@
 	}
 	w.RunUntil(90*Second, w.Settled)
 	c.asking(w.now + span)
+	if r.IntN(3) > 0 {
+		c.proposing(w.now + span)
+	}
 	c.end = w.now + span
 	w.Checks.onLeave = c.ambush
 	c.troubles(w.now + span)
@@ -68,6 +74,7 @@
 		c.day.Entries = l.node.Applied()
 		c.day.Ended = len(l.node.Replica().State().Work.Ended)
 	}
+	c.day.Bars = w.Checks.Bars
 	c.day.Most, c.day.Checked, c.day.Digest, c.day.Broken = w.Checks.Most, w.Checks.Checked, w.Digest(), w.Checks.Broken()
 	return c.day
 }
@@ -151,6 +158,45 @@
 	})
 }
 
+// proposing has versions proposed until a moment: good ones, some that crash or fail
+// who takes them up, some that one front turns down; some with bars, some urgent.
+func (c *chaos) proposing(until Micros) {
+	w := c.w
+	w.After(Micros(c.r.Int64N(int64(12*Second))), func() {
+		if w.now >= until {
+			return
+		}
+		at := c.front()
+		c.day.Proposed++
+		text := fmt.Sprintf("good %d", c.day.Proposed)
+		switch c.r.IntN(8) {
+		case 0:
+			text = "crashes"
+		case 1:
+			text = "fails"
+		case 2:
+			text = "turned down " + c.front().Name
+		}
+		v := versions.Version{Why: fmt.Sprintf("proposal %d", c.day.Proposed), Digest: versions.Hash([]byte(text)), Pieces: []string{versions.Hash([]byte(text))},
+			Watch: Micros(c.r.IntN(3)) * Second, Steps: [][]int{{0, 10, 100}, {100}, {0, 50}}[c.r.IntN(3)]}
+		if c.r.IntN(2) == 0 && w.spec.Rules.Alone > 0 {
+			v.Bar = Micros(1+c.r.IntN(5)) * Second
+		}
+		if text[0] == 'g' && c.r.IntN(4) == 0 {
+			v.Urgent = true
+		}
+		if at.node != nil && !at.paused {
+			v.Base = at.node.Replica().State().Versions.Good
+			w.order(at, replica.Command{Piece: []byte(text)}, func(word replica.Word, err error) {
+				if err == nil && word.Err == "" {
+					w.After(Milli, func() { w.order(at, replica.Command{Propose: &v}, func(replica.Word, error) {}) })
+				}
+			})
+		}
+		c.proposing(until)
+	})
+}
+
 // tend does what persons do: a front that is out is restarted or said to be done.
 func (c *chaos) tend() {
 	l := c.w.Leader()
@@ -322,12 +368,25 @@
 // over tells whether no work is left.
 func (c *chaos) over() bool {
 	l := c.w.Leader()
-	return l != nil && len(l.node.Replica().State().Work.Items) == 0
+	if l == nil {
+		return false
+	}
+	s := l.node.Replica().State()
+	if s.Versions.Candidate() != nil || len(s.Work.Items) > 0 {
+		return false
+	}
+	for _, f := range c.w.Fronts { // the last version has come to all
+		if f.node != nil && f.taker.Acts() != s.Versions.Good && f.taker.Report().Crashed != s.Versions.Good && f.taker.Report().Refused != s.Versions.Good {
+			return false
+		}
+	}
+	return true
 }
 
 // Result is what became of many days.
 type Result struct {
 	Days, Asked, Ended, Checked, Most int
+	Proposed, Bars                    int
 	Entries                           uint64
 	First                             *Day   `json:",omitempty"` // that broke a promise
 	World                             *World `json:"-"`
@@ -337,6 +396,7 @@
 func (r *Result) Add(d Day) {
 	r.Days++
 	r.Asked, r.Ended, r.Checked = r.Asked+d.Asked, r.Ended+d.Ended, r.Checked+d.Checked
+	r.Proposed, r.Bars = r.Proposed+d.Proposed, r.Bars+d.Bars
 	r.Most, r.Entries = max(r.Most, d.Most), r.Entries+d.Entries
 }
 
--- a/lab/fleet/check.go
+++ b/lab/fleet/check.go
@@ -24,6 +24,10 @@
 	term     uint64            // the newest, and since when it has a leader
 	ledSince Micros
 	boxes    map[string]uint64 // boxes that are out: the entry at which that was seen first
+	barred   uint64
+	life     map[string]uint64 // in which a front took a version up
+	lived    map[string]bool   // it went on with it
+	Bars     int               // that have passed
 	onLeave  func(work.Item)   // is told of each leave as soon as any front has applied it
 	Most     int               // out at once
 	Checked  int
@@ -31,7 +35,8 @@
 
 func newChecker(w *World) *Checker {
 	return &Checker{w: w, state: map[uint64]uint64{}, leaders: map[uint64]uint64{}, permits: map[uint64]string{},
-		applied: map[string]uint64{}, out: map[string]string{}, asked: map[string]uint64{}, boxes: map[string]uint64{}}
+		applied: map[string]uint64{}, out: map[string]string{}, asked: map[string]uint64{}, boxes: map[string]uint64{},
+		life: map[string]uint64{}, lived: map[string]bool{}}
 }
 
 // Of a fleet larger than this, the states at every so many entries are compared: a
@@ -179,7 +184,7 @@
 		}
 	}
 	// Without leases, one that has only just started acts on what its disk has.
-	if f.out || !f.node.Holds(f.clock()) || f.node.Lives() == 0 && !f.node.Fresh() {
+	if f.out || !f.acts() || f.node.Lives() == 0 && !f.node.Fresh() {
 		return
 	}
 	for b := range c.boxes {
@@ -189,6 +194,41 @@
 	}
 }
 
+// version: once a bar is said to have passed, nobody acts on an older version.
+func (c *Checker) version(f *Front) {
+	s := &f.node.Replica().State().Versions
+	if s.Barred > c.barred {
+		c.barred, c.Bars = s.Barred, c.Bars+1
+		for _, o := range c.w.Fronts { // at that very moment, whoever may
+			if o.node != nil && !o.paused {
+				c.older(o)
+			}
+		}
+	}
+	c.older(f)
+}
+
+func (c *Checker) older(f *Front) {
+	if acts := f.taker.Acts(); acts < c.barred && !f.out && f.acts() {
+		c.fail("%s acts on version %d, and the bar of %d is said to have passed", f.Name, acts, c.barred)
+	}
+}
+
+// took: nobody takes up a version that the fleet has said is void, as far as that
+// front knows, nor one that ended its process.
+func (c *Checker) took(f *Front, n uint64) {
+	s := &f.node.Replica().State().Versions
+	if v := s.Find(n); v != nil && v.Phase.Void() {
+		c.fail("%s takes up version %d, which is %s", f.Name, n, v.Phase)
+	}
+	key := fmt.Sprintf("%s %d %d", f.Name, n, f.node.ID())
+	c.lived[key] = c.lived[key] || f.notes.Trying == n && f.notes.Survived
+	if v := s.Candidate(); c.life[key] != 0 && c.life[key] != f.life && !c.lived[key] && v != nil && v.N == n {
+		c.fail("%s takes up version %d again, which ended its process", f.Name, n)
+	}
+	c.life[key] = f.life
+}
+
 // surely is how long a front must have been dead, under one leader, for the fleet to
 // know of it.
 const surely = 13 * Second
@@ -242,6 +282,17 @@
 		return
 	}
 	s := last.node.Replica().State()
+	for _, f := range c.w.Fronts {
+		if f.node == nil {
+			continue
+		}
+		if at := f.taker.Acts(); at != s.Versions.Good && f.taker.Report().Crashed != s.Versions.Good && f.taker.Report().Refused != s.Versions.Good {
+			c.fail("%s acts on version %d, and %d stands, with contact back", f.Name, at, s.Versions.Good)
+		}
+		if !f.acts() && f.taker.Acts() == s.Versions.Good {
+			c.fail("%s may not act, with contact back", f.Name)
+		}
+	}
 	for _, x := range s.Work.Items {
 		c.fail("work %d on %s has not ended: %s", x.ID, x.Machine, s.Work.Why(x.Machine, last.node.Replica().Fleet(), s.Now))
 	}
--- a/lab/fleet/virtual.go
+++ b/lab/fleet/virtual.go
@@ -17,6 +17,7 @@
 	"sync"
 
 	"cherryramp/internal/decide/replica"
+	"cherryramp/internal/decide/versions"
 	"cherryramp/internal/decide/work"
 	"cherryramp/internal/fleet/agree"
 )
@@ -112,6 +113,10 @@
 	outAs    uint64
 	emptyAt  Micros
 	hurt     bool // it says that it is in trouble
+	taker    *versions.Taker
+	notes    versions.Notes // on its disk
+	opened   bool           // all that the state wants was carried out since its lease held
+	seq      uint64         // of its audit
 	Restarts int
 	diedAt   Micros
 	lastID   uint64 // incarnation of its disk
@@ -259,6 +264,7 @@
 		return
 	}
 	n.Replica().Without(f.w.spec.Without)
+	f.taker, f.opened = versions.NewTaker(f.notes), false
 	f.node, f.out, f.open, f.paused, f.held = n, false, f.w.r.IntN(5), false, nil
 	f.w.log("%s starts (incarnation %x)", f.Name, r.Identity.ID)
 	f.tick(f.life)
@@ -307,7 +313,80 @@
 	for _, b := range boxes {
 		f.node.LeftBox(b, true)
 	}
+	f.version(f.life)
+	if !f.node.Holds(f.clock()) {
+		f.opened = false
+	}
 	f.w.Checks.box(f, boxes)
+	f.w.Checks.version(f)
+	f.opened = f.node.Holds(f.clock())
+}
+
+// acts tells whether the front may act now, as its program sees it before each act.
+func (f *Front) acts() bool {
+	now := f.clock()
+	if f.node.Rep(replica.NoLook) {
+		return true
+	}
+	return f.opened && f.node.Holds(now) && f.taker.May(now) && f.node.Stale() == nil
+}
+
+// version is what the program does for versions: the taker's actions, with the disk's
+// delays and what a version does to whoever takes it up.
+func (f *Front) version(life uint64) {
+	s := &f.node.Replica().State().Versions
+	target, candidate := s.Target(f.Name), uint64(0)
+	if c := s.Candidate(); c != nil {
+		candidate = c.N
+	}
+	f.taker.Measure(s, f.Name, f.clock())
+	later := func(do func()) {
+		f.w.After(f.slow+Milli, func() { f.do(life, do) })
+	}
+	do, n := f.taker.Next(candidate, target, f.clock())
+	bad := ""
+	if n > 0 {
+		bad = string(s.Content(n))
+	}
+	switch do {
+	case versions.Check:
+		later(func() {
+			var err error
+			if bad == "turned down "+f.Name {
+				err = errDown
+			}
+			f.taker.Checked(n, err)
+		})
+	case versions.Note, versions.Survive:
+		notes := f.taker.Noting(do, n)
+		later(func() {
+			if !f.full {
+				f.notes = notes
+			}
+			f.taker.Noted(notes, !f.full, f.clock())
+		})
+	case versions.Take:
+		f.w.log("%s acts on version %d (%q), noted %+v, said %+v, candidate %d", f.Name, n, bad, f.notes, f.taker.Report(), candidate)
+		f.taker.Took(n, nil, f.clock())
+		f.w.Checks.took(f, n)
+		if bad == "crashes" {
+			f.w.After(Second, func() {
+				if f.life == life && f.node != nil && f.taker.Acts() == n {
+					f.Crash()
+					f.w.After(2*Second, f.Start)
+				}
+			})
+		}
+	}
+	f.taker.Measure(s, f.Name, f.clock())
+	x := f.taker.Report()
+	f.seq++
+	x.Seq, x.Head = f.seq, "virtual"
+	if bad := string(s.Content(x.Acts)); bad == "fails" {
+		x.Bad = 50
+	}
+	x.Seen = true
+	f.node.SetStand(x)
 }
 
 // pump writes and sends what the node has for it.
@@ -418,7 +497,7 @@
 // Wipe crashes a front and empties its disk.
 func (f *Front) Wipe() {
 	f.Crash()
-	f.disk, f.lastID = nil, 0
+	f.disk, f.lastID, f.notes = nil, 0, versions.Notes{}
 	f.w.log("%s's disk is wiped", f.Name)
 }
 
