--- a/internal/config/version.go
+++ b/internal/config/version.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -36,7 +37,7 @@
 	if err := d.Decode(&v); err != nil {
 		var wrong *json.UnmarshalTypeError
 		if errors.As(err, &wrong) {
-			return nil, fmt.Errorf("%s: a %s can't be used", wrong.Field, wrong.Value)
+			return nil, fmt.Errorf("%s: a %s can't be used", cmp.Or(wrong.Field, "the file, which is to be an object"), wrong.Value)
 		}
 		return nil, fmt.Errorf("not a version's file: %w", err)
 	}
--- a/internal/fleet/agree/messages.go
+++ b/internal/fleet/agree/messages.go
@@ -197,6 +197,11 @@
 		n.fedSnapshot = m
 		return
 	}
+	defer func() { // the library's word where what a disk had confirmed is not there any more
+		if p := recover(); p != nil {
+			n.broken = fmt.Errorf("%w: %v", ErrOld, p)
+		}
+	}()
 	before := n.raw.BasicStatus()
 	_ = n.raw.Step(m) // what does not fit is dropped, as by a network
 	if after := n.raw.BasicStatus(); after.Lead != before.Lead && after.Lead != 0 && after.Lead != n.id {
--- a/internal/fleet/agree/node.go
+++ b/internal/fleet/agree/node.go
@@ -71,6 +71,7 @@
 // Errors.
 var (
 	ErrBusy    = errors.New("fleet: too many commands wait")
+	ErrOld     = errors.New("fleet: the disk is older than what the fleet has from it: empty the folder, and it comes back under a new incarnation")
 	ErrUnknown = errors.New("fleet: no word in time: it may still be done")
 )
 
@@ -129,6 +130,7 @@
 	conf    *raftpb.ConfState
 	applied uint64
 	stale   error // why entries are no longer applied
+	broken  error // why this front must take no part
 	out     bool  // an output was given and is not done
 	sends   []Send
 	told    []string
@@ -272,6 +274,9 @@
 // Leads tells whether this front leads.
 func (n *Node) Leads() bool { return n.leads && n.raw.BasicStatus().RaftState == raft.StateLeader }
 
+// Broken tells why this front must take no part any more; nil: it may.
+func (n *Node) Broken() error { return n.broken }
+
 // Fresh tells whether, since this process started, it has applied all that had been
 // committed when it first heard the fleet.
 func (n *Node) Fresh() bool { return n.fresh || n.leads }
--- a/internal/fleet/book.go
+++ b/internal/fleet/book.go
@@ -250,6 +250,10 @@
 		}
 		f.write1(audit.Record{Kind: audit.Permit, Text: text})
 	}
+	if x := f.node.Replica().State().Versions.Stand(f.cfg.Name); x != nil && x.ID == f.node.ID() && x.Seq > b.chain.Seq() {
+		f.breaks(fmt.Errorf("%w: its audit ends at record %d, and the log knows record %d", agree.ErrOld, b.chain.Seq(), x.Seq))
+		return
+	}
 	// Records that the log knows the head of happened before that entry.
 	if x := f.node.Replica().State().Versions.Stand(f.cfg.Name); x != nil && x.ID == f.node.ID() && x.Seq > b.anchored && b.events {
 		b.anchored, b.events = x.Seq, false
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -229,6 +229,9 @@
 	f.serve()
 	f.versions()
 	f.keepBook()
+	if f.broken != nil {
+		return
+	}
 	f.node.Tick(f.now())
 	if now-f.swept > sweepEvery {
 		f.swept = now
@@ -298,6 +301,9 @@
 
 // pump writes and sends what the node has, until it has nothing more.
 func (f *Fleet) pump() {
+	if f.broken == nil && f.node.Broken() != nil {
+		f.breaks(f.node.Broken())
+	}
 	if f.pumping || f.writing || f.broken != nil || f.closed {
 		f.tellAll()
 		return
