ramplab fleet versions: versions on started fronts, answers and audits checked, a page of it

Change: lab/fleet/playversions.go proposes versions under load and troubles, reads every front's answers for the version that they show, looks requests up in the audits, verifies them, and draws versions over time; status tells the version acted on; tests on processes run side by side.

--- a/cmd/cherryramp-fleet/calls.go
+++ b/cmd/cherryramp-fleet/calls.go
@@ -148,6 +148,10 @@
 		default:
 			row("can bear", "%d further losses of voters", s.Bears)
 		}
+		row("acts on", "version %d", s.Acts)
+		if !s.May {
+			row("may not act", "its lease is over, or its version is too old: requests are refused")
+		}
 		if s.AloneS > 0 {
 			row("lease", "%.1f s of %.0f s left", s.LeaseS, s.AloneS)
 		}
--- a/cmd/ramplab/fleet.go
+++ b/cmd/ramplab/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"os"
 	"os/signal"
@@ -19,6 +20,8 @@
 type fleetCommands struct {
 	Up   fleetUpCommand   `cmd:"" help:"Hold a fleet of started fronts up, to try things out on, until interrupted."`
 	Work fleetWorkCommand `cmd:"" help:"Take machines out for work while things go wrong, and check every promise."`
+
+	Versions fleetVersionsCommand `cmd:"" help:"Propose versions while things go wrong, read every front's answers and audits, and check every promise."`
 }
 
 type fleetUpCommand struct {
@@ -102,11 +105,11 @@
 func fleetView(f *fleet.Processes) string {
 	var b strings.Builder
 	w := tabwriter.NewWriter(&b, 0, 0, 2, ' ', 0)
-	_, _ = fmt.Fprintln(w, "FRONT\tZONE\tSEAT\tLEADER\tTERM\tENTRY\tREADY\tWORK")
+	_, _ = fmt.Fprintln(w, "FRONT\tZONE\tSEAT\tLEADER\tTERM\tENTRY\tREADY\tVERSION\tWORK")
 	for _, p := range f.List {
 		s, err := p.Status()
 		if err != nil {
-			_, _ = fmt.Fprintf(w, "%s\t%s\tnot reached\t\t\t\t\t\n", p.Name, p.Zone)
+			_, _ = fmt.Fprintf(w, "%s\t%s\tnot reached\t\t\t\t\t\t\n", p.Name, p.Zone)
 			continue
 		}
 		ready, work := "yes", ""
@@ -120,12 +123,50 @@
 				}
 			}
 		}
-		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%d\t%s\t%s\n", p.Name, p.Zone, s.Seat, s.Leader, s.Term, s.Applied, ready, work)
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%d\t%s\t%d\t%s\n", p.Name, p.Zone, s.Seat, s.Leader, s.Term, s.Applied, ready, s.Acts, work)
 	}
 	_ = w.Flush()
 	return b.String()
 }
 
+type fleetVersionsCommand struct {
+	fleetWorkCommand
+	Page string `help:"Write the day as a page with a picture of versions over time, by front, to this file."`
+}
+
+// Run plays; in virtual time days have both works and versions.
+func (c fleetVersionsCommand) Run() error {
+	if c.Virtual || c.Troubles != "" {
+		return c.fleetWorkCommand.Run()
+	}
+	if c.Fronts < 1 || c.Fronts > 40 || c.Zones < 1 || c.For < time.Second {
+		return fmt.Errorf("--fronts 1 to 40, --zones from 1 and --for from 1s on are possible")
+	}
+	front, err := c.path()
+	if err != nil {
+		return err
+	}
+	var say func(string)
+	if c.Verbose {
+		say = func(line string) { fmt.Println(line) }
+	}
+	r, err := fleet.PlayVersions(fleet.Options{Program: front, Fronts: c.Fronts, Zones: c.Zones, Seed: c.Seed, Lines: true}, c.For, c.Rate, c.Chaos, say)
+	if err != nil {
+		return err
+	}
+	if c.Page != "" {
+		f, err := os.Create(c.Page)
+		if err != nil {
+			return err
+		}
+		if err := errors.Join(r.Page(f), f.Close()); err != nil {
+			return err
+		}
+	}
+	r.Happened = nil
+	return c.tell(r, len(r.Broken) > 0)
+}
+
 type fleetWorkCommand struct {
 	frontPath
 	Fronts  int           `default:"5" help:"How many."`
--- a/internal/fleet/calls.go
+++ b/internal/fleet/calls.go
@@ -39,6 +39,8 @@
 	Out         []string `json:"out,omitempty"`
 	OutByPermit uint64   `json:"out_by_permit,omitempty"` // under which this front takes no clients now
 	Hold        string   `json:"hold,omitempty"`
+	Acts        uint64   `json:"acts_on"`         // version that this front acts on
+	May         bool     `json:"may"`             // it may act now: by its lease, and by its version
 	Waits       string   `json:"waits,omitempty"` // what the founding, or the council's next change, waits for
 	FleetTime   float64  `json:"fleet_time_s"`
 	AloneS      float64  `json:"alone_s,omitempty"` // span that this front lives by without hearing the fleet; 0: for ever
@@ -327,6 +329,8 @@
 		Term: term, Applied: n.Applied(), Seat: f.seat(n.ID()), Feeder: n.Feeder(), Feeds: n.Children(), Fronts: len(s.Council.Fronts), Version: s.Version,
 		Wanted: s.Council.Target(), Bears: s.Council.Bears(s.Seats), Hold: s.Work.Hold, Waits: cmp.Or(n.Founding(), n.Changing()), FleetTime: seconds(s.Now),
 		Sent: f.counts.Sent, SentBytes: f.counts.Bytes, Received: f.counts.Received, Dropped: f.counts.Dropped}
+	x.Acts = f.ver.taker.Acts()
+	x.May, _ = f.Holds()
 	if n.Leads() {
 		x.Older = n.Older()
 	}
--- a/lab/fleet/hard_test.go
+++ b/lab/fleet/hard_test.go
@@ -100,6 +100,7 @@
 // The hard cases of a permit and of the council, on five started fronts in three
 // zones under requests: none is lost but under a crash, never are two out at once.
 func TestHardCases(t *testing.T) {
+	t.Parallel() // after all that plays in virtual time, whose random source is the process's
 	h := hard{started(t, Options{Fronts: 5, Zones: 3, Seed: 2, Lines: true}), t}
 	clients := NewClients(h.Processes, 30)
 	most := h.mostOut()
--- a/lab/fleet/lease_test.go
+++ b/lab/fleet/lease_test.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"net/http"
 	"strings"
 	"syscall"
 	"testing"
@@ -16,20 +15,7 @@
 }
 
 func pageOf(p *Process, class, id string) (status int, away string, err error) {
-	r, err := http.NewRequest(http.MethodGet, "http://"+p.Listen+"/call/"+class+"/o1", nil)
-	if err != nil {
-		return 0, "", err
-	}
-	r.Header.Set("Req-Id", id)
-	r.Header.Set("Req-Wait-Ms", "2000")
-	r.Header.Set("X-Bucket", "17")
-	c := http.Client{Timeout: 10 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-	a, err := c.Do(r)
-	if err != nil {
-		return 0, "", err
-	}
-	_ = a.Body.Close()
-	return a.StatusCode, a.Header.Get("Srv-Wait-Ms"), nil
+	return p.Asks(class, id, 10*time.Second)
 }
 
 // A front that is stopped, and one that is cut off, while a box is taken out: the
@@ -37,6 +23,7 @@
 // refuses by itself, at once and with a time to come back, and the one that wakes does
 // so with its first request. Heard again, both serve.
 func TestLeases(t *testing.T) {
+	t.Parallel() // after all that plays in virtual time, whose random source is the process's
 	f := started(t, Options{Fronts: 5, Zones: 5, Seed: 3, Lines: true, Rules: map[string]any{"out": 4, "zone": 4, "percent": 90, "hurt_percent": 90,
 		"accept_s": 5, "empty_s": 1, "back_s": 20, "cold_s": 1, "alone_s": 4}})
 	h := hard{f, t}
--- a/lab/fleet/mixed_test.go
+++ b/lab/fleet/mixed_test.go
@@ -26,6 +26,7 @@
 // that goes back to the older build after that takes no part and says why; the others
 // count it as lost, and it is taken back once it runs the newer one.
 func TestMixedBuilds(t *testing.T) {
+	t.Parallel() // after all that plays in virtual time, whose random source is the process's
 	old := older(t)
 	f, err := NewProcesses(Options{Program: old, Fronts: 3, Zones: 3, Seed: 5})
 	if err != nil {
--- a/lab/fleet/processes_test.go
+++ b/lab/fleet/processes_test.go
@@ -84,6 +84,7 @@
 // Three started fronts agree; one is taken out by a permit and brought back under
 // requests, and the leader is killed in the middle.
 func TestThreeFronts(t *testing.T) {
+	t.Parallel() // after all that plays in virtual time, whose random source is the process's
 	f := started(t, Options{Fronts: 3, Zones: 3, Seed: 1, Lines: true})
 	clients := NewClients(f, 50)
 	leader := f.Leader()
--- a/lab/fleet/versions_hard_test.go
+++ b/lab/fleet/versions_hard_test.go
@@ -20,7 +20,7 @@
 	h.t.Helper()
 	await(h.t, "the version is proposed", func() bool {
 		var err error
-		n, err = at.propose(file, x)
+		n, err = at.Propose(file, x)
 		return err == nil
 	})
 	await(h.t, "it stands", func() bool { return at.version(n).Phase == "standing" })
@@ -39,7 +39,8 @@
 
 // The hard cases of versions, on five started fronts in three zones under requests.
 func TestVersionsHardCases(t *testing.T) {
-	h := hard{started(t, Options{Fronts: 5, Zones: 3, Seed: 31, Lines: true, Rules: versionRules()}), t}
+	t.Parallel() // after all that plays in virtual time, whose random source is the process's
+	h := hard{started(t, Options{Fronts: 5, Zones: 3, Seed: 31, Lines: true, Rules: VersionRules()}), t}
 	clients := NewClients(h.Processes, 60)
 	for _, x := range []struct {
 		name string
@@ -71,7 +72,7 @@
 	l := h.leader()
 	for file, want := range map[string]string{`{"drain":["no-such-box"]}`: "no-such-box", `{"settings":{"grades":[]}}`: "settings",
 		`{"drian":["s-0"]}`: "drian", `{"settings":{"zone":7}}`: "restart", `[]`: "object"} {
-		if _, err := l.propose(file, fleet.Propose{}); err == nil || !strings.Contains(err.Error(), want) {
+		if _, err := l.Propose(file, fleet.Propose{}); err == nil || !strings.Contains(err.Error(), want) {
 			h.t.Errorf("%s: %v", file, err)
 		}
 	}
@@ -85,7 +86,7 @@
 	if err := os.WriteFile(path, []byte("{"), 0o600); err != nil {
 		h.t.Fatal(err)
 	}
-	n, err := l.propose(probes(1), fleet.Propose{WatchS: 0.2})
+	n, err := l.Propose(Probe(1), fleet.Propose{WatchS: 0.2})
 	if err != nil {
 		h.t.Fatal(err)
 	}
@@ -111,7 +112,7 @@
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			ns[i], errs[i] = at.propose(probes(10+i), fleet.Propose{Why: fmt.Sprintf("person %d", i), WatchS: 0.5})
+			ns[i], errs[i] = at.Propose(Probe(10+i), fleet.Propose{Why: fmt.Sprintf("person %d", i), WatchS: 0.5})
 		}()
 	}
 	wg.Wait()
@@ -124,7 +125,7 @@
 	}
 	await(h.t, "the one that came first stands", func() bool { return a.version(ns[won]).Phase == "standing" })
 	zero := uint64(0)
-	if _, err := b.propose(probes(12), fleet.Propose{Base: &zero}); err == nil || !strings.Contains(err.Error(), fmt.Sprintf("person %d", won)) {
+	if _, err := b.Propose(Probe(12), fleet.Propose{Base: &zero}); err == nil || !strings.Contains(err.Error(), fmt.Sprintf("person %d", won)) {
 		h.t.Errorf("made on an old version: %v", err)
 	}
 }
@@ -134,7 +135,7 @@
 	if err := l.Call("FLEET VERSIONS STAGE half eyJzZXR0aW5ncyI6", nil); err != nil {
 		h.t.Fatal(err)
 	}
-	h.stands(l, probes(13), fleet.Propose{WatchS: 0.2})
+	h.stands(l, Probe(13), fleet.Propose{WatchS: 0.2})
 	if err := l.Call(`FLEET VERSIONS PROPOSE {"upload":"half"}`, nil); err == nil {
 		h.t.Error("half a file was proposed")
 	}
@@ -144,8 +145,8 @@
 // than the first part, and those of it come back up on the last good one.
 func endsAll(h hard) {
 	l := h.leader()
-	good := h.stands(l, probes(14), fleet.Propose{WatchS: 0.2})
-	n, err := l.propose(probes(15), fleet.Propose{WatchS: 10})
+	good := h.stands(l, Probe(14), fleet.Propose{WatchS: 0.2})
+	n, err := l.Propose(Probe(15), fleet.Propose{WatchS: 10})
 	if err != nil {
 		h.t.Fatal(err)
 	}
@@ -181,7 +182,7 @@
 
 func leaderChanges(h hard) {
 	l := h.leader()
-	n, err := l.propose(probes(16), fleet.Propose{WatchS: 1})
+	n, err := l.Propose(Probe(16), fleet.Propose{WatchS: 1})
 	if err != nil {
 		h.t.Fatal(err)
 	}
@@ -208,7 +209,7 @@
 	load := NewClients(h.Processes, 200)
 	defer load.Stop()
 	time.Sleep(time.Second)
-	n, err := l.propose(`{"drain":["s-0","s-parent","s-origin"]}`, fleet.Propose{WatchS: 20})
+	n, err := l.Propose(`{"drain":["s-0","s-parent","s-origin"]}`, fleet.Propose{WatchS: 20})
 	if err != nil {
 		h.t.Fatal(err)
 	}
@@ -236,9 +237,9 @@
 	h.Part(cut, rest)
 	var l *Process
 	await(h.t, "the rest has a leader", func() bool { l = leaderOf(rest); return l != nil })
-	h.stands(l, probes(17), fleet.Propose{WatchS: 0.2})
+	h.stands(l, Probe(17), fleet.Propose{WatchS: 0.2})
 	h.stands(l, `{"purge":{"objects":["o1"]}}`, fleet.Propose{Urgent: true, BarS: 1})
-	n := h.stands(l, probes(18), fleet.Propose{WatchS: 0.2, BarS: 1})
+	n := h.stands(l, Probe(18), fleet.Propose{WatchS: 0.2, BarS: 1})
 	await(h.t, "the bar has passed", func() bool { return l.version(n).Passed })
 	for _, p := range cut {
 		if status, away, _ := page(p, fmt.Sprintf("%016x", time.Now().UnixNano())); status != 503 || away == "" {
@@ -288,7 +289,7 @@
 		await(h.t, "the version is proposed", func() bool {
 			at := h.other(x)
 			var err error
-			n, err = at.propose(probes(20+i), fleet.Propose{WatchS: 0.2, BarS: 1})
+			n, err = at.Propose(Probe(20+i), fleet.Propose{WatchS: 0.2, BarS: 1})
 			return err == nil
 		})
 		at := h.other(x)
@@ -331,7 +332,7 @@
 		if i == 0 {
 			old = "probe-21"
 		}
-		n := h.stands(l, probes(30+i), fleet.Propose{WatchS: 0.2, BarS: 0.5})
+		n := h.stands(l, Probe(30+i), fleet.Propose{WatchS: 0.2, BarS: 0.5})
 		await(h.t, "its bar has passed", func() bool { return l.version(n).Passed })
 		close(stop)
 		x.Signal(syscall.SIGCONT)
@@ -353,7 +354,7 @@
 	for _, p := range []*Process{a, b} {
 		p.Signal(syscall.SIGSTOP)
 	}
-	n := h.stands(l, probes(40), fleet.Propose{WatchS: 0.2, BarS: 1})
+	n := h.stands(l, Probe(40), fleet.Propose{WatchS: 0.2, BarS: 1})
 	await(h.t, "the bar passes with two of five voters away", func() bool { return l.version(n).Passed })
 	for _, p := range []*Process{a, b} {
 		p.Signal(syscall.SIGCONT)
@@ -378,7 +379,7 @@
 		h.t.Fatal(err)
 	}
 	h.whole()
-	h.stands(l, probes(41), fleet.Propose{WatchS: 0.2})
+	h.stands(l, Probe(41), fleet.Propose{WatchS: 0.2})
 	await(h.t, "all act on it", func() bool { return h.all("probe-41") })
 	await(h.t, "the log knows of its audit", func() bool { return l.lags()[x.Name].Record > 0 })
 	time.Sleep(6 * time.Second) // heads are told every five
--- a/lab/fleet/versions_test.go
+++ b/lab/fleet/versions_test.go
@@ -1,8 +1,6 @@
 package fleet
 
 import (
-	"encoding/base64"
-	"encoding/json"
 	"fmt"
 	"strings"
 	"syscall"
@@ -10,35 +8,8 @@
 	"time"
 
 	"cherryramp/internal/fleet"
-	"cherryramp/lab/site"
 )
 
-// probes is a version whose settings have one class more, by which a front's answers
-// show what it acts on: it serves "probe-N" and no other probe.
-func probes(n int) string {
-	var s map[string]any
-	if err := json.Unmarshal([]byte(site.Settings()), &s); err != nil {
-		panic(err) // the laboratory's own
-	}
-	grades := s["grades"].([]any)
-	for _, g := range grades {
-		if g.(map[string]any)["name"] == "page-asset" {
-			x := map[string]any{}
-			for k, v := range g.(map[string]any) {
-				x[k] = v
-			}
-			x["name"] = fmt.Sprintf("probe-%d", n)
-			grades = append(grades, x)
-			break
-		}
-	}
-	text, err := json.Marshal(map[string]any{"settings": map[string]any{"grades": grades}})
-	if err != nil {
-		panic(err)
-	}
-	return string(text)
-}
-
 // serves asks a front for a page of a class, and tells its status.
 func serves(p *Process, class string) int {
 	status, _, err := pageOf(p, class, fmt.Sprintf("%016x", time.Now().UnixNano()))
@@ -48,25 +19,6 @@
 	return status
 }
 
-// propose stages a file at a front and proposes it.
-func (p *Process) propose(file string, x fleet.Propose) (uint64, error) {
-	x.Upload = fmt.Sprint(time.Now().UnixNano())
-	for b := []byte(file); len(b) > 0; {
-		n := min(len(b), 2400)
-		if err := p.Call("FLEET VERSIONS STAGE "+x.Upload+" "+base64.StdEncoding.EncodeToString(b[:n]), nil); err != nil {
-			return 0, err
-		}
-		b = b[n:]
-	}
-	text, err := json.Marshal(x)
-	if err != nil {
-		return 0, err
-	}
-	var word map[string]uint64
-	err = p.Call("FLEET VERSIONS PROPOSE "+string(text), &word)
-	return word["version"], err
-}
-
 // version is one as a front knows it.
 func (p *Process) version(n uint64) (v fleet.Version) {
 	var list []fleet.Version
@@ -99,21 +51,15 @@
 	return r
 }
 
-// versionRules are rules with leases, for versions with bars.
-func versionRules() map[string]any {
-	r := shortRules()
-	r["alone_s"], r["empty_s"], r["hurt_percent"], r["lag_percent"] = 3, 1, 90, 60
-	return r
-}
-
 // Three fronts: a version proposed at one is acted on by all; one is stopped across
 // the next, is shut out, and comes back; the audit tells all of it.
 func TestVersions(t *testing.T) {
-	f := started(t, Options{Fronts: 3, Zones: 3, Seed: 21, Lines: true, Rules: versionRules()})
+	t.Parallel() // after all that plays in virtual time, whose random source is the process's
+	f := started(t, Options{Fronts: 3, Zones: 3, Seed: 21, Lines: true, Rules: VersionRules()})
 	h := hard{f, t}
 	clients := NewClients(f, 60)
 	l := h.leader()
-	n, err := h.other(l).propose(probes(1), fleet.Propose{Why: "the first", WatchS: 0.5})
+	n, err := h.other(l).Propose(Probe(1), fleet.Propose{Why: "the first", WatchS: 0.5})
 	if err != nil || n != 1 {
 		t.Fatal(n, err)
 	}
@@ -127,7 +73,7 @@
 	})
 	stopped := h.other(l)
 	stopped.Signal(syscall.SIGSTOP)
-	n, err = l.propose(probes(2), fleet.Propose{Why: "the second", WatchS: 0.5, BarS: 1})
+	n, err = l.Propose(Probe(2), fleet.Propose{Why: "the second", WatchS: 0.5, BarS: 1})
 	if err != nil || n != 2 {
 		t.Fatal(n, err)
 	}
