--- a/internal/decide/versions/taker.go
+++ b/internal/decide/versions/taker.go
@@ -5,8 +5,9 @@
 	"slices"
 )
 
-// survives is for how long, by its own clock, a process must go on after it took a
-// version up for the version to be no cause of its end.
+// survives is for how long at least, by its own clock, a process must go on after it
+// took a version up for the version to be no cause of its end; a version that is
+// watched for longer has that long.
 const survives = 5 * second
 
 // Action is what a front does next for a version.
@@ -41,6 +42,7 @@
 	busy    bool
 	again   bool   // a note was kept for the version that ended a process before
 	took    Micros // own clock
+	watch   Micros // of the version that it acts on
 	tried   Micros
 	begun   bool
 
@@ -141,7 +143,7 @@
 		return Check, candidate
 	}
 	t.begun = true
-	if !t.notes.Survived && t.notes.Trying == t.acts && t.took > 0 && now-t.took >= survives {
+	if !t.notes.Survived && t.notes.Trying == t.acts && t.took > 0 && now-t.took >= max(survives, t.watch) {
 		t.busy = true
 		return Survive, t.acts
 	}
@@ -197,12 +199,13 @@
 	t.again, t.crashed = !n.Survived, n.Ended
 }
 
-// Took tells that the front acts on a version, or why it could not.
-func (t *Taker) Took(n uint64, err error, now Micros) {
+// Took tells that the front acts on a version, which is watched for a span, or why it
+// could not.
+func (t *Taker) Took(n uint64, err error, watch, now Micros) {
 	t.busy = false
 	if err != nil {
 		t.Checked(n, err)
 		return
 	}
-	t.acts, t.took = n, max(1, now)
+	t.acts, t.took, t.watch = n, max(1, now), watch
 }
--- a/internal/decide/versions/versions.go
+++ b/internal/decide/versions/versions.go
@@ -245,6 +245,14 @@
 	return &s.Versions[i]
 }
 
+// Watch is for how long a version's steps are watched.
+func (s *State) Watch(n uint64) Micros {
+	if v := s.Find(n); v != nil {
+		return v.Watch
+	}
+	return 0
+}
+
 // Stand gives a front's; nil: it has said nothing yet.
 func (s *State) Stand(name string) *Stand {
 	i, ok := find(s.Stands, name, func(x *Stand) string { return x.Name })
--- a/internal/fleet/versions.go
+++ b/internal/fleet/versions.go
@@ -71,7 +71,7 @@
 			content = s.Content(n)
 		}
 		err := f.host.TakeUp(n, content)
-		v.taker.Took(n, err, f.now())
+		v.taker.Took(n, err, s.Watch(n), f.now())
 		if err != nil {
 			f.log.Error("fleet: a version is not taken up", "version", n, "error", err)
 			break
