--- a/internal/decide/versions/taker.go
+++ b/internal/decide/versions/taker.go
@@ -40,6 +40,7 @@
 	crashed uint64
 	notes   Notes
 	busy    bool
+	failed uint64 // that was found good and could not be taken up
 	again   bool   // a note was kept for the version that ended a process before
 	took    Micros // own clock
 	watch   Micros // of the version that it acts on
@@ -204,8 +205,14 @@
 func (t *Taker) Took(n uint64, err error, watch, now Micros) {
 	t.busy = false
 	if err != nil {
+		if t.failed != n { // what it was checked with may have changed since: once more from the check on
+			t.failed, t.tried = n, now+later
+			t.good = slices.DeleteFunc(t.good, func(g uint64) bool { return g == n })
+			return
+		}
 		t.Checked(n, err)
 		return
 	}
+	t.failed = 0
 	t.acts, t.took, t.watch = n, max(1, now), watch
 }
--- a/internal/program/versions.go
+++ b/internal/program/versions.go
@@ -59,6 +59,7 @@
 			}
 			if err == nil {
 				v := &p.versions
+				v.ready = slices.DeleteFunc(v.ready, func(y laid) bool { return y.sum == sum })
 				if v.ready = append(v.ready, x); len(v.ready) > mostReady {
 					v.ready = slices.Delete(v.ready, 0, 1)
 				}
--- a/lab/fleet/versions_hard_test.go
+++ b/lab/fleet/versions_hard_test.go
@@ -176,6 +176,10 @@
 		}
 		return h.all("probe-14")
 	}) != nil {
+		for _, p := range h.List {
+			s, _ := p.Status()
+			h.t.Logf("%s: serves %d, and %d of others; acts on %d, may %v, lease %.1f", p.Name, serves(p, "probe-14"), serves(p, "page-asset"), s.Acts, s.May, s.LeaseS)
+		}
 		h.t.Fatalf("not all act on the last good one, %d: %+v", good, h.List[0].lags())
 	}
 }
