--- a/internal/decide/audit/audit.go
+++ b/internal/decide/audit/audit.go
@@ -18,6 +18,7 @@
 	"fmt"
 	"slices"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 
 	"cherryramp/internal/decide/figures"
@@ -131,14 +132,8 @@
 	return sum[:16]
 }
 
-// Mark is the hash of a request's id: 48 bits of FNV-1a.
-func Mark(id string) uint64 {
-	h := uint64(14695981039346656037)
-	for i := range len(id) {
-		h = (h ^ uint64(id[i])) * 1099511628211
-	}
-	return (h ^ h>>48) & (1<<48 - 1)
-}
+// Mark is the hash of a request's id: 48 bits of its xxhash.
+func Mark(id string) uint64 { return xxhash.Sum64String(id) & (1<<48 - 1) }
 
 // Chain is the chain's end, and the requests that are being counted for its next
 // records, by version. The zero value is a chain that has not begun.
--- a/internal/decide/versions/versions.go
+++ b/internal/decide/versions/versions.go
@@ -14,11 +14,12 @@
 	"encoding/hex"
 	"errors"
 	"fmt"
-	"hash/fnv"
 	"maps"
 	"slices"
 	"strings"
 
+	"github.com/cespare/xxhash/v2"
+
 	"cherryramp/internal/decide/lease"
 )
 
@@ -372,9 +373,7 @@
 
 // rank orders the fronts for a version, differently for each.
 func rank(n uint64, name string) uint64 {
-	h := fnv.New64a()
-	_, _ = fmt.Fprintf(h, "%d %s", n, name)
-	return h.Sum64()
+	return xxhash.Sum64(fmt.Appendf(nil, "%d %s", n, name))
 }
 
 // begin begins a version's step, and says who takes it up: one a zone, or so many
