--- a/internal/decide/versions/taker.go
+++ b/internal/decide/versions/taker.go
@@ -98,7 +98,7 @@
 	if t.acts < least && now >= t.may {
 		t.shut = max(t.shut, least)
 	}
-	if t.acts < t.shut && t.acts < least {
+	if t.acts < t.shut && t.acts < least || t.acts < s.floor(name) {
 		t.may = 0
 	}
 }
--- a/internal/decide/versions/versions.go
+++ b/internal/decide/versions/versions.go
@@ -437,16 +437,22 @@
 // Least is the oldest version that a front may act on where the state is known; bar
 // tells after how long since the state said so it must have stopped.
 func (s *State) Least(name string) (n uint64, bar Micros) {
-	n = s.Barred
-	if x := s.Stand(name); x != nil {
-		n = max(n, x.Fenced)
-	}
+	n = s.floor(name)
 	if g := s.Find(s.Good); g != nil && g.Bar > 0 && g.Passed == 0 && !slices.Contains(g.Spared, name) {
 		return max(n, g.N), g.Bar
 	}
 	return n, 0
 }
 
+// floor is the version below which a front may not act at all, whatever newer bar runs.
+func (s *State) floor(name string) uint64 {
+	n := s.Barred
+	if x := s.Stand(name); x != nil {
+		n = max(n, x.Fenced)
+	}
+	return n
+}
+
 // Step draws the conclusions of a moment, and gives what has happened, a line each.
 // Facts tells that the entry is one by which time has moved on.
 func (s *State) Step(fleet []Machine, r Rules, now Micros, facts bool) (told []string) {
