--- a/internal/fleet/agree/feed.go
+++ b/internal/fleet/agree/feed.go
@@ -91,7 +91,9 @@
 	}
 	i := slices.IndexFunc(n.children, func(c *child) bool { return c.name == from })
 	attached := n.feeder != "" && n.now-n.fed < n.span(feederTicks)
-	if lead, _ := n.Leader(); lead == 0 || !n.led() && !attached || len(n.path) >= mostPath || slices.Contains(n.path, from) || n.rep.State().Fleet == 0 {
+	// One that lives by leases and holds none has none to pass on: whoever it fed would starve.
+	leaseless := n.Lives() > 0 && !n.leads && !n.leases.own.Holds(n.now)
+	if lead, _ := n.Leader(); lead == 0 || leaseless || !n.led() && !attached || len(n.path) >= mostPath || slices.Contains(n.path, from) || n.rep.State().Fleet == 0 {
 		if i >= 0 {
 			n.children = slices.Delete(n.children, i, i+1)
 		}
--- a/lab/fleet/check.go
+++ b/lab/fleet/check.go
@@ -290,7 +290,8 @@
 			c.fail("%s acts on version %d, and %d stands, with contact back", f.Name, at, s.Versions.Good)
 		}
 		if !f.acts() && f.taker.Acts() == s.Versions.Good {
-			c.fail("%s may not act, with contact back", f.Name)
+			c.fail("%s may not act, with contact back: its lease holds %v until %d, now %d, its version lets it %v; lives by %d; fed by %q, leader %q, stand %+v", f.Name,
+				f.node.Holds(f.clock()), f.node.LeaseEnd(), f.clock(), f.taker.May(f.clock()), f.node.Lives(), f.node.Feeder(), f.node.LeaderName(), s.Versions.Stand(f.Name))
 		}
 	}
 	for _, x := range s.Work.Items {
