Once more through the change: one mapping, one reading of calls, a look that costs less

Cause: read again, as asked: kinds of answers were mapped twice, strict JSON read three times, troubles mended in three loops; Holds looked this front up at each act; two calls named the wrong number wanted. Change: session.Audit gets the outcome; strict; pending; the span as of the last entry; messages.

--- a/cmd/cherryramp-fleet/versions.go
+++ b/cmd/cherryramp-fleet/versions.go
@@ -186,6 +186,9 @@
 		}),
 		ask("version N", "Who acted on a version, when, and what was decided under it", cobra.ExactArgs(1), func(a []string) (map[string]any, error) {
 			n, err := strconv.ParseUint(a[0], 10, 64)
+			if err != nil {
+				err = fmt.Errorf("%q is no version's number", a[0])
+			}
 			return map[string]any{"by_version": true, "version": n}, err
 		}),
 		ask("request ID", "Which front decided a request, under which version", cobra.ExactArgs(1), func(a []string) (map[string]any, error) {
--- a/internal/decide/versions/versions.go
+++ b/internal/decide/versions/versions.go
@@ -815,7 +815,7 @@
 		if len(waits) > 0 {
 			return fmt.Sprintf("version %d is %s and waits for %s to act on it.", n, s.line(v), few(waits))
 		}
-		return fmt.Sprintf("version %d is %s and watched for %d s more.", n, s.line(v), max(0, v.Watch-(now-v.Acted))/second+1)
+		return fmt.Sprintf("version %d is %s and watched for %d s more.", n, s.line(v), (max(0, v.Watch-(now-v.Acted))+second-1)/second)
 	case Standing:
 		if v.Bar == 0 || v.Passed > 0 {
 			text := fmt.Sprintf("version %d stands for %d s", n, (now-v.Since)/second)
--- a/internal/fleet/agree/lease.go
+++ b/internal/fleet/agree/lease.go
@@ -40,7 +40,11 @@
 	if n.stale != nil {
 		return false
 	}
-	return n.Lives() == 0 || n.leases.own.Holds(now) || n.rep.Leaves(replica.NoLook)
+	span := n.leases.before // as of the last entry or tick: this is asked before each act
+	if !n.leases.looked {
+		span = n.Lives()
+	}
+	return span == 0 || n.leases.own.Holds(now) || n.rep.Leaves(replica.NoLook)
 }
 
 // Rep tells whether the replica leaves a rule out.
--- a/internal/fleet/calls.go
+++ b/internal/fleet/calls.go
@@ -178,6 +178,16 @@
 	}
 }
 
+// strict reads what follows a call's word, and names a key that it does not know.
+func strict(word, text string, into any) error {
+	d := json.NewDecoder(strings.NewReader(text))
+	d.DisallowUnknownFields()
+	if err := d.Decode(into); err != nil {
+		return fmt.Errorf("%s: %w", word, err)
+	}
+	return nil
+}
+
 // submit has a command agreed on, and answers with its word.
 func (f *Fleet) submit(c replica.Command, give func(any), fail func(error)) {
 	f.node.Submit(c, mostWithin, func(w replica.Word, err error) {
@@ -202,10 +212,8 @@
 		give(x)
 		return
 	}
-	d := json.NewDecoder(strings.NewReader(change))
-	d.DisallowUnknownFields()
-	if err := d.Decode(&x); err != nil {
-		fail(fmt.Errorf("RULES: %w", err))
+	if err := strict("RULES", change, &x); err != nil {
+		fail(err)
 		return
 	}
 	micros := func(s float64) int64 { return int64(max(-1, min(s, 1e9)) * 1e6) }
@@ -235,10 +243,8 @@
 	switch word {
 	case "ASK":
 		var a Ask
-		d := json.NewDecoder(strings.NewReader(rest))
-		d.DisallowUnknownFields()
-		if err := d.Decode(&a); err != nil {
-			fail(fmt.Errorf("ASK: %w", err))
+		if err := strict("ASK", rest, &a); err != nil {
+			fail(err)
 			return
 		}
 		if !(a.SpanS >= 0 && a.SpanS < 1e7 && a.LatestS >= 0 && a.LatestS < 1e9) {
--- a/internal/fleet/versioncalls.go
+++ b/internal/fleet/versioncalls.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/base64"
 	"encoding/hex"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"slices"
@@ -73,9 +72,10 @@
 
 // Errors of calls about versions.
 var (
-	errStage  = errors.New("STAGE takes a name for the upload and the next bytes in base64")
-	errUpload = errors.New("no file of that name was staged here lately")
-	errBig    = fmt.Errorf("a version of 1 to %d bytes is wanted", versions.MostSize)
+	errStage   = errors.New("STAGE takes a name for the upload and the next bytes in base64")
+	errVersion = errors.New("the version's number is wanted")
+	errUpload  = errors.New("no file of that name was staged here lately")
+	errBig     = fmt.Errorf("a version of 1 to %d bytes is wanted", versions.MostSize)
 )
 
 func (f *Fleet) versionsCall(call string, give func(any), fail func(error)) {
@@ -114,7 +114,7 @@
 	case "WHY":
 		n, err := strconv.ParseUint(rest, 10, 64)
 		if err != nil {
-			fail(errNumber)
+			fail(errVersion)
 			return
 		}
 		give(map[string]string{"why": s.Versions.Why(n, fleet, r.VersionRules(), s.Now)})
@@ -128,10 +128,8 @@
 		f.stage(name, b, give, fail)
 	case "PROPOSE":
 		var p Propose
-		d := json.NewDecoder(strings.NewReader(rest))
-		d.DisallowUnknownFields()
-		if err := d.Decode(&p); err != nil {
-			fail(fmt.Errorf("PROPOSE: %w", err))
+		if err := strict("PROPOSE", rest, &p); err != nil {
+			fail(err)
 			return
 		}
 		f.propose(p, give, fail)
@@ -256,10 +254,8 @@
 		audit.Question
 		Name string `json:"name,omitempty"` // one front; empty: all
 	}
-	d := json.NewDecoder(strings.NewReader(call))
-	d.DisallowUnknownFields()
-	if err := d.Decode(&ask); err != nil {
-		fail(fmt.Errorf("AUDIT: %w", err))
+	if err := strict("AUDIT", call, &ask); err != nil {
+		fail(err)
 		return
 	}
 	s := f.node.Replica().State()
--- a/internal/front/session/session.go
+++ b/internal/front/session/session.go
@@ -59,7 +59,7 @@
 	// Came notes in the call what it came under.
 	Came(c *gateway.Call)
 	// Answered tells that it was answered.
-	Answered(c *gateway.Call, k gateway.Kind)
+	Answered(c *gateway.Call, o figures.Outcome)
 	// Left tells that its client has gone: it gets no answer.
 	Left(c *gateway.Call)
 }
@@ -590,7 +590,7 @@
 		f.Answered(c.call.Class, outcome(a.Kind))
 	}
 	if x := c.server.cfg.Audit; x != nil {
-		x.Answered(c.call, a.Kind)
+		x.Answered(c.call, outcome(a.Kind))
 	}
 	c.call = nil
 	if r := c.server.app.Reply(c.x, a); r != nil {
--- a/internal/program/versions.go
+++ b/internal/program/versions.go
@@ -154,9 +154,9 @@
 }
 
 // Answered is part of session.Audit.
-func (a auditor) Answered(c *gateway.Call, k gateway.Kind) {
+func (a auditor) Answered(c *gateway.Call, o figures.Outcome) {
 	if a.p.fleet != nil {
-		a.p.fleet.Answered(c.Version, c.Class, outcome(k), c.ID)
+		a.p.fleet.Answered(c.Version, c.Class, o, c.ID)
 	}
 }
 
@@ -166,13 +166,3 @@
 		a.p.fleet.Left(c.Version)
 	}
 }
-
-func outcome(k gateway.Kind) figures.Outcome {
-	switch k {
-	case gateway.Refused:
-		return figures.Dropped
-	case gateway.Failed:
-		return figures.BadGateway
-	}
-	return figures.Passed
-}
--- a/lab/fleet/play.go
+++ b/lab/fleet/play.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
-	"sort"
+	"slices"
 	"syscall"
 	"time"
 
@@ -145,10 +145,29 @@
 	mend func()
 }
 
+// pending is the troubles that are not mended yet.
+type pending []trouble
+
+// due mends those whose time has come, in its order.
+func (t *pending) due(now time.Time) {
+	slices.SortStableFunc(*t, func(a, b trouble) int { return a.at.Compare(b.at) })
+	for len(*t) > 0 && now.After((*t)[0].at) {
+		(*t)[0].mend()
+		*t = (*t)[1:]
+	}
+}
+
+// all mends what is left.
+func (t pending) all() {
+	for _, x := range t {
+		x.mend()
+	}
+}
+
 func (p *player) day(span time.Duration, troubles bool) {
 	end := time.Now().Add(span)
 	nextAsk, nextTrouble := time.Now(), time.Now().Add(3*time.Second)
-	var mends []trouble
+	var mends pending
 	for time.Now().Before(end) {
 		now := time.Now()
 		if now.After(nextAsk) {
@@ -161,25 +180,19 @@
 				mends = append(mends, trouble{now.Add(time.Duration(1000+p.r.IntN(9000)) * time.Millisecond), mend})
 			}
 		}
-		sort.Slice(mends, func(i, j int) bool { return mends[i].at.Before(mends[j].at) })
-		for len(mends) > 0 && now.After(mends[0].at) {
-			mends[0].mend()
-			mends = mends[1:]
-		}
+		mends.due(now)
 		p.look()
 		p.tend()
 		time.Sleep(100 * time.Millisecond)
 	}
-	for _, m := range mends {
-		m.mend()
-	}
+	mends.all()
 }
 
 // script carries out a script's steps when their time has come.
 func (p *player) script(s *Script) {
 	began := time.Now()
 	steps := s.Steps
-	var mends []trouble
+	var mends pending
 	for time.Since(began) < time.Duration(s.For)*time.Microsecond {
 		now := time.Now()
 		for len(steps) > 0 && now.Sub(began) >= time.Duration(steps[0].At)*time.Microsecond {
@@ -189,18 +202,12 @@
 			}
 			steps = steps[1:]
 		}
-		sort.SliceStable(mends, func(i, j int) bool { return mends[i].at.Before(mends[j].at) })
-		for len(mends) > 0 && now.After(mends[0].at) {
-			mends[0].mend()
-			mends = mends[1:]
-		}
+		mends.due(now)
 		p.look()
 		p.tend()
 		time.Sleep(50 * time.Millisecond)
 	}
-	for _, m := range mends {
-		m.mend()
-	}
+	mends.all()
 }
 
 // step has one step happen, and tells how it is mended.
--- a/lab/fleet/playversions.go
+++ b/lab/fleet/playversions.go
@@ -143,7 +143,7 @@
 		v.out.Names = append(v.out.Names, p.Name)
 	}
 	end, nextOne, nextTrouble := time.Now().Add(span), time.Now(), time.Now().Add(3*time.Second)
-	var mends []trouble
+	var mends pending
 	for time.Now().Before(end) {
 		now := time.Now()
 		if now.After(nextOne) {
@@ -156,17 +156,11 @@
 				mends = append(mends, trouble{now.Add(time.Duration(1000+v.r.IntN(9000)) * time.Millisecond), mend})
 			}
 		}
-		slices.SortFunc(mends, func(a, b trouble) int { return a.at.Compare(b.at) })
-		for len(mends) > 0 && now.After(mends[0].at) {
-			mends[0].mend()
-			mends = mends[1:]
-		}
+		mends.due(now)
 		v.watch()
 		time.Sleep(50 * time.Millisecond)
 	}
-	for _, m := range mends {
-		m.mend()
-	}
+	mends.all()
 }
 
 func (v *versionDay) propose() {
