Sites as a tree with keepers, and limits dealt out as numbered, leased parts

Design: escrow down a tree of sites; a part counts as spent until its holder confirms a smaller one or its lease is surely over; a new root deals only what it is told is held until all that the one before dealt is surely over.

--- /dev/null
+++ b/internal/decide/allowance/allowance_test.go
@@ -0,0 +1,348 @@
+package allowance
+
+import (
+	"fmt"
+	"maps"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+const second Micros = 1_000_000
+
+var testRules = Rules{Part: 4 * second, Keep: 2 * second, Longest: 3 * second, Child: second}
+
+// Guards max-min fairness: the sum holds, nobody small starves, and what a liar asks
+// for takes nothing from those below their share.
+func TestFair(t *testing.T) {
+	require.Equal(t, []float64{10, 45, 45}, Fair(100, []float64{10, 1e9, 1e9}))
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 12).Draw(t, "n")
+		amount := rapid.Float64Range(0, 1000).Draw(t, "amount")
+		demands := rapid.SliceOfN(rapid.Float64Range(0, 500), n, n).Draw(t, "demands")
+		got, sum := Fair(amount, demands), 0.0
+		for i, x := range got {
+			sum += x
+			if x < min(demands[i], amount/float64(n))-1e-6 {
+				t.Fatalf("%v of %v: place %d has %v", demands, amount, i, x)
+			}
+		}
+		if sum > amount+1e-6 {
+			t.Fatalf("%v dealt of %v", sum, amount)
+		}
+		sum = 0
+		for _, x := range whole(amount, 20, got, 0) {
+			sum += x
+			if x > 0 && x < 20-1e-6 {
+				t.Fatalf("a part of %v", x)
+			}
+		}
+		if sum > amount+1e-6 {
+			t.Fatalf("%v dealt whole of %v", sum, amount)
+		}
+	})
+}
+
+// world is a root, two sites and their fronts under a network that loses, doubles and
+// delays, with processes that die, pause and come back.
+type world struct {
+	r      *rand.Rand
+	now    Micros
+	limit  Limit
+	rules  Rules
+	nodes  []*node
+	wire   []packet
+	number uint64
+	passed []Micros
+	uses   map[uint64]int
+	open   int
+	most   int
+	rule   Rule
+}
+
+type packet struct {
+	at Micros
+	do func()
+}
+
+// node is a front; it keeps what is in kept.
+type node struct {
+	w      *world
+	name   string
+	site   string
+	start  int
+	purse  *Purse
+	kept   map[string]*Dealer
+	seen   map[string]uint64 // the newest keeper that it knows of each site
+	paused Micros
+	demand float64
+	rate   float64 // of its clock
+	off    Micros
+	calls  []Micros
+}
+
+func (n *node) clock() Micros { return n.off + Micros(float64(n.w.now)*n.rate) }
+func (n *node) role() string  { return fmt.Sprintf("%s/%d", n.name, n.start) }
+
+// send has something happen later, perhaps twice or never.
+func (w *world) send(do func()) {
+	for range 1 + w.r.IntN(12)/11 {
+		if w.r.IntN(10) > 0 {
+			d := Micros(w.r.IntN(30_000))
+			if w.r.IntN(40) == 0 {
+				d = Micros(w.r.IntN(5_000_000))
+			}
+			w.wire = append(w.wire, packet{w.now + d, do})
+		}
+	}
+}
+
+type keeperOf struct {
+	n      *node
+	number uint64
+}
+
+func (w *world) name(keepers map[string]keeperOf, site string, n *node, wait Micros) {
+	w.number++
+	keepers[site] = keeperOf{n, w.number}
+	d := NewDealer(w.rules, []Limit{w.limit}, site, w.number, wait, n.clock())
+	d.Without(w.rule)
+	n.kept[site] = d
+	for _, x := range w.nodes { // those in contact hear of it by and by
+		w.wire = append(w.wire, packet{w.now + Micros(w.r.IntN(2_000_000)), func() { x.seen[site] = max(x.seen[site], w.number) }})
+	}
+}
+
+// play plays a day, and gives what was let through.
+func play(seed uint64, limit Limit, rule Rule, span Micros) *world {
+	w := &world{r: rand.New(rand.NewPCG(seed, 1)), limit: limit, rules: testRules, rule: rule, uses: map[uint64]int{}}
+	w.rules.Clock = 0.1
+	sites := []string{"a", "b"}
+	for i := range 6 {
+		n := &node{w: w, name: fmt.Sprintf("f%d", i), site: sites[i%2], kept: map[string]*Dealer{}, seen: map[string]uint64{}, rate: 0.9 + 0.2*w.r.Float64(),
+			off: Micros(w.r.IntN(1e9)), demand: float64(w.r.IntN(60))}
+		n.purse = NewPurse(w.rules, []Limit{limit}, n.clock())
+		w.nodes = append(w.nodes, n)
+	}
+	keepers := map[string]keeperOf{}
+	w.name(keepers, "", w.nodes[0], 0)
+	w.name(keepers, "a", w.nodes[2], 0)
+	w.name(keepers, "b", w.nodes[1], 0)
+	// A root's lease ends before the next one may deal; here it is told to end at once,
+	// which is the earliest that a lease allows, or goes on for a while where the rules let it.
+	type later struct {
+		at   Micros
+		site string
+		n    *node
+	}
+	var ends []later
+	for ; w.now < span; w.now += 5_000 {
+		for i := 0; i < len(w.wire); {
+			if p := w.wire[i]; p.at <= w.now {
+				w.wire[i] = w.wire[len(w.wire)-1]
+				w.wire = w.wire[:len(w.wire)-1]
+				p.do()
+			} else {
+				i++
+			}
+		}
+		for i := 0; i < len(ends); {
+			if ends[i].at <= w.now {
+				if d := ends[i].n.kept[ends[i].site]; d != nil && keepers[ends[i].site].n != ends[i].n {
+					delete(ends[i].n.kept, ends[i].site)
+				}
+				ends = append(ends[:i], ends[i+1:]...)
+			} else {
+				i++
+			}
+		}
+		if w.r.IntN(300) == 0 {
+			n := w.nodes[w.r.IntN(6)]
+			switch w.r.IntN(4) {
+			case 0: // another process: what the one before held it may not spend
+				n.start++
+				n.purse = NewPurse(w.rules, []Limit{limit}, n.clock())
+				for _, site := range slices.Sorted(maps.Keys(n.kept)) {
+					if keepers[site].n == n {
+						w.name(keepers, site, w.nodes[w.r.IntN(6)], w.rules.Keep)
+						if keepers[site].n != n {
+							delete(n.kept, site)
+						}
+					}
+				}
+			case 1:
+				n.paused = w.now + Micros(w.r.IntN(9_000_000))
+			case 2:
+				n.demand = float64(w.r.IntN(120))
+			case 3:
+				site := []string{"", "a", "b"}[w.r.IntN(3)]
+				old := keepers[site].n
+				next := w.nodes[w.r.IntN(6)]
+				if next != old {
+					w.name(keepers, site, next, w.rules.Keep)
+					ends = append(ends, later{w.now + w.rules.Keep, site, old})
+				}
+			}
+		}
+		for _, n := range w.nodes {
+			if n.paused > w.now {
+				continue
+			}
+			n.step(keepers)
+		}
+	}
+	return w
+}
+
+func (n *node) step(keepers map[string]keeperOf) {
+	w := n.w
+	now := n.clock()
+	for range 1 + w.r.IntN(2) {
+		if w.r.Float64() < n.demand*0.005/1.5 {
+			for _, b := range n.purse.Find("tenant", "t", now) {
+				if _, ok := b.Take(now); ok {
+					w.passed = append(w.passed, w.now)
+					if w.limit.Kind == Open {
+						w.open++
+						w.most = max(w.most, w.open)
+						start := n.start
+						w.wire = append(w.wire, packet{w.now + Micros(w.r.IntN(int(w.rules.Longest))), func() {
+							w.open--
+							if n.start == start {
+								b.Done()
+							}
+						}})
+					}
+				}
+			}
+		}
+	}
+	if w.now/5_000%20 != 0 {
+		return
+	}
+	site := n.site
+	if w.r.IntN(5) == 0 {
+		site = "" // passed over
+	}
+	k := keepers[site]
+	ask := Ask{Stamp: now}
+	for _, s := range n.purse.Tell(now) {
+		want := Want{Key: s.Key, Demand: float64(s.Asked) * 10, Epoch: s.Epoch}
+		for _, p := range s.Parts {
+			if p.From == (Source{site, k.number}) {
+				want.Number, want.Held = p.Number, p.Held
+			} else if p.From.Site == site {
+				want.Before += p.Held
+			}
+		}
+		ask.Wants = append(ask.Wants, want)
+	}
+	n.seen[site] = max(n.seen[site], k.number)
+	role := n.role()
+	w.send(func() {
+		if d := k.n.kept[site]; d != nil && d.Number() == k.number && k.n.paused <= w.now {
+			d.Asked(role, ask, k.n.clock())
+		}
+	})
+	for _, site := range slices.Sorted(maps.Keys(n.kept)) {
+		d := n.kept[site]
+		up := Source{"", keepers[""].number}
+		if site != "" {
+			ask, root := Ask{Stamp: now, Wants: d.Wants(up, now)}, keepers[""]
+			role := fmt.Sprintf("site %s %d", site, d.Number())
+			n.seen[""] = max(n.seen[""], root.number)
+			w.send(func() {
+				if r := root.n.kept[""]; r != nil && r.Number() == root.number && root.n.paused <= w.now {
+					r.Asked(role, ask, root.n.clock())
+				}
+			})
+		}
+		grants := d.Deal(up, now)
+		for _, role := range slices.Sorted(maps.Keys(grants)) {
+			w.send(func() { w.deliver(role, grants[role]) })
+		}
+		if w.r.IntN(50) > 0 {
+			continue
+		}
+		back := NewDealer(d.rules, []Limit{w.limit}, d.Site(), d.Number(), 0, now)
+		if err := back.Restore(d.Snapshot()); err != nil || cmp.Diff(back.l.List, d.l.List) != "" || len(back.l.Sheets) != len(d.l.Sheets) {
+			panic(fmt.Sprint("a snapshot does not come back: ", err))
+		}
+	}
+}
+
+func (w *world) deliver(role string, g Grant) {
+	for _, n := range w.nodes {
+		if n.paused > w.now {
+			continue
+		}
+		if n.role() == role {
+			n.purse.Give(g, n.seen[g.Site], n.clock())
+		}
+		for site, d := range n.kept {
+			if fmt.Sprintf("site %s %d", site, d.Number()) == role {
+				d.Given(g, n.seen[g.Site], n.clock())
+			}
+		}
+	}
+}
+
+// worst is the most that was let through above a rate's bound in any window.
+func (w *world) worst() float64 {
+	worst := math.Inf(-1)
+	// Max over i<j of (j-i+1) - burst - rate*(t_j-t_i), in one pass.
+	least := math.Inf(1)
+	for i, at := range w.passed {
+		x := float64(i) - w.limit.Amount*float64(at)/1e6
+		least = min(least, x)
+		worst = max(worst, x-least+1-w.limit.Burst)
+	}
+	return worst
+}
+
+// Guards that a hard rate is never exceeded in any window, and a number open at once
+// never at all, while messages are lost, doubled and up to 5 s late, processes pause
+// and start anew, keepers change, and clocks are 10% off; and that what is dealt out
+// is of use.
+func TestNeverOver(t *testing.T) {
+	passed, most := 0, 0
+	for seed := range uint64(40) {
+		w := play(seed, Limit{Name: "l", For: "tenant", Of: "t", Kind: Rate, Amount: 100, Burst: 40, Hard: true}, "", 60*second)
+		require.LessOrEqual(t, w.worst(), 0.0, "seed %d", seed)
+		passed += len(w.passed)
+		w = play(seed, Limit{Name: "l", For: "tenant", Of: "t", Kind: Open, Amount: 30, Hard: true}, "", 40*second)
+		require.LessOrEqual(t, w.most, 30, "seed %d", seed)
+		most += w.most
+	}
+	require.Greater(t, passed, 40*1000, "of use")
+	require.Greater(t, most, 40*8, "of use")
+}
+
+// Guards the check above: with a rule left out it fires.
+func TestNeverOverFires(t *testing.T) {
+	for seed := range uint64(40) {
+		if play(seed, Limit{Name: "l", For: "tenant", Of: "t", Kind: Rate, Amount: 100, Burst: 40, Hard: true}, NoOver, 60*second).worst() > 0 {
+			return
+		}
+	}
+	t.Fatal("a part that is free before it is surely over was not found")
+}
+
+// The cost of a limit in a request's way: go test -bench Take ./internal/decide/allowance
+func BenchmarkTake(b *testing.B) {
+	now := second
+	p := NewPurse(testRules, []Limit{{Name: "l", For: "tenant", Of: "padma", Kind: Rate, Amount: 1e8, Burst: 1e8, Hard: true}}, now)
+	p.Give(Grant{Keeper: 1, Stamp: now, Parts: []Part{{Key: Key{"l", "padma"}, Number: 1, Amount: 1e8, Span: 1e9}}}, 0, now)
+	b.ReportAllocs()
+	for b.Loop() {
+		now++
+		for _, x := range p.Find("tenant", "padma", now) {
+			x.Take(now)
+		}
+	}
+}
--- /dev/null
+++ b/internal/decide/allowance/fair.go
@@ -0,0 +1,97 @@
+package allowance
+
+import "slices"
+
+// Fair shares an amount among demands, max-min fair by water-filling: nobody gets more
+// than it asks for while another gets less than it asks for and less than that. What
+// is left over goes out in proportion to demand, half of it, and evenly, the other half,
+// so that whoever's demand grows has something to begin with. The result is in the
+// order of the demands and sums to no more than the amount.
+func Fair(amount float64, demands []float64) []float64 {
+	out := make([]float64, len(demands))
+	if len(demands) == 0 || amount <= 0 {
+		return out
+	}
+	order := make([]int, len(demands))
+	total := 0.0
+	for i := range order {
+		order[i] = i
+		total += max(0, demands[i])
+	}
+	slices.SortFunc(order, func(a, b int) int {
+		switch {
+		case demands[a] < demands[b]:
+			return -1
+		case demands[a] > demands[b]:
+			return 1
+		}
+		return a - b
+	})
+	left := amount
+	for k, i := range order {
+		out[i] = min(max(0, demands[i]), left/float64(len(order)-k))
+		left -= out[i]
+	}
+	if left <= 0 || total >= amount {
+		return out
+	}
+	for i, d := range demands {
+		even := 1 / float64(len(demands))
+		if total > 0 {
+			even = (even + max(0, d)/total) / 2
+		}
+		out[i] += left * even
+	}
+	return out
+}
+
+// idleRoom is the part of a short limit that those without demand may hold together, so
+// that they have something to begin with.
+const idleRoom = 0.02
+
+// whole has shares below the least useful one be that much or nothing: the greatest
+// first, as far as the amount goes. Turn says who is preferred among the smallest.
+func whole(amount, least float64, shares []float64, turn int) []float64 {
+	n := len(shares)
+	order, need := make([]int, n), 0.0
+	for i, s := range shares {
+		order[i] = i
+		need += max(0, least-s)
+	}
+	if need == 0 {
+		return shares
+	}
+	slices.SortFunc(order, func(a, b int) int {
+		switch {
+		case shares[a] > shares[b]:
+			return -1
+		case shares[a] < shares[b]:
+			return 1
+		}
+		return (a+turn)%n - (b+turn)%n
+	})
+	// Those that are too small take what they lack from those that are large.
+	out, left, idle := make([]float64, n), amount, amount*idleRoom
+	for _, i := range order {
+		if left < least || shares[i] == 0 && idle < least {
+			break
+		}
+		if shares[i] == 0 {
+			idle -= least
+		}
+		out[i] = least
+		left -= least
+	}
+	above := 0.0
+	for i, s := range shares {
+		if out[i] > 0 {
+			above += max(0, s-least)
+		}
+	}
+	for i, s := range shares {
+		if out[i] > 0 && above > 0 {
+			out[i] += min(1, left/above) * max(0, s-least)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/decide/allowance/purse.go
@@ -0,0 +1,426 @@
+package allowance
+
+import (
+	"math"
+	"slices"
+
+	"cherryramp/internal/decide/lease"
+)
+
+// mostParts bounds the keepers that a front holds parts of one limit from at once: its
+// site's, those above it, and those before them.
+const mostParts = 4
+
+// MostNames bounds the names of each limit that counts each by itself.
+const MostNames = 4096
+
+// Source names a keeper that a part came from.
+type Source struct {
+	Site   string
+	Keeper uint64
+}
+
+// held is a part as its front spends it.
+type held struct {
+	from   Source
+	number uint64
+	amount float64
+	end    Micros
+	epoch  uint64
+}
+
+// Bucket is what a front may spend of one limit of one name. It belongs to one
+// goroutine, as the purse does.
+type Bucket struct {
+	Key   Key
+	limit *Limit
+	rules *Rules
+	parts [mostParts]held
+	n     int
+
+	amount float64 // of all parts that hold, until the next of them ends
+	until  Micros
+	fades  Micros  // since when the last part of a soft limit has been over; 0: it is not
+	faded  float64 // that it had then
+	alone  float64 // what this front may spend of a soft limit when it is cut off
+
+	tokens float64
+	at     Micros
+	open   float64
+	spent  float64 // uses, of the epoch
+	epoch  uint64
+	asked  uint64 // requests since the last look, let through or not
+	most   float64
+	seen   Micros
+
+	Taken, Refused uint64 // in all
+}
+
+// Purse is what a front may spend of all limits. Before each request it is asked by name;
+// that allocates nothing.
+type Purse struct {
+	rules   Rules
+	limits  map[string]*Limit
+	by      map[claim][]*Bucket // exact ones
+	each    map[string][]*Limit // of each name, by what they are for
+	buckets []*Bucket
+	byKey   map[Key]*Bucket
+	fresh   bool // names came that were not known before
+	fronts  int
+}
+
+// claim is whom a request counts against.
+type claim struct{ what, who string }
+
+// NewPurse makes a purse without parts.
+func NewPurse(rules Rules, limits []Limit, now Micros) *Purse {
+	p := &Purse{fronts: 1}
+	p.Renew(rules, limits, now)
+	return p
+}
+
+// Renew takes other limits over. What is held of those that stay is kept: a smaller
+// amount comes down as smaller parts.
+func (p *Purse) Renew(rules Rules, limits []Limit, now Micros) {
+	old := p.buckets
+	p.rules, p.limits, p.by, p.each, p.buckets, p.byKey = rules, map[string]*Limit{}, map[claim][]*Bucket{}, map[string][]*Limit{}, nil, map[Key]*Bucket{}
+	for i := range limits {
+		l := limits[i]
+		p.limits[l.Name] = &l
+		if l.Of == "*" {
+			p.each[l.For] = append(p.each[l.For], &l)
+		} else {
+			p.add(&l, l.Of, now)
+		}
+	}
+	for _, b := range old {
+		l := p.limits[b.Key.Limit]
+		if l == nil || l.Kind != b.limit.Kind {
+			continue
+		}
+		b.limit, b.rules = l, &p.rules
+		c := claim{l.For, b.Key.Who}
+		if x := p.byKey[b.Key]; x != nil {
+			p.buckets[slices.Index(p.buckets, x)] = b
+			p.by[c][slices.Index(p.by[c], x)] = b
+		} else if l.Of == "*" {
+			p.buckets = append(p.buckets, b)
+			p.by[c] = append(p.by[c], b)
+		} else {
+			continue
+		}
+		p.byKey[b.Key] = b
+	}
+	p.Fronts(p.fronts)
+}
+
+func (p *Purse) add(l *Limit, who string, now Micros) *Bucket {
+	b := &Bucket{Key: Key{Limit: l.Name, Who: who}, limit: l, rules: &p.rules, at: now, seen: now}
+	b.lone(p.fronts)
+	p.buckets, p.byKey[b.Key] = append(p.buckets, b), b
+	c := claim{l.For, who}
+	p.by[c] = append(p.by[c], b)
+	return b
+}
+
+// Fronts tells how many fronts the fleet has, by which what may be spent alone is shared.
+func (p *Purse) Fronts(n int) {
+	p.fronts = max(1, n)
+	for _, b := range p.buckets {
+		b.lone(p.fronts)
+	}
+}
+
+func (b *Bucket) lone(fronts int) { b.alone = b.limit.Amount * b.limit.Alone / float64(fronts) }
+
+// Find gives the buckets that requests of a name count against; none: no limit is for it.
+func (p *Purse) Find(what, who string, now Micros) []*Bucket {
+	list := p.by[claim{what, who}]
+	if len(list) > 0 || len(p.each[what]) == 0 {
+		return list
+	}
+	if len(p.buckets) >= MostNames {
+		p.sweep(now)
+	}
+	for _, l := range p.each[what] {
+		if len(p.buckets) < MostNames {
+			p.add(l, who, now)
+			p.fresh = true
+		}
+	}
+	if list = p.by[claim{what, who}]; len(list) == 0 {
+		return noRoom[:]
+	}
+	return list
+}
+
+// noRoom stands for a name that there is no room to count: it gets nothing.
+var noRoom = [1]*Bucket{{limit: &Limit{Name: "no room", Amount: 1, Burst: 1, Hard: true}, rules: &Rules{}}}
+
+// sweep lets names go that nothing is held of and nobody has asked for lately.
+func (p *Purse) sweep(now Micros) {
+	p.buckets = slices.DeleteFunc(p.buckets, func(b *Bucket) bool {
+		if b.limit.Of != "*" || b.open > 0 || b.n > 0 && now < b.last() || now-b.seen < p.rules.Part {
+			return false
+		}
+		delete(p.by, claim{b.limit.For, b.Key.Who})
+		delete(p.byKey, b.Key)
+		return true
+	})
+}
+
+func (b *Bucket) last() (end Micros) {
+	for i := range b.n {
+		end = max(end, b.parts[i].end)
+	}
+	return end
+}
+
+// Fresh tells whether names came since it was last asked: they need a first part at once.
+func (p *Purse) Fresh() bool {
+	was := p.fresh
+	p.fresh = false
+	return was
+}
+
+// look adds up the parts that hold at a moment. What a rate has gathered never exceeds
+// the parts' share of the burst; a new part begins with nothing gathered.
+func (b *Bucket) look(now Micros) {
+	b.gather(min(now, b.until))
+	amount, until := 0.0, Micros(math.MaxInt64)
+	kept := 0
+	for i := range b.n {
+		x := b.parts[i]
+		if now >= x.end {
+			continue
+		}
+		b.parts[kept] = x
+		kept++
+		amount += x.amount
+		until = min(until, x.end)
+	}
+	was := b.amount
+	b.n, b.amount, b.until = kept, amount, until
+	if !b.limit.Hard && b.alone > 0 {
+		switch {
+		case kept > 0:
+			b.fades = 0
+		case b.fades == 0:
+			b.fades, b.faded = max(1, now), was
+		}
+		if kept == 0 {
+			b.fade(now)
+		}
+	}
+	b.at = max(b.at, now)
+	if b.limit.Kind == Rate {
+		b.tokens = min(b.tokens, b.cap())
+	}
+}
+
+// fade has a soft limit's part go over to what may be spent alone, within the span
+// for which nobody else is given it, so that there is no jump.
+func (b *Bucket) fade(now Micros) {
+	gap := max(1, lease.Until(b.rules.Part)-b.rules.Part)
+	left := max(0, 1-float64(now-b.fades)/float64(gap))
+	b.amount = b.alone + max(0, b.faded-b.alone)*left
+	b.until = now + gap/16 + 1
+	if left == 0 {
+		b.until = math.MaxInt64
+	}
+}
+
+// cap is what may be gathered of a rate.
+func (b *Bucket) cap() float64 {
+	c := b.limit.Burst * b.amount / b.limit.Amount
+	if !b.limit.Hard && b.n == 0 {
+		c = math.Max(c, 1)
+	}
+	return c
+}
+
+func (b *Bucket) gather(now Micros) {
+	if now > b.at {
+		if b.limit.Kind == Rate {
+			b.tokens = min(b.tokens+b.amount*float64(now-b.at)/1e6, b.cap())
+		}
+		b.at = now
+	}
+}
+
+const (
+	partWait Micros = 250_000   // after which a part may have come, where there is none
+	openWait Micros = 500_000   // after which one of the open requests may have ended
+	mostWait Micros = 5_000_000 //
+)
+
+// Take asks for one request. Refused, it tells how long to stay away.
+func (b *Bucket) Take(now Micros) (wait Micros, ok bool) {
+	b.asked++
+	b.seen = now
+	if now >= b.until {
+		b.look(now)
+	}
+	switch b.limit.Kind {
+	case Rate:
+		b.gather(now)
+		if b.tokens < 1 {
+			b.Refused++
+			if b.amount <= 0 || b.cap() < 1 {
+				return partWait, false
+			}
+			return min(mostWait, 1+Micros((1-b.tokens)/b.amount*1e6)), false
+		}
+		b.tokens--
+	case Open:
+		b.most = max(b.most, b.open+1)
+		if b.open+1 > b.amount {
+			b.Refused++
+			return openWait, false
+		}
+		b.open++
+	case Uses:
+		if b.spent+1 > b.amount {
+			b.Refused++
+			return mostWait, false
+		}
+		b.spent++
+	}
+	b.Taken++
+	return 0, true
+}
+
+// Undo gives back what Take has just taken, where another limit refused the request.
+func (b *Bucket) Undo() {
+	switch b.limit.Kind {
+	case Rate:
+		b.tokens = min(b.tokens+1, b.cap())
+	case Open:
+		b.open--
+	case Uses:
+		b.spent--
+	}
+	b.Taken--
+}
+
+// Done ends a request that Take let through.
+func (b *Bucket) Done() {
+	if b.limit.Kind == Open && b.open > 0 {
+		b.open--
+	}
+}
+
+// Part gives the number of the part spent from, for histories, and the amount of all.
+func (b *Bucket) Part() (from Source, number uint64, amount float64) {
+	if b.n == 0 {
+		return Source{}, 0, b.amount
+	}
+	x := &b.parts[b.n-1]
+	return x.from, x.number, b.amount
+}
+
+// Give takes a grant in; parts of limits that are not known are passed over. Newest is
+// the newest keeper of the site that this front knows of: one before it has no say.
+func (p *Purse) Give(g Grant, newest uint64, now Micros) {
+	if g.Keeper < newest {
+		return
+	}
+	from := Source{Site: g.Site, Keeper: g.Keeper}
+	for _, x := range g.Parts {
+		if b := p.byKey[x.Key]; b != nil {
+			b.give(from, g.Stamp, x, now)
+		}
+	}
+}
+
+func (b *Bucket) give(from Source, stamp Micros, x Part, now Micros) {
+	end := stamp + min(x.Span, max(b.rules.Part, b.limit.Span))
+	if b.limit.Kind == Uses && x.Epoch != b.epoch {
+		if x.Epoch < b.epoch {
+			return
+		}
+		b.epoch, b.spent, b.n = x.Epoch, 0, 0
+	}
+	b.look(now)
+	i := 0
+	for ; i < b.n && b.parts[i].from != from; i++ {
+	}
+	if i < b.n {
+		y := &b.parts[i]
+		if x.Number < y.number {
+			return
+		}
+		if x.Number == y.number {
+			y.end = max(y.end, end)
+		} else {
+			*y = held{from, x.Number, x.Amount, end, x.Epoch}
+		}
+	} else {
+		if now >= end {
+			return
+		}
+		// Of one site the newest keeper's alone.
+		kept := 0
+		for j := range b.n {
+			if y := b.parts[j]; y.from.Site != from.Site || y.from.Keeper > from.Keeper {
+				b.parts[kept] = y
+				kept++
+			}
+		}
+		b.n = kept
+		if b.n == mostParts {
+			return
+		}
+		b.parts[b.n] = held{from, x.Number, x.Amount, end, x.Epoch}
+		b.n++
+	}
+	b.until = min(b.until, now)
+	b.look(now)
+}
+
+// Say is what one bucket has to tell, for a keeper.
+type Say struct {
+	Key    Key
+	Asked  uint64  // since the last look
+	Open   float64 // most at once since then
+	Spent  float64
+	Epoch  uint64
+	Parts  []Stood
+	Taken  uint64
+	Refuse uint64
+	Amount float64
+}
+
+// Stood is one part as it stands.
+type Stood struct {
+	From   Source
+	Number uint64
+	Amount float64
+	Held   float64 // the most that may still be spent of it
+	End    Micros
+}
+
+// Tell gives what all buckets have to tell since it was last asked. What it says of parts
+// is in force from now on: no request goes by an older one.
+func (p *Purse) Tell(now Micros) []Say {
+	list := make([]Say, 0, len(p.buckets))
+	for _, b := range p.buckets {
+		b.look(now)
+		s := Say{Key: b.Key, Asked: b.asked, Open: max(b.most, b.open), Spent: b.spent, Epoch: b.epoch, Taken: b.Taken, Refuse: b.Refused, Amount: b.amount}
+		rest := b.open
+		if b.limit.Kind == Uses {
+			rest = b.spent
+		}
+		for i := range b.n {
+			x := b.parts[i]
+			y := Stood{From: x.from, Number: x.number, Amount: x.amount, Held: x.amount, End: x.end}
+			if b.limit.Kind != Rate && b.amount > 0 { // what is open, or spent, lies on the parts by their size
+				y.Held = max(y.Held, rest*x.amount/b.amount)
+			}
+			s.Parts = append(s.Parts, y)
+		}
+		b.asked, b.most = 0, b.open
+		list = append(list, s)
+	}
+	return list
+}
--- /dev/null
+++ b/internal/decide/allowance/steady_test.go
@@ -0,0 +1,83 @@
+package allowance
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards that a limit is used in steady state with skewed demand, and again soon after
+// demand has moved; and that a dead front's part comes back in the stated span.
+func TestSteady(t *testing.T) {
+	limit := Limit{Name: "l", For: "tenant", Of: "t", Kind: Rate, Amount: 1000, Burst: 100, Hard: true}
+	rules := testRules
+	now := second
+	d := NewDealer(rules, []Limit{limit}, "", 1, 0, now)
+	const n = 12
+	var fronts [n]*Purse
+	names := "abcdefghijkl"
+	for i := range fronts {
+		fronts[i] = NewPurse(rules, []Limit{limit}, now)
+	}
+	dead := -1
+	demand := func(i int, moved bool) float64 {
+		switch {
+		case !moved && i == 0, moved && i == 7:
+			return 900
+		case i < 6:
+			return 60
+		}
+		return 0
+	}
+	// run lets time go on, and gives what was let through of each 100 ms.
+	owed := [n]float64{}
+	run := func(span Micros, moved bool) (passed []int) {
+		for end := now + span; now < end; {
+			count := 0
+			for range 10 {
+				now += 10_000
+				for i, p := range fronts {
+					if i == dead {
+						continue
+					}
+					for owed[i] += demand(i, moved) / 100; owed[i] >= 1; owed[i]-- {
+						if _, ok := p.Find("tenant", "t", now)[0].Take(now); ok {
+							count++
+						}
+					}
+				}
+			}
+			passed = append(passed, count)
+			for i, p := range fronts {
+				if i == dead {
+					continue
+				}
+				s := p.Tell(now)[0]
+				w := Want{Key: s.Key, Demand: float64(s.Asked) * 10}
+				if len(s.Parts) > 0 {
+					w.Number, w.Held = s.Parts[0].Number, s.Parts[0].Held
+				}
+				d.Asked(names[i:i+1], Ask{Stamp: now, Wants: []Want{w}}, now)
+			}
+			for role, g := range d.Deal(Source{}, now) {
+				fronts[role[0]-'a'].Give(g, 0, now)
+			}
+		}
+		return passed
+	}
+	sum := func(list []int) (total int) {
+		for _, x := range list {
+			total += x
+		}
+		return total
+	}
+	run(3*second, false)
+	require.GreaterOrEqual(t, sum(run(10*second, false)), 9500, "used in steady state")
+	moved := run(2*second, true)
+	require.GreaterOrEqual(t, sum(moved[10:]), 900, "back after demand has moved")
+	run(2*second, true)
+	dead = 7
+	run(rules.over(Rate)+second, false)
+	require.GreaterOrEqual(t, sum(run(2*second, false)), 1900, "a dead front's part comes back")
+	require.Len(t, d.Lines(Source{}, now), 1)
+}
