Purges as numbered, told by marks and complete by summaries; keepers in the log; exchange section

Design: anti-entropy over marks per origin (site and keeper's number), acknowledgements as marks for a whole site with the late ones named, complete only once a majority has confirmed the root's view after the last acknowledgement. Not taken: numbers by front (300 origins), acknowledgements a purge (grow with the fleet). The keeper's lease rides on the grants that fronts already get.

--- a/internal/config/fleet.go
+++ b/internal/config/fleet.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strings"
 
+	"cherryramp/internal/decide/tree"
 	"cherryramp/internal/decide/work"
 )
 
@@ -16,7 +17,7 @@
 type Fleet struct {
 	Name    string            `json:"name"`              // of the fleet
 	Front   string            `json:"front"`             // this one's; the platform's name
-	Zone    string            `json:"zone"`              //
+	Zone    string            `json:"zone"`              // a site's name, or its path: west/hub-a/branch-3
 	Machine string            `json:"machine"`           // what is taken out with it; the front's name
 	Listen  string            `json:"listen"`            // IP:port for the other fronts
 	Address string            `json:"address"`           // where they reach it; listen
@@ -95,6 +96,8 @@
 		}
 		if err := checkFleetName(x.word); err != nil {
 			at.add(x.key, err)
+		} else if x.key == "zone" {
+			at.add(x.key, tree.Check(x.word))
 		}
 	}
 	for _, x := range []struct{ key, address string }{{"listen", f.Listen}, {"address", f.Address}} {
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -26,6 +26,7 @@
 	Clients   *Clients   `json:"clients"`
 	Ephemeral *Ephemeral `json:"ephemeral"`
 	Fleet     *Fleet     `json:"fleet"`
+	Exchange  *Exchange  `json:"exchange"`
 }
 
 // Ephemeral takes the list of servers from ephemeral nodes.
@@ -128,6 +129,9 @@
 	if o.Fleet != nil {
 		o.Fleet.check(f.at("fleet"), dir)
 	}
+	if o.Exchange != nil {
+		o.Exchange.check(f.at("exchange"), dir, o.Fleet != nil)
+	}
 	if err := f.err(); err != nil {
 		return nil, err
 	}
@@ -199,6 +203,9 @@
 	if !reflect.DeepEqual(o.Fleet, n.Fleet) {
 		keys = append(keys, "fleet")
 	}
+	if !o.Exchange.same(n.Exchange) {
+		keys = append(keys, "exchange")
+	}
 	if c, m := o.Clients, n.Clients; c == nil || m == nil {
 		if c != m {
 			keys = append(keys, "clients")
--- a/internal/decide/council/council.go
+++ b/internal/decide/council/council.go
@@ -38,6 +38,7 @@
 	Hurt    bool   `cbor:"12,keyasint,omitempty"` // heard, and says itself that it is in trouble
 	Leaving bool   `cbor:"11,keyasint,omitempty"` // it goes for good once it has no seat
 	Lease   Micros `cbor:"13,keyasint,omitempty"` // the longest that it acts without hearing the fleet; 0: for ever
+	Keep    Micros `cbor:"14,keyasint,omitempty"` // the span of its lease as a keeper of a site; 0: it takes no part in what is exchanged
 }
 
 // State is the fleet's fronts, ordered by name.
@@ -81,7 +82,7 @@
 			return ErrName
 		}
 	}
-	if f.ID == 0 || len(f.Build) > MostName || f.Lease < 0 {
+	if f.ID == 0 || len(f.Build) > MostName || f.Lease < 0 || f.Keep < 0 {
 		return ErrName
 	}
 	f.Lost, f.Away, f.Since = false, true, now // until it is heard to take clients
--- a/internal/decide/lease/lease.go
+++ b/internal/decide/lease/lease.go
@@ -31,6 +31,7 @@
 	Stamp Micros `cbor:"1,keyasint"` // of the ask
 	Span  Micros `cbor:"2,keyasint"` // from the stamp on
 	Index uint64 `cbor:"3,keyasint"` // committed when a majority confirmed it, after the ask
+	Keep  Micros `cbor:"4,keyasint,omitempty"` // from the stamp on, as a keeper of sites
 }
 
 // Lease is the holder's side. The zero value holds nothing.
--- /dev/null
+++ b/internal/decide/purges/purges.go
@@ -0,0 +1,426 @@
+// Package purges decides how purges go through a fleet: each has a number from the site
+// where it was asked, is told along the tree in both ways until everybody has it, and is
+// complete once every front of the fleet keeps and obeys it or surely serves no more.
+//
+// Who has what is told as marks: of each origin the number up to which all is there. Two
+// neighbours compare marks and tell each other what is missing, so what is lost, doubled
+// or late does no harm (Demers and others, 1987, anti-entropy). Acknowledgements go up as
+// marks that hold for a whole site, with those who lag behind named; they do not grow
+// with the fleet while all is well.
+//
+// Moments are those of this process's own clock and never travel; ages do.
+package purges
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// Micros is a span, or a moment of one process's own clock, in microseconds.
+type Micros = int64
+
+// Kind is what a purge names.
+type Kind uint8
+
+// The kinds.
+const (
+	All Kind = iota
+	Object
+	Group
+	Prefix // of objects' names
+	Tag    // of copies
+)
+
+var kindNames = [...]string{"all", "object", "group", "prefix", "tag"}
+
+func (k Kind) String() string { return kindNames[min(int(k), len(kindNames)-1)] }
+
+// Scope is what a purge is of.
+type Scope struct {
+	Kind Kind   `cbor:"1,keyasint"`
+	Name string `cbor:"2,keyasint,omitempty"`
+}
+
+func (s Scope) String() string { return strings.TrimSpace(s.Kind.String() + " " + s.Name) }
+
+// Bounds.
+const (
+	mostName  = 128
+	MostBatch = 200 // purges of one message
+	mostLate  = 8   // fronts named that lag behind
+)
+
+// ErrScope tells of a purge of nothing that can be named.
+var ErrScope = errors.New("object, group, prefix or tag with a name of 1 to 128 bytes is wanted, or all")
+
+// ParseScope reads a scope from its words.
+func ParseScope(kind, name string) (Scope, error) {
+	i := slices.Index(kindNames[:], kind)
+	if i < 0 || len(name) > mostName || (Kind(i) == All) != (name == "") || strings.ContainsAny(name, " \t\r\n") {
+		return Scope{}, ErrScope
+	}
+	if Kind(i) == Group && strings.Trim(name, "0123456789") != "" {
+		return Scope{}, fmt.Errorf("group: %q is no number", name)
+	}
+	return Scope{Kind(i), name}, nil
+}
+
+// Origin is where purges are numbered: a site under one keeper.
+type Origin struct {
+	Site   string `cbor:"1,keyasint"`
+	Keeper uint64 `cbor:"2,keyasint"`
+}
+
+func (o Origin) String() string { return fmt.Sprintf("%s#%d", cmp.Or(o.Site, "/"), o.Keeper) }
+
+func compare(a, b Origin) int {
+	return cmp.Or(cmp.Compare(a.Site, b.Site), cmp.Compare(a.Keeper, b.Keeper))
+}
+
+// Purge is one purge on its way.
+type Purge struct {
+	Origin Origin `cbor:"1,keyasint"`
+	N      uint64 `cbor:"2,keyasint"`
+	Scope  Scope  `cbor:"3,keyasint"`
+	Asked  string `cbor:"4,keyasint"`           // names the asking: asked again it is the same purge
+	Age    Micros `cbor:"5,keyasint"`           // since it was asked, at least
+	Why    string `cbor:"6,keyasint,omitempty"` //
+}
+
+// ID is a purge's number as a person reads it.
+func (p *Purge) ID() string { return fmt.Sprintf("%s:%d", p.Origin, p.N) }
+
+// Mark tells of an origin that all up to a number is there.
+type Mark struct {
+	Origin Origin `cbor:"1,keyasint"`
+	N      uint64 `cbor:"2,keyasint"`
+}
+
+// Marks are ordered by origin.
+type Marks []Mark
+
+// Of is the number of an origin; 0: nothing is there.
+func (m Marks) Of(o Origin) uint64 {
+	i, ok := slices.BinarySearchFunc(m, o, func(x Mark, o Origin) int { return compare(x.Origin, o) })
+	if !ok {
+		return 0
+	}
+	return m[i].N
+}
+
+// held is a purge as a book has it.
+type held struct {
+	Purge
+	at   Micros // when it was asked, at the earliest
+	kept bool
+}
+
+// line is what a book has of one origin.
+type line struct {
+	gone  uint64 // up to here nothing is told any more
+	have  uint64 // up to here all is there
+	kept  uint64 // and on disk
+	list  []*held
+	whole uint64 // up to here complete
+}
+
+func (l *line) find(n uint64) *held {
+	i, ok := slices.BinarySearchFunc(l.list, n, func(h *held, n uint64) int { return cmp.Compare(h.N, n) })
+	if !ok {
+		return nil
+	}
+	return l.list[i]
+}
+
+// Config bounds a book.
+type Config struct {
+	Most int    // purges held; complete ones go first
+	Keep Micros // for how long a purge is obeyed and told; a copy older than that is not trusted once one is forgotten
+}
+
+// Book is all purges that one process knows.
+type Book struct {
+	cfg   Config
+	lines map[Origin]*line
+	asked map[string]*held
+	count int
+	// Apply has a purge obeyed; it comes once for each.
+	apply []Purge
+	// Floor: no copy from before is trusted. It grows alone.
+	floor Micros
+	lost  bool // purges went by that this process was never told of
+}
+
+// NewBook makes an empty one.
+func NewBook(cfg Config) *Book {
+	return &Book{cfg: cfg, lines: map[Origin]*line{}, asked: map[string]*held{}}
+}
+
+func (b *Book) line(o Origin) *line {
+	l := b.lines[o]
+	if l == nil {
+		l = &line{}
+		b.lines[o] = l
+	}
+	return l
+}
+
+// Ask gives a purge its number at an origin of this process. One that was asked before
+// is the same.
+func (b *Book) Ask(o Origin, s Scope, asked, why string, now Micros) Purge {
+	if h := b.asked[asked]; h != nil {
+		return h.told(now)
+	}
+	l := b.line(o)
+	p := Purge{Origin: o, N: max(l.have, l.gone) + 1, Scope: s, Asked: asked, Why: why}
+	b.take(p, now)
+	return p
+}
+
+func (h *held) told(now Micros) Purge {
+	p := h.Purge
+	p.Age = max(0, now-h.at)
+	return p
+}
+
+// Find gives a purge by the name of its asking.
+func (b *Book) Find(asked string, now Micros) (Purge, bool) {
+	h := b.asked[asked]
+	if h == nil {
+		return Purge{}, false
+	}
+	return h.told(now), true
+}
+
+// Told takes purges in that a neighbour told.
+func (b *Book) Told(list []Purge, now Micros) {
+	for _, p := range list[:min(len(list), MostBatch)] {
+		if p.N > 0 && p.Age >= 0 && len(p.Asked) <= mostName && len(p.Scope.Name) <= mostName && int(p.Scope.Kind) < len(kindNames) {
+			b.take(p, now)
+		}
+	}
+}
+
+func (b *Book) take(p Purge, now Micros) {
+	l := b.line(p.Origin)
+	if p.N <= l.have || p.N <= l.gone || l.find(p.N) != nil {
+		return
+	}
+	h := &held{Purge: p, at: now - p.Age}
+	i, _ := slices.BinarySearchFunc(l.list, p.N, func(h *held, n uint64) int { return cmp.Compare(h.N, n) })
+	l.list = slices.Insert(l.list, i, h)
+	if p.Asked != "" {
+		b.asked[p.Asked] = h
+	}
+	b.count++
+	b.apply = append(b.apply, p)
+	b.advance(l)
+}
+
+// advance moves marks on over what stands without a gap.
+func (b *Book) advance(l *line) {
+	l.have = max(l.have, l.gone)
+	for h := l.find(l.have + 1); h != nil; h = l.find(l.have + 1) {
+		l.have++
+	}
+	l.kept = max(l.kept, l.gone)
+	for h := l.find(l.kept + 1); h != nil && h.kept && l.kept < l.have; h = l.find(l.kept + 1) {
+		l.kept++
+	}
+}
+
+// Apply gives the purges that came since it was last asked, to be obeyed and kept.
+func (b *Book) Apply() []Purge {
+	list := b.apply
+	b.apply = nil
+	return list
+}
+
+// Kept tells that a purge is on disk.
+func (b *Book) Kept(o Origin, n uint64) {
+	l := b.lines[o]
+	if l == nil {
+		return
+	}
+	if h := l.find(n); h != nil {
+		h.kept = true
+		b.advance(l)
+	}
+}
+
+// Marks is what is here, all of it.
+func (b *Book) Marks() Marks {
+	return b.marks(func(l *line) uint64 { return l.have })
+}
+
+// Done is what is kept here, and obeyed.
+func (b *Book) Done() Marks {
+	return b.marks(func(l *line) uint64 { return min(l.have, l.kept) })
+}
+
+// Whole is what is known to be complete.
+func (b *Book) Whole() Marks { return b.marks(func(l *line) uint64 { return l.whole }) }
+
+func (b *Book) marks(of func(*line) uint64) Marks {
+	list := make(Marks, 0, len(b.lines))
+	for o, l := range b.lines {
+		list = append(list, Mark{o, of(l)})
+	}
+	slices.SortFunc(list, func(x, y Mark) int { return compare(x.Origin, y.Origin) })
+	return list
+}
+
+// Lacks gives what a neighbour that has so much is to be told, the oldest first; gone
+// tells the numbers up to which nothing can be told any more, where it lacks those.
+func (b *Book) Lacks(has Marks, now Micros) (list []Purge, gone Marks) {
+	for _, m := range b.Marks() {
+		l := b.lines[m.Origin]
+		n := has.Of(m.Origin)
+		if n < l.gone {
+			gone = append(gone, Mark{m.Origin, l.gone})
+		}
+		if n >= l.have && len(l.list) > 0 && l.list[len(l.list)-1].N <= n {
+			continue
+		}
+		i, _ := slices.BinarySearchFunc(l.list, n+1, func(h *held, n uint64) int { return cmp.Compare(h.N, n) })
+		for _, h := range l.list[i:] {
+			if len(list) >= MostBatch {
+				return list, gone
+			}
+			list = append(list, h.told(now))
+		}
+	}
+	return list, gone
+}
+
+// Gone takes in that a neighbour can't tell some purges any more. Where this process
+// lacks any of those it trusts no copy from before now.
+func (b *Book) Gone(marks Marks, now Micros) {
+	for _, m := range marks {
+		if l := b.line(m.Origin); m.N > l.have {
+			l.gone = m.N
+			l.list = slices.DeleteFunc(l.list, func(h *held) bool { return b.forget(h, h.N <= m.N) })
+			b.advance(l)
+			b.Return(now)
+		}
+	}
+}
+
+func (b *Book) forget(h *held, do bool) bool {
+	if do {
+		b.count--
+		if b.asked[h.Asked] == h {
+			delete(b.asked, h.Asked)
+		}
+	}
+	return do
+}
+
+// Return has no copy from before a moment be trusted.
+func (b *Book) Return(now Micros) {
+	b.floor, b.lost = max(b.floor, now), true
+}
+
+// Floor is the moment before which no copy is trusted; ok is false where there is none.
+func (b *Book) Floor() (at Micros, ok bool) { return b.floor, b.floor != 0 }
+
+// Complete takes in up to where purges are complete.
+func (b *Book) Complete(marks Marks) {
+	for _, m := range marks {
+		if l := b.lines[m.Origin]; l != nil {
+			l.whole = max(l.whole, min(m.N, l.have))
+		}
+	}
+}
+
+// Fold forgets what is over: purges past their span, and the oldest complete ones where
+// too many are held; then the oldest at all. Nobody is told of those any more, and no
+// copy older than the newest of them is trusted here.
+func (b *Book) Fold(now Micros) {
+	for o, l := range b.lines {
+		drop := 0
+		for drop < len(l.list) && l.list[drop].N == l.gone+uint64(drop)+1 {
+			h := l.list[drop]
+			over := now-h.at > b.cfg.Keep
+			crowded := b.count-drop > b.cfg.Most && (h.N <= l.whole || b.count-drop > 2*b.cfg.Most)
+			if !over && !crowded {
+				break
+			}
+			b.floor = max(b.floor, h.at)
+			b.forget(h, true)
+			b.count++ // counted below
+			drop++
+		}
+		if drop > 0 {
+			l.gone += uint64(drop)
+			l.list = slices.Clone(l.list[drop:])
+			b.count -= drop
+			b.advance(l)
+		}
+		if len(l.list) == 0 && l.gone == 0 {
+			delete(b.lines, o)
+		}
+	}
+}
+
+// Len counts the purges held.
+func (b *Book) Len() int { return b.count }
+
+// Line is one purge for a person.
+type Line struct {
+	ID       string  `json:"id"`
+	Asked    string  `json:"asked"`
+	Scope    string  `json:"scope"`
+	Why      string  `json:"why,omitempty"`
+	AgeS     float64 `json:"age_s"`
+	Kept     bool    `json:"kept"` // here
+	Complete bool    `json:"complete"`
+}
+
+// List gives the newest purges, at most so many.
+func (b *Book) List(most int, now Micros) (list []Line) {
+	var all []*held
+	for _, l := range b.lines {
+		all = append(all, l.list...)
+	}
+	slices.SortFunc(all, func(x, y *held) int {
+		return cmp.Or(cmp.Compare(y.at, x.at), compare(x.Origin, y.Origin), cmp.Compare(y.N, x.N))
+	})
+	for _, h := range all[:min(len(all), most)] {
+		list = append(list, Line{ID: h.ID(), Asked: h.Asked, Scope: h.Scope.String(), Why: h.Why, AgeS: float64(max(0, now-h.at)/1000) / 1000,
+			Kept: h.kept, Complete: h.N <= b.lines[h.Origin].whole})
+	}
+	return list
+}
+
+// Snapshot gives what is to be written where the disk's file begins anew.
+func (b *Book) Snapshot(now Micros) (list []Purge, gone Marks) {
+	for _, m := range b.Marks() {
+		l := b.lines[m.Origin]
+		if l.gone > 0 {
+			gone = append(gone, Mark{m.Origin, l.gone})
+		}
+		for _, h := range l.list {
+			list = append(list, h.told(now))
+		}
+	}
+	return list, gone
+}
+
+// Recovered takes in what a disk had: it is kept already. Ages were lost with the
+// process; what is here counts as asked now, which trusts less and never more.
+func (b *Book) Recovered(p Purge, now Micros) {
+	p.Age = 0
+	b.take(p, now)
+	b.Kept(p.Origin, p.N)
+}
+
+// RecoveredGone takes in what the disk's file had let go.
+func (b *Book) RecoveredGone(m Mark) {
+	l := b.line(m.Origin)
+	l.gone = max(l.gone, m.N)
+	b.advance(l)
+}
--- a/internal/decide/replica/replica.go
+++ b/internal/decide/replica/replica.go
@@ -19,6 +19,7 @@
 
 	"cherryramp/internal/decide/council"
 	"cherryramp/internal/decide/lease"
+	"cherryramp/internal/decide/tree"
 	"cherryramp/internal/decide/versions"
 	"cherryramp/internal/decide/work"
 )
@@ -31,6 +32,12 @@
 const (
 	first  = 1
 	leases = 2 // leases, a hub's pace, versions
+
+	// Stands is the version from which on fronts' stands on versions may be proposed.
+	Stands  = leases
+	keepers = 3 // keepers of sites
+	// Keepers is the version from which on sites have keepers.
+	Keepers = keepers
 )
 
 // Bounds.
@@ -75,6 +82,9 @@
 
 // needs is the version that a command belongs to.
 func (c *Command) needs() int {
+	if c.Join != nil && c.Join.Front.Keep > 0 {
+		return keepers
+	}
 	if c.Raise > 0 || c.Piece != nil || c.Propose != nil || c.Stop != "" || c.Stands != nil || c.Rules != nil && (c.Rules.Alone > 0 || c.Rules.Pace > 0 || c.Rules.Quota > 0) ||
 		c.Found != nil && (c.Found.Rules.Alone > 0 || c.Found.Rules.Pace > 0) || c.Ask != nil && c.Ask.Work.Pace > 0 || c.Join != nil && c.Join.Front.Lease > 0 {
 		return leases
@@ -180,6 +190,7 @@
 	Seats   council.Seats `cbor:"8,keyasint"`           // as the agreement has them
 
 	Versions versions.State `cbor:"9,keyasint,omitzero"`
+	Tree     tree.State     `cbor:"10,keyasint,omitzero"`
 }
 
 // Rule is a rule that a mutation leaves out, for the checkers' own test.
@@ -337,9 +348,23 @@
 	if r.s.Versions.Last > 0 || len(r.s.Versions.Pieces) > 0 {
 		told = append(told, r.s.Versions.Step(Machines(fleet), r.VersionRules(), r.s.Now, facts)...)
 	}
+	if r.s.Version >= keepers {
+		told = append(told, r.s.Tree.Step(r.Exchange(fleet), r.s.Now)...)
+	}
 	return told
 }
 
+// Exchange is the fronts as keepers of sites are chosen of them.
+func (r *Replica) Exchange(fleet work.Fleet) []tree.Front {
+	list := make([]tree.Front, 0, len(fleet))
+	for i, f := range r.s.Council.Fronts {
+		m := fleet[i]
+		list = append(list, tree.Front{Name: f.Name, Site: f.Zone, ID: f.ID, Start: f.Start, Lost: f.Lost, Leaving: f.Leaving, Keep: f.Keep,
+			Over: f.Lost && m.Ended > 0 && r.s.Now >= m.Ended})
+	}
+	return list
+}
+
 // Machines is the fronts as versions see them.
 func Machines(fleet work.Fleet) []versions.Machine {
 	list := make([]versions.Machine, 0, len(fleet))
--- a/internal/decide/replica/version.go
+++ b/internal/decide/replica/version.go
@@ -3,4 +3,4 @@
 package replica
 
 // Version is the newest version of the state and its commands that this build reads.
-const Version = 2
+const Version = 3
--- a/internal/decide/tree/tree.go
+++ b/internal/decide/tree/tree.go
@@ -68,6 +68,7 @@
 	ID, Start uint64 // incarnation and process
 	Lost      bool
 	Leaving   bool
+	Over      bool   // lost, and surely serves no more: its lease to act is over
 	Keep      Micros // the span of its lease as a keeper; 0: it takes no part in what is exchanged
 }
 
--- a/internal/fleet/agree/found.go
+++ b/internal/fleet/agree/found.go
@@ -88,7 +88,15 @@
 
 func (n *Node) self() council.Front {
 	return council.Front{Name: n.cfg.Name, Zone: n.cfg.Zone, Machine: n.cfg.Machine, Address: n.cfg.Address, ID: n.id,
-		Build: n.cfg.Build, Start: n.cfg.Start, Lease: n.rep.State().Work.Rules.Alone}
+		Build: n.cfg.Build, Start: n.cfg.Start, Lease: n.rep.State().Work.Rules.Alone, Keep: n.keepSpan()}
+}
+
+// keepSpan is the span that this front joins with as a keeper, once all fronts read it.
+func (n *Node) keepSpan() Micros {
+	if n.rep.State().Version < replica.Keepers {
+		return 0
+	}
+	return n.cfg.Keep
 }
 
 // toldBy takes a question about the past, or its answer.
@@ -107,7 +115,7 @@
 	s := n.rep.State()
 	if f := s.Council.Find(n.cfg.Name); s.Fleet == 0 || n.joining ||
 		f != nil && f.ID == n.id && f.Start == n.cfg.Start && f.Address == n.cfg.Address && f.Zone == n.cfg.Zone && f.Machine == n.cfg.Machine &&
-			f.Lease == s.Work.Rules.Alone {
+			f.Lease == s.Work.Rules.Alone && f.Keep == n.keepSpan() {
 		return
 	}
 	n.joining = true
--- a/internal/fleet/agree/lease.go
+++ b/internal/fleet/agree/lease.go
@@ -11,6 +11,7 @@
 // leases is what a front knows of its own lease, and what a leader grants to others.
 type leases struct {
 	own     lease.Lease
+	keep    lease.Lease // as a keeper of sites
 	before  lease.Micros // the span that it lived by at the last look; 0: for ever
 	looked  bool
 	grantor lease.Grantor
@@ -60,6 +61,7 @@
 	l := &n.leases
 	span := n.Lives()
 	l.own.Applied(n.applied)
+	l.keep.Applied(n.applied)
 	if span > 0 {
 		if l.looked && l.before == 0 {
 			l.own.Take(lease.Grant{Stamp: max(1, n.now), Span: span, Index: n.applied}, span, n.applied)
@@ -71,12 +73,21 @@
 
 // wants is an ask for a lease, where this front lives by one.
 func (n *Node) wants() lease.Ask {
-	if n.Lives() == 0 {
+	if n.Lives() == 0 && n.cfg.Keep == 0 {
 		return lease.Ask{}
 	}
 	return lease.Ask{Stamp: max(1, n.now)}
 }
 
+// Keep is the moment of this front's clock up to which it may act as a keeper of sites,
+// and one before which a majority was asked whether that is so; 0: it may not.
+func (n *Node) Keep() (end, asked Micros) {
+	if n.stale != nil {
+		return 0, 0
+	}
+	return n.leases.keep.End(), n.leases.keep.End() - n.cfg.Keep
+}
+
 // granting is what a leader does at every beat: it begins a round for those who have
 // asked, itself among them. While word that a front is lost is on its way nobody is
 // granted anything, so that no lease is asked for after its holder counts as lost.
@@ -121,6 +132,7 @@
 		if g.Span == 0 {
 			g.Span = f.Lease // until it has joined for ever
 		}
+		g.Keep = f.Keep
 		if a.Name == n.cfg.Name {
 			n.granted(g)
 		} else {
@@ -140,10 +152,20 @@
 		return
 	}
 	f := n.rep.State().Council.Find(from)
-	if f == nil || f.ID != a.ID || f.Start != a.Start || f.Lost || n.Lives() == 0 || n.fenced(from) {
+	if f == nil || f.ID != a.ID || f.Start != a.Start || f.Lost || n.fenced(from) {
 		return
 	}
-	if g, ok := n.leases.own.Pass(a.Lease, n.now); ok {
+	g, ok := lease.Grant{}, false
+	if n.Lives() > 0 {
+		g, ok = n.leases.own.Pass(a.Lease, n.now)
+	}
+	if k, held := n.leases.keep.Pass(a.Lease, n.now); held && f.Keep > 0 {
+		g.Stamp, g.Keep = k.Stamp, k.Span
+		if g.Index = max(g.Index, k.Index); !ok {
+			ok = true
+		}
+	}
+	if ok {
 		n.send(from, KindGrant, encode(g))
 	}
 }
@@ -157,7 +179,13 @@
 
 // granted takes a grant in.
 func (n *Node) granted(g lease.Grant) {
-	if span := n.Lives(); span > 0 && n.stale == nil {
+	if n.stale != nil {
+		return
+	}
+	if span := n.Lives(); span > 0 {
 		n.leases.own.Take(g, span, n.applied)
 	}
+	if n.cfg.Keep > 0 {
+		n.leases.keep.Take(lease.Grant{Stamp: g.Stamp, Span: g.Keep, Index: g.Index}, n.cfg.Keep, n.applied)
+	}
 }
--- a/internal/fleet/agree/node.go
+++ b/internal/fleet/agree/node.go
@@ -46,6 +46,7 @@
 	Tick     Micros // of the agreement; an election takes ten to twenty without a leader
 	Lost     Micros // unheard for so long a front counts as lost
 	Grace    Micros // fleet time for which a lost voter keeps its seat
+	Keep     Micros // span of its lease as a keeper of a site; 0: it takes no part in what is exchanged
 	FanOut   int    // fronts that one feeds
 	Snapshot uint64 // entries from which the log is begun anew
 }
--- a/internal/fleet/agree/stands.go
+++ b/internal/fleet/agree/stands.go
@@ -27,7 +27,7 @@
 // word is new: heads of audits alone every few seconds.
 func (n *Node) gatherStands() {
 	s := n.rep.State()
-	if s.Version < replica.Version {
+	if s.Version < replica.Stands {
 		return
 	}
 	if n.stood == nil || len(n.stood) > 2*len(s.Council.Fronts)+16 {
