--- a/internal/decide/allowance/dealer.go
+++ b/internal/decide/allowance/dealer.go
@@ -109,10 +109,11 @@
 )
 
 // NewDealer makes a dealer for a site's keeper, named at a moment of this clock. Wait
-// is the span of the lease that the keeper before it may still have.
+// is the span of the lease that a root's keeper before it may still have; what a site's
+// keeper deals lies in its part, whoever kept the site before.
 func NewDealer(rules Rules, limits []Limit, site string, number uint64, wait, now Micros) *Dealer {
 	d := &Dealer{l: ledger{Site: site, Number: number, Sheets: map[Key]*sheet{}, Members: map[string]*member{}}}
-	if wait > 0 {
+	if wait > 0 && site == "" {
 		d.l.Quiet = now + lease.Until(wait)
 	}
 	d.Renew(rules, limits, now)
@@ -222,7 +223,7 @@
 	}
 	if w.Number > 0 {
 		c.Held, c.Until = w.Held, last
-	} else if w.Before > 0 && c.Number == 0 && now >= d.l.Quiet { // of the keeper before, which deals no more
+	} else if w.Before > 0 && c.Number == 0 && d.root() && now >= d.l.Quiet { // of the keeper before, which deals no more
 		c.Held, c.Until = w.Before, max(d.unknown(l), now+d.rules.over(l.Kind))
 	}
 }
--- a/internal/decide/purges/purges.go
+++ b/internal/decide/purges/purges.go
@@ -424,3 +424,6 @@
 	l.gone = max(l.gone, m.N)
 	b.advance(l)
 }
+
+// Sort orders marks by origin.
+func Sort(m Marks) { slices.SortFunc(m, func(x, y Mark) int { return compare(x.Origin, y.Origin) }) }
--- a/internal/decide/tree/tree.go
+++ b/internal/decide/tree/tree.go
@@ -70,6 +70,7 @@
 	Leaving   bool
 	Over      bool   // lost, and surely serves no more: its lease to act is over
 	Keep      Micros // the span of its lease as a keeper; 0: it takes no part in what is exchanged
+	Address   string // where the others reach it
 }
 
 // Keeper speaks for a site.
--- /dev/null
+++ b/internal/exchange/limits.go
@@ -0,0 +1,293 @@
+package exchange
+
+import (
+	"context"
+	"math"
+	"slices"
+	"sync/atomic"
+
+	"cherryramp/internal/decide/allowance"
+	"cherryramp/internal/decide/tree"
+)
+
+// Messages to the task of limits, beside envelopes.
+type (
+	says      struct{ list []allowance.Say } // what the loop has to tell of its purse
+	newcomer  struct{}                       // a name came that was not known
+	limitsAsk struct{ answer func(LimitsTold) }
+)
+
+func (newcomer) replaces() string { return "newcomer" }
+
+// demandHalf is the half life of demand, in rounds of telling, roughly.
+const demandKeep = 0.75
+
+// limits is the task of limits: this front's side, and that of each site it keeps.
+type limits struct {
+	teller
+	section any
+	rules   allowance.Rules
+	list    []allowance.Limit
+	demand  map[allowance.Key]float64
+	said    []allowance.Say
+	dealers map[string]*allowance.Dealer
+	snaps   *atomic.Pointer[kept] // that outlives this life of the task
+	told    Micros
+	fronts  int
+}
+
+// kept is what a task begins anew from.
+type kept map[string]keptDealer
+
+type keptDealer struct {
+	number uint64
+	b      []byte
+}
+
+func (x *Exchange) newLimits() func(context.Context) body {
+	snaps := &atomic.Pointer[kept]{}
+	snaps.Store(&kept{})
+	return func(ctx context.Context) body {
+		return &limits{teller: teller{x, ctx}, demand: map[allowance.Key]float64{}, dealers: map[string]*allowance.Dealer{}, snaps: snaps}
+	}
+}
+
+// renew takes over what the section says now.
+func (l *limits) renew(now Micros) {
+	if s := l.x.section.Load(); l.section != any(s) {
+		l.section = s
+		l.rules, l.list = s.Allowances()
+		for _, d := range l.dealers {
+			d.Renew(l.rules, l.list, now)
+		}
+	}
+}
+
+func (l *limits) round() {
+	s := l.x.standing.Load()
+	now := l.x.cfg.Now()
+	l.renew(now)
+	if s == nil || len(l.list) == 0 {
+		return
+	}
+	l.keeps(s, now)
+	x := l.x
+	fronts := 0
+	for i := range s.View.Fronts {
+		if s.View.Fronts[i].Keep > 0 {
+			fronts++
+		}
+	}
+	x.cfg.Loop.Post(func() {
+		if fronts > 0 {
+			x.cfg.Limiter.Fronts(fronts)
+		}
+		x.limits.offer(says{x.cfg.Limiter.Tell()})
+	})
+	l.deal(s, now)
+}
+
+// keeps has a dealer for each site that this process keeps.
+func (l *limits) keeps(s *Standing, now Micros) {
+	own := s.View.Keeps()
+	for site, d := range l.dealers {
+		if !slices.ContainsFunc(own, func(k tree.Keeper) bool { return k.Site == site && k.Number == d.Number() }) {
+			delete(l.dealers, site)
+		}
+	}
+	for _, k := range own {
+		if l.dealers[k.Site] == nil {
+			d := allowance.NewDealer(l.rules, l.list, k.Site, k.Number, k.Wait, now)
+			if old, ok := (*l.snaps.Load())[k.Site]; ok && old.number == k.Number {
+				if err := d.Restore(old.b); err != nil {
+					l.x.log.Error("exchange: limits: a snapshot can't be read", "error", err)
+					d = allowance.NewDealer(l.rules, l.list, k.Site, k.Number, max(k.Wait, l.rules.Keep), now)
+				}
+				d.Renew(l.rules, l.list, now)
+			}
+			l.dealers[k.Site] = d
+		}
+	}
+}
+
+func source(k tree.Keeper) allowance.Source { return allowance.Source{Site: k.Site, Keeper: k.Number} }
+
+// deal has each site's parts dealt out, and asked for above.
+func (l *limits) deal(s *Standing, now Micros) {
+	links := l.x.links.Load()
+	for _, k := range s.View.Keeps() {
+		d := l.dealers[k.Site]
+		if d == nil {
+			continue
+		}
+		above := links.up[tree.Of(k)]
+		if k.Site == tree.Root && !s.May(now) {
+			continue
+		}
+		grants := d.Deal(source(above), now)
+		l.keep(k, d) // before anything of it leaves
+		for _, r := range links.below(k, now, l.x.spans().Over) {
+			if g, ok := grants[roleName(r)]; ok {
+				l.down(Limits, r, k, g)
+			}
+		}
+		if k.Site != tree.Root {
+			l.up(Limits, tree.Of(k), allowance.Ask{Stamp: now, Wants: d.Wants(source(above), now)})
+		}
+	}
+	l.told = now
+}
+
+// keep puts what a dealer knows where the task's next life finds it.
+func (l *limits) keep(k tree.Keeper, d *allowance.Dealer) {
+	if l.ctx.Err() != nil {
+		return
+	}
+	next := kept{k.Site: {k.Number, d.Snapshot()}}
+	for site, x := range *l.snaps.Load() {
+		if site != k.Site && l.dealers[site] != nil {
+			next[site] = x
+		}
+	}
+	l.snaps.Store(&next)
+}
+
+// ask asks for this front's own parts.
+func (l *limits) ask(s *Standing, now Micros) {
+	r := s.View.Own()
+	k, ok := l.x.links.Load().up[r]
+	if !ok {
+		return
+	}
+	a := allowance.Ask{Stamp: now}
+	for _, y := range l.said {
+		w := allowance.Want{Key: y.Key, Demand: l.demand[y.Key], Epoch: y.Epoch}
+		for _, p := range y.Parts {
+			switch {
+			case p.From == source(k):
+				w.Number, w.Held = p.Number, p.Held
+			case p.From.Site == k.Site:
+				w.Before += p.Held
+			}
+		}
+		a.Wants = append(a.Wants, w)
+	}
+	l.up(Limits, r, a)
+}
+
+func (l *limits) take(m any) {
+	s := l.x.standing.Load()
+	now := l.x.cfg.Now()
+	l.renew(now)
+	if s == nil {
+		return
+	}
+	switch m := m.(type) {
+	case says:
+		per := 1e6 / float64(l.x.round().Microseconds())
+		kinds := map[string]allowance.Limit{}
+		for _, x := range l.list {
+			kinds[x.Name] = x
+		}
+		for _, y := range m.list {
+			want := float64(y.Asked) * per
+			switch x := kinds[y.Key.Limit]; x.Kind {
+			case allowance.Open:
+				want = y.Open
+			case allowance.Uses:
+				l.demand[y.Key] = y.Spent + math.Max(l.demand[y.Key]-y.Spent, float64(y.Asked)*20)*demandKeep
+				continue
+			}
+			old := l.demand[y.Key]
+			if want > old { // more is asked for at once, less by and by
+				l.demand[y.Key] = old + (want-old)*0.5
+			} else {
+				l.demand[y.Key] = old*demandKeep + want*(1-demandKeep)
+			}
+		}
+		l.said = m.list
+		l.ask(s, now)
+		if len(l.demand) > 2*len(m.list)+64 {
+			known := map[allowance.Key]float64{}
+			for _, y := range m.list {
+				known[y.Key] = l.demand[y.Key]
+			}
+			l.demand = known
+		}
+	case newcomer:
+		l.round()
+	case limitsAsk:
+		m.answer(l.tell(s, now))
+	case Envelope:
+		l.came(s, m, now)
+	}
+}
+
+func (l *limits) came(s *Standing, e Envelope, now Micros) {
+	if e.Up {
+		var a allowance.Ask
+		if decoder.Unmarshal(e.Body, &a) != nil || l.dealers[e.Site] == nil {
+			return
+		}
+		d := l.dealers[e.Site]
+		if d.Number() != e.Keeper {
+			return
+		}
+		d.Asked(roleName(e.Role), a, now)
+		first := slices.ContainsFunc(a.Wants, func(w allowance.Want) bool { return w.Number == 0 && w.Demand > 0 })
+		if first && now-l.told > l.x.round().Microseconds()/4 { // it has nothing: it need not wait for the round
+			l.deal(s, now)
+		}
+		return
+	}
+	var g allowance.Grant
+	if decoder.Unmarshal(e.Body, &g) != nil || g.Site != e.Site || g.Keeper != e.Keeper {
+		return
+	}
+	newest := uint64(0)
+	if k := s.View.Keeper(g.Site); k != nil {
+		newest = k.Number
+	}
+	if e.Role == s.View.Own() {
+		x := l.x
+		x.cfg.Loop.Post(func() { x.cfg.Limiter.Give(g, newest) })
+	} else if d := l.dealers[e.Role.Site]; d != nil && d.Number() == e.Role.Keeper {
+		d.Given(g, newest, now)
+	}
+}
+
+// NewName tells that a name came that no part is held of. It may be called on the loop.
+func (x *Exchange) NewName() { x.limits.offer(newcomer{}) }
+
+// LimitsTold is what a front tells of limits.
+type LimitsTold struct {
+	Front string             `json:"front"`
+	To    string             `json:"attached_to"`
+	Own   []allowance.Say    `json:"own"`
+	Sites map[string][]Sheet `json:"sites,omitempty"`
+	Rules []string           `json:"bounds"`
+}
+
+// Sheet is one limit as a site's keeper deals it out.
+type Sheet = allowance.Line
+
+func (l *limits) tell(s *Standing, now Micros) LimitsTold {
+	links := l.x.links.Load()
+	t := LimitsTold{Front: s.View.Self.Name, Own: l.said, Rules: l.x.section.Load().Bounds(), Sites: map[string][]Sheet{}}
+	if k, ok := links.up[s.View.Own()]; ok {
+		t.To = k.Name
+	}
+	for site, d := range l.dealers {
+		up := allowance.Source{}
+		if k := s.View.Keeper(site); k != nil {
+			up = source(links.up[tree.Of(*k)])
+		}
+		t.Sites["/"+site] = d.Lines(up, now)
+	}
+	return t
+}
+
+// LimitsOf asks for what this front knows of limits; the answer comes on the loop.
+func (x *Exchange) LimitsOf(answer func(LimitsTold)) {
+	x.limits.offer(limitsAsk{func(t LimitsTold) { x.cfg.Loop.Post(func() { answer(t) }) }})
+}
--- /dev/null
+++ b/internal/exchange/purges.go
@@ -0,0 +1,624 @@
+package exchange
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"path/filepath"
+	"slices"
+	"sync/atomic"
+
+	"cherryramp/internal/decide/purges"
+	"cherryramp/internal/decide/tree"
+	"cherryramp/internal/journal"
+)
+
+// asking is a purge on its way to who numbers it.
+type asking struct {
+	Asked string       `cbor:"1,keyasint"`
+	Scope purges.Scope `cbor:"2,keyasint"`
+	Why   string       `cbor:"3,keyasint,omitempty"`
+}
+
+// purgeUp is what a role tells the keeper above it.
+type purgeUp struct {
+	Marks   purges.Marks   `cbor:"1,keyasint,omitempty"` // what is there
+	News    []purges.Purge `cbor:"2,keyasint,omitempty"` // that the keeper lacks
+	Gone    purges.Marks   `cbor:"3,keyasint,omitempty"`
+	Summary purges.Summary `cbor:"4,keyasint"`
+	Asks    []asking       `cbor:"5,keyasint,omitempty"`
+	Synced  bool           `cbor:"6,keyasint,omitempty"` // the front that tells has what it missed
+}
+
+// purgeDown is what a keeper tells a role below it.
+type purgeDown struct {
+	Marks  purges.Marks   `cbor:"1,keyasint,omitempty"`
+	News   []purges.Purge `cbor:"2,keyasint,omitempty"`
+	Gone   purges.Marks   `cbor:"3,keyasint,omitempty"`
+	Whole  purges.Marks   `cbor:"4,keyasint,omitempty"` // up to where complete
+	Synced bool           `cbor:"5,keyasint,omitempty"`
+}
+
+// Messages to the task, beside envelopes.
+type (
+	posted   struct{ do func() } // the disk's word
+	obeyed   struct{ list []purges.Purge }
+	purgeAsk struct {
+		a      asking
+		answer func(purges.Purge, error)
+	}
+	purgeLook struct {
+		what   string
+		answer func(any, error)
+	}
+)
+
+// Bounds.
+const (
+	mostAsks   = 64
+	asksFor    = 10_000_000 // us that a purge waits for its number before who asked is told that it still does
+	tellRounds = 3          // rounds between two tellings where nothing is new
+	staleSpans = 3          // passes over, after which a role's word says nothing any more
+	rewriteAt  = 4 << 20    // bytes of the disk's file
+)
+
+// disk is the purges' file, and what it held at the start.
+type disk struct {
+	j       *journal.Journal
+	purges  []purges.Purge
+	gone    purges.Marks
+	rewrote int64
+}
+
+// What a record is, by its first byte.
+const (
+	recPurge byte = iota + 1
+	recGone
+)
+
+func openDisk(x *Exchange, path string) (*disk, error) {
+	if x.cfg.Section.Purges == nil {
+		return nil, nil
+	}
+	d := &disk{}
+	var torn int64
+	var err error
+	d.j, torn, err = journal.Open(path, 1<<16, func(do func()) { x.purges.put(posted{do}) }, func(rec []byte) error {
+		if len(rec) < 2 {
+			return errors.New("an empty record")
+		}
+		switch rec[0] {
+		case recPurge:
+			var p purges.Purge
+			if err := decoder.Unmarshal(rec[1:], &p); err != nil {
+				return err
+			}
+			d.purges = append(d.purges, p)
+		case recGone:
+			return decoder.Unmarshal(rec[1:], &d.gone)
+		default:
+			return fmt.Errorf("a record of kind %d", rec[0])
+		}
+		return nil
+	})
+	if torn > 0 {
+		x.log.Warn("exchange: the purges' file had a torn end, which is cut off", "bytes", torn)
+	}
+	return d, err
+}
+
+func record(kind byte, v any) []byte { return append([]byte{kind}, encode(v)...) }
+
+// purgeTask is the task of purges.
+type purgeTask struct {
+	teller
+	flight  *atomic.Pointer[[]purges.Purge] // on their way to the disk; that outlives this life of the task
+	disk    *disk
+	book    *purges.Book
+	gathers map[string]*purges.Gather
+	has     map[tie]purges.Marks // what roles below, and keepers above, have
+	above   map[uint64]purges.Marks
+	synced  map[tie]bool
+	closing *purges.Closing
+	root    uint64 // the number under which this process closes
+	asks    []pendingAsk
+	waits   map[string]int // purges that are not yet both kept and obeyed: 2 and down
+	began   Micros
+	seen    bool // the log has had this process for as long as returns says
+	since   Micros
+	rounds  int
+	dirty   bool
+	sum     purges.Summary // of the root, where this process keeps it
+}
+
+type pendingAsk struct {
+	purgeAsk
+	until Micros
+}
+
+// newPurges makes the task's body; the book outlives a task that was left behind, as a
+// snapshot that is taken when it is begun anew.
+func (x *Exchange) newPurges(d *disk) func(context.Context) body {
+	first, flight := true, &atomic.Pointer[[]purges.Purge]{}
+	flight.Store(&[]purges.Purge{})
+	return func(ctx context.Context) body {
+		s := x.section.Load().Purges
+		t := &purgeTask{teller: teller{x, ctx}, flight: flight, disk: d, book: purges.NewBook(purges.Config{Most: s.Most, Keep: Micros(s.KeepS * 1e6)}), gathers: map[string]*purges.Gather{},
+			has: map[tie]purges.Marks{}, above: map[uint64]purges.Marks{}, synced: map[tie]bool{}, waits: map[string]int{}, began: x.cfg.Now()}
+		if !first { // what the disk has says all that counted as kept
+			d.purges, d.gone = nil, nil
+			if err := journal.Scan(filepath.Join(x.cfg.Folder, "purges"), func(rec []byte) error {
+				if len(rec) > 1 && rec[0] == recPurge {
+					var p purges.Purge
+					if err := decoder.Unmarshal(rec[1:], &p); err == nil {
+						d.purges = append(d.purges, p)
+					}
+				} else if len(rec) > 1 {
+					_ = decoder.Unmarshal(rec[1:], &d.gone)
+				}
+				return nil
+			}); err != nil {
+				x.log.Error("exchange: purges: what is on disk can't be read again", "error", err)
+			}
+		}
+		for _, m := range d.gone {
+			t.book.RecoveredGone(m)
+		}
+		for _, p := range d.purges {
+			t.book.Recovered(p, t.began)
+		}
+		if first {
+			x.history.write("recovered", map[string]any{"purges": len(d.purges)})
+		}
+		first = false
+		for list := *flight.Load(); len(list) > 0; list = list[min(len(list), purges.MostBatch):] {
+			t.book.Told(list, t.began)
+		}
+		t.obey()
+		return t
+	}
+}
+
+// obey has what came obeyed on the loop at once, and kept on disk.
+func (t *purgeTask) obey() {
+	list := t.book.Apply()
+	if len(list) == 0 {
+		return
+	}
+	t.dirty = true
+	now, x := t.x.cfg.Now(), t.x
+	if t.ctx.Err() == nil {
+		next := append(slices.Clone(*t.flight.Load()), list...)
+		next = slices.DeleteFunc(next, func(p purges.Purge) bool { return p.N <= t.book.Done().Of(p.Origin) })
+		t.flight.Store(&next)
+	}
+	for _, p := range list {
+		if k := t.book.Done().Of(p.Origin); p.N <= k { // recovered: it is on disk
+			continue
+		}
+		t.waits[p.ID()] = 2
+		x.history.write("told", map[string]any{"purge": p.ID()})
+		t.disk.j.Append(record(recPurge, p), func(err error) {
+			if err != nil {
+				x.log.Error("exchange: a purge is not kept", "purge", p.ID(), "error", err)
+				return // it is not acknowledged, and is told again at the next start
+			}
+			x.history.write("kept", map[string]any{"purge": p.ID()})
+			t.half(p)
+		})
+	}
+	x.cfg.Loop.Post(func() {
+		for _, p := range list {
+			x.cfg.Obeyer.Obey(p.Scope, p.Age+max(0, x.cfg.Now()-now))
+			x.history.write("obey", map[string]any{"purge": p.ID(), "scope": p.Scope.String(), "asked": p.Asked})
+		}
+		x.purges.put(obeyed{list})
+	})
+}
+
+// half notes one of the two that a purge needs to be acknowledged: kept, and obeyed.
+func (t *purgeTask) half(p purges.Purge) {
+	id := p.ID()
+	if n, ok := t.waits[id]; !ok {
+		return
+	} else if n > 1 {
+		t.waits[id] = n - 1
+		return
+	}
+	delete(t.waits, id)
+	t.book.Kept(p.Origin, p.N)
+	t.dirty = true
+}
+
+func (t *purgeTask) round() {
+	s := t.x.standing.Load()
+	if s == nil {
+		return
+	}
+	now := t.x.cfg.Now()
+	t.book.Fold(now)
+	if floor, ok := t.book.Floor(); ok {
+		t.floor(floor, now)
+	}
+	t.returns(s, now)
+	t.number(s, now)
+	if t.rounds++; t.dirty || t.rounds >= tellRounds {
+		t.tell(s, now)
+	}
+	t.asks = slices.DeleteFunc(t.asks, func(a pendingAsk) bool {
+		if p, ok := t.book.Find(a.a.Asked, now); ok {
+			a.answer(p, nil)
+			return true
+		}
+		if now > a.until {
+			a.answer(purges.Purge{}, errors.New("no number yet: no keeper answers; ask again under the same name"))
+		}
+		return now > a.until
+	})
+	if size := t.disk.j.Size(); size > rewriteAt+2*t.disk.rewrote {
+		t.rewrite(now)
+	}
+}
+
+// floor has no copy from before a moment be trusted on the loop.
+func (t *purgeTask) floor(at, now Micros) {
+	x := t.x
+	age := max(0, now-at)
+	x.cfg.Loop.Post(func() { x.cfg.Obeyer.Obey(purges.Scope{Kind: purges.All}, age) })
+}
+
+// rewrite begins the disk's file anew with what is still held.
+func (t *purgeTask) rewrite(now Micros) {
+	list, gone := t.book.Snapshot(now)
+	recs := [][]byte{record(recGone, gone)}
+	for _, p := range list {
+		if t.waits[p.ID()] == 0 {
+			recs = append(recs, record(recPurge, p))
+		}
+	}
+	for _, r := range recs {
+		t.disk.rewrote += int64(len(r))
+	}
+	t.disk.j.Rewrite(recs, func(err error) {
+		if err != nil {
+			t.x.log.Error("exchange: the purges' file is not made smaller", "error", err)
+		}
+	})
+	for _, p := range list { // those on their way to the disk stand behind it
+		if t.waits[p.ID()] > 0 {
+			t.disk.j.Append(record(recPurge, p), func(error) {})
+		}
+	}
+}
+
+// returns opens the front once it has what it missed: as much as a keeper has that is
+// open itself, or, after a while, by trusting no copy from before.
+func (t *purgeTask) returns(s *Standing, now Micros) {
+	if t.x.open.Load() || !s.View.In {
+		return
+	}
+	if !t.seen {
+		t.seen, t.since = true, now
+	}
+	if now-t.since < Micros(t.x.section.Load().Purges.ReturnS*1e6) {
+		return
+	}
+	t.book.Return(now)
+	t.floor(now, now)
+	t.opens("by copies from now on", now)
+}
+
+func (t *purgeTask) opens(how string, now Micros) {
+	t.x.history.write("open", map[string]any{"how": how})
+	t.x.log.Info("exchange: the front serves", "purges", how)
+	x := t.x
+	x.cfg.Loop.Post(func() { x.open.Store(true) }) // behind what the loop has to obey
+}
+
+// keeperFor is who numbers a purge asked here: the keeper that this front is attached to.
+func (t *purgeTask) keeperFor(s *Standing) (k tree.Keeper, own, ok bool) {
+	k, ok = t.x.links.Load().up[s.View.Own()]
+	return k, ok && k.Is(s.View.Self.Name, s.View.Self.ID, s.View.Self.Start), ok
+}
+
+// number gives purges asked here their number, or has them go to who does.
+func (t *purgeTask) number(s *Standing, now Micros) {
+	if len(t.asks) == 0 {
+		return
+	}
+	k, own, ok := t.keeperFor(s)
+	if !ok {
+		return
+	}
+	if own {
+		for _, a := range t.asks {
+			t.ask(k, a.a, now)
+		}
+	} else {
+		t.dirty = true
+	}
+}
+
+func (t *purgeTask) ask(k tree.Keeper, a asking, now Micros) {
+	t.book.Ask(purges.Origin{Site: k.Site, Keeper: k.Number}, a.Scope, a.Asked, a.Why, now)
+	t.obey()
+}
+
+// own is this front's own acknowledgement.
+func (t *purgeTask) own(s *Standing) purges.Summary {
+	return purges.Summary{Index: s.View.Index, Done: t.book.Done(), Count: 1}
+}
+
+// tell tells neighbours what they lack, and what is acknowledged.
+func (t *purgeTask) tell(s *Standing, now Micros) {
+	t.rounds, t.dirty = 0, false
+	links := t.x.links.Load()
+	stale := staleSpans * t.x.spans().Over
+	own := s.View.Keeps()
+	marks := t.book.Marks()
+	for site := range t.gathers {
+		if !slices.ContainsFunc(own, func(k tree.Keeper) bool { return k.Site == site }) {
+			delete(t.gathers, site)
+		}
+	}
+	for _, k := range own { // the deepest first, so that what is acknowledged goes up at once
+		g := t.gather(k)
+		g.Drop(s.View)
+		sum := g.Sum(s.View, s.Changed, marks, stale, now)
+		if k.Site == tree.Root {
+			t.sum = sum
+			if t.closing == nil || t.root != k.Number {
+				t.closing, t.root = &purges.Closing{}, k.Number
+			}
+			if s.May(now) {
+				before := t.book.Whole()
+				t.book.Complete(t.closing.Step(sum.Done, s.Asked, now))
+				t.completed(before)
+			}
+		} else {
+			t.up(tree.Of(k), links.up[tree.Of(k)], sum, now)
+		}
+		whole := t.book.Whole()
+		for _, r := range links.below(k, now, t.x.spans().Over) {
+			if r == s.View.Own() { // it is this process
+				g.Heard(r, uint64(now), t.own(s), now)
+				continue
+			}
+			if c := s.View.Keeper(r.Site); r.Front == "" && c != nil && c.Is(s.View.Self.Name, s.View.Self.ID, s.View.Self.Start) {
+				continue // it has the same book; its acknowledgement comes by up
+			}
+			x := tie{r, k.Number}
+			news, gone := t.book.Lacks(t.has[x], now)
+			t.down(Purges, r, k, purgeDown{Marks: marks, News: news, Gone: gone, Whole: whole, Synced: t.x.open.Load()})
+			if len(news) > 0 {
+				t.has[x] = with(t.has[x], news) // told once; what it says next counts again
+			}
+		}
+	}
+	if k, self, ok := t.keeperFor(s); ok && !self {
+		t.up(s.View.Own(), k, t.own(s), now)
+	}
+	for x := range t.has {
+		if _, ok := links.children[x]; !ok {
+			delete(t.has, x)
+			delete(t.synced, x)
+		}
+	}
+}
+
+// with is marks after news that follow them without a gap.
+func with(m purges.Marks, news []purges.Purge) purges.Marks {
+	m = slices.Clone(m)
+	for _, p := range news {
+		i := slices.IndexFunc(m, func(x purges.Mark) bool { return x.Origin == p.Origin })
+		switch {
+		case i >= 0 && m[i].N+1 == p.N:
+			m[i].N++
+		case i < 0 && p.N == 1:
+			m = append(m, purges.Mark{Origin: p.Origin, N: 1})
+			purges.Sort(m)
+		}
+	}
+	return m
+}
+
+func (t *purgeTask) gather(k tree.Keeper) *purges.Gather {
+	g := t.gathers[k.Site]
+	if g == nil {
+		g = purges.NewGather(k.Site)
+		t.gathers[k.Site] = g
+	}
+	return g
+}
+
+func (t *purgeTask) up(r tree.Role, k tree.Keeper, sum purges.Summary, now Micros) {
+	u := purgeUp{Marks: t.book.Marks(), Summary: sum, Synced: t.x.open.Load()}
+	u.News, u.Gone = t.book.Lacks(t.above[k.Number], now)
+	if len(u.News) > 0 {
+		t.above[k.Number] = with(t.above[k.Number], u.News)
+	}
+	if r.Front != "" {
+		for _, a := range t.asks[:min(len(t.asks), mostAsks)] {
+			u.Asks = append(u.Asks, a.a)
+		}
+	}
+	t.teller.up(Purges, r, u)
+}
+
+// completed writes which purges have become complete.
+func (t *purgeTask) completed(before purges.Marks) {
+	if !t.x.history.on() {
+		return
+	}
+	for _, m := range t.book.Whole() {
+		for n := before.Of(m.Origin) + 1; n <= m.N; n++ {
+			p := purges.Purge{Origin: m.Origin, N: n}
+			t.x.history.write("complete", map[string]any{"purge": p.ID()})
+		}
+	}
+}
+
+func (t *purgeTask) take(m any) {
+	s := t.x.standing.Load()
+	now := t.x.cfg.Now()
+	switch m := m.(type) {
+	case posted:
+		m.do()
+	case obeyed:
+		for _, p := range m.list {
+			t.half(p)
+		}
+	case purgeAsk:
+		if p, ok := t.book.Find(m.a.Asked, now); ok {
+			m.answer(p, nil)
+			return
+		}
+		if len(t.asks) >= mostAsks*16 {
+			m.answer(purges.Purge{}, errors.New("too many purges wait for their number"))
+			return
+		}
+		t.x.history.write("ask", map[string]any{"asked": m.a.Asked, "scope": m.a.Scope.String()})
+		t.asks = append(t.asks, pendingAsk{m, now + asksFor})
+		if s != nil {
+			t.round()
+		}
+	case purgeLook:
+		t.look(s, m, now)
+	case Envelope:
+		if s != nil {
+			t.came(s, m, now)
+		}
+	}
+	if s != nil && t.dirty {
+		t.round()
+	}
+}
+
+func (t *purgeTask) came(s *Standing, e Envelope, now Micros) {
+	x := tie{e.Role, e.Keeper}
+	before := t.book.Whole()
+	if e.Up {
+		var u purgeUp
+		if decoder.Unmarshal(e.Body, &u) != nil {
+			return
+		}
+		k := s.View.Keeper(e.Site)
+		t.book.Told(u.News, now)
+		t.book.Gone(u.Gone, now)
+		t.has[x], t.synced[x] = u.Marks, u.Synced
+		t.gather(*k).Heard(e.Role, e.Seq, u.Summary, now)
+		for _, a := range u.Asks[:min(len(u.Asks), mostAsks)] {
+			if sc, err := purges.ParseScope(a.Scope.Kind.String(), a.Scope.Name); err == nil {
+				t.book.Ask(purges.Origin{Site: k.Site, Keeper: k.Number}, sc, a.Asked, a.Why, now)
+			}
+		}
+		t.obey()
+		t.syncedBy(s, u.Marks, u.Synced, now)
+		if _, gone := t.book.Lacks(u.Marks, now); len(gone) > 0 || !bytes.Equal(encode(t.book.Marks()), encode(u.Marks)) {
+			t.dirty = true
+		}
+		return
+	}
+	var d purgeDown
+	if decoder.Unmarshal(e.Body, &d) != nil {
+		return
+	}
+	t.book.Told(d.News, now)
+	t.book.Gone(d.Gone, now)
+	t.above[e.Keeper] = d.Marks
+	if len(t.above) > 64 {
+		clear(t.above)
+	}
+	t.obey()
+	t.book.Complete(d.Whole)
+	t.completed(before)
+	t.syncedBy(s, d.Marks, d.Synced, now)
+	if len(d.News) > 0 {
+		t.dirty = true
+	}
+}
+
+// syncedBy opens the front once all is here that one has who serves already. Every
+// purge that is complete is among that.
+func (t *purgeTask) syncedBy(s *Standing, marks purges.Marks, serves bool, now Micros) {
+	if t.x.open.Load() || !serves || !s.View.In {
+		return
+	}
+	have := t.book.Marks()
+	for _, m := range marks {
+		if have.Of(m.Origin) < m.N {
+			return
+		}
+	}
+	t.opens("all that was missed is here", now)
+}
+
+// Purged is what a front tells of one purge.
+type Purged struct {
+	ID       string        `json:"id"`
+	Asked    string        `json:"asked"`
+	Scope    string        `json:"scope"`
+	Complete bool          `json:"complete"`
+	Late     []purges.Late `json:"late,omitempty"`
+	Lag      int           `json:"lag,omitempty"`
+	Told     string        `json:"told"`
+}
+
+// look answers what a person asks.
+func (t *purgeTask) look(s *Standing, m purgeLook, now Micros) {
+	if m.what == "" {
+		m.answer(t.book.List(1000, now), nil)
+		return
+	}
+	for _, l := range t.book.List(1<<30, now) {
+		if l.ID != m.what && l.Asked != m.what {
+			continue
+		}
+		p := Purged{ID: l.ID, Asked: l.Asked, Scope: l.Scope, Complete: l.Complete}
+		switch {
+		case l.Complete:
+			p.Told = "complete: every front of the fleet keeps and obeys it, or surely serves no more"
+		case s != nil && t.keepsRoot(s):
+			p.Late, p.Lag = t.sum.Late, t.sum.Lag
+			p.Told = fmt.Sprintf("%d of %d fronts have not acknowledged", p.Lag, t.sum.Count)
+		case s != nil:
+			g := t.gathers
+			for site, x := range g {
+				sum := x.Sum(s.View, s.Changed, t.book.Marks(), staleSpans*t.x.spans().Over, now)
+				p.Late, p.Lag = append(p.Late, sum.Late...), p.Lag+sum.Lag
+				p.Told += fmt.Sprintf("of site %q %d of %d fronts have not acknowledged; ", site, sum.Lag, sum.Count)
+			}
+			if k := s.View.Keeper(tree.Root); k != nil {
+				p.Told += "ask " + k.Name + ", which keeps the root"
+			}
+		}
+		m.answer(p, nil)
+		return
+	}
+	m.answer(nil, fmt.Errorf("no purge %q is held here", m.what))
+}
+
+func (t *purgeTask) keepsRoot(s *Standing) bool {
+	k := s.View.Keeper(tree.Root)
+	return k != nil && k.Is(s.View.Self.Name, s.View.Self.ID, s.View.Self.Start)
+}
+
+// AskPurge asks for a purge; asked again under the same name it is the same one. The
+// answer comes on the loop, once it has its number.
+func (x *Exchange) AskPurge(s purges.Scope, asked, why string, answer func(purges.Purge, error)) {
+	ok := x.cfg.Section.Purges != nil && x.purges.offer(purgeAsk{asking{asked, s, why}, func(p purges.Purge, err error) {
+		x.cfg.Loop.Post(func() { answer(p, err) })
+	}})
+	if !ok {
+		answer(purges.Purge{}, errors.New("no purges are taken now"))
+	}
+}
+
+// LookPurges gives the purges held, or one by its number or the name of its asking.
+func (x *Exchange) LookPurges(what string, answer func(any, error)) {
+	ok := x.cfg.Section.Purges != nil && x.purges.offer(purgeLook{what, func(v any, err error) { x.cfg.Loop.Post(func() { answer(v, err) }) }})
+	if !ok {
+		answer(nil, errors.New("no purges are told now"))
+	}
+}
--- /dev/null
+++ b/internal/exchange/tell.go
@@ -0,0 +1,86 @@
+package exchange
+
+import (
+	"cherryramp/internal/decide/allowance"
+	"cherryramp/internal/decide/tree"
+)
+
+// Took notes for the laboratory that a limit let a request through, or did not, and by
+// which part. It is called on the loop.
+func (x *Exchange) Took(b *allowance.Bucket, ok bool) {
+	if !x.history.on() {
+		return
+	}
+	at := Mono()
+	from, number, amount := b.Part()
+	x.history.writeAt(at, "take", map[string]any{"limit": b.Key.Limit, "who": b.Key.Who, "ok": ok, "site": from.Site, "keeper": from.Keeper, "part": number, "amount": amount})
+}
+
+// TreeTold is what a front tells of the tree.
+type TreeTold struct {
+	Front    string     `json:"front"`
+	Open     bool       `json:"open"`
+	Sites    []SiteTold `json:"sites"`
+	Roles    []RoleTold `json:"roles"`
+	Sent     int64      `json:"sent"`
+	Received int64      `json:"received"`
+	Bytes    int64      `json:"bytes"`
+	Dropped  int64      `json:"dropped"`
+	Restarts int64      `json:"restarts"`
+}
+
+// SiteTold is a site and who keeps it.
+type SiteTold struct {
+	Site   string `json:"site"`
+	Keeper string `json:"keeper"`
+	Number uint64 `json:"number"`
+}
+
+// RoleTold is one of this process's roles, and where it is attached.
+type RoleTold struct {
+	Role   string   `json:"role"`
+	To     string   `json:"attached_to"`
+	Site   string   `json:"of_site"`
+	Passed []string `json:"passed_over,omitempty"`
+	Below  []string `json:"below,omitempty"`
+}
+
+// Tree tells what this front knows of the tree.
+func (x *Exchange) Tree() TreeTold {
+	t := TreeTold{Front: x.cfg.Name, Open: x.open.Load(), Sent: x.counts.Sent.Load(), Received: x.counts.Received.Load(), Bytes: x.counts.Bytes.Load(),
+		Dropped: x.counts.Dropped.Load(), Restarts: x.counts.Restarts.Load()}
+	s := x.standing.Load()
+	if s == nil {
+		return t
+	}
+	for _, k := range s.View.Keepers {
+		t.Sites = append(t.Sites, SiteTold{"/" + k.Site, k.Name, k.Number})
+	}
+	links, now := x.links.Load(), x.cfg.Now()
+	for _, r := range append(roles(s.View), tree.Role{}) {
+		told := RoleTold{Role: roleName(r)}
+		if r == (tree.Role{}) {
+			k := s.View.Keeper(tree.Root)
+			if k == nil || !k.Is(s.View.Self.Name, s.View.Self.ID, s.View.Self.Start) {
+				continue
+			}
+			told.Role = "root"
+			r = tree.Of(*k)
+		} else if k, ok := links.up[r]; ok {
+			told.To, told.Site = k.Name, "/"+k.Site
+			for _, a := range s.View.Above(r) {
+				if a.Number == k.Number {
+					break
+				}
+				told.Passed = append(told.Passed, a.Name)
+			}
+		}
+		if r.Front == "" {
+			for _, c := range links.below(tree.Keeper{Number: r.Keeper}, now, x.spans().Over) {
+				told.Below = append(told.Below, roleName(c))
+			}
+		}
+		t.Roles = append(t.Roles, told)
+	}
+	return t
+}
--- /dev/null
+++ b/internal/exchange/wire.go
@@ -0,0 +1,295 @@
+package exchange
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"slices"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"cherryramp/internal/decide/tree"
+	"cherryramp/internal/link/frame"
+)
+
+// Protocol is what the exchange's connections say in their handshake (ALPN), so that
+// they come to the fleet's own address and its keys.
+const Protocol = "cherryramp-exchange"
+
+// Subject is what a message is about.
+type Subject uint8
+
+// The subjects.
+const (
+	Tree Subject = iota + 1
+	Limits
+	Purges
+	Verdicts
+	Paths
+	subjects
+)
+
+var subjectNames = [...]string{"", "tree", "limits", "purges", "verdicts", "paths"}
+
+func (s Subject) String() string { return subjectNames[min(int(s), len(subjectNames)-1)] }
+
+// Envelope is one message between a role and a keeper above it.
+type Envelope struct {
+	Subject Subject         `cbor:"1,keyasint"`
+	Up      bool            `cbor:"2,keyasint,omitempty"` // from the role to the keeper
+	Role    tree.Role       `cbor:"3,keyasint"`           // who says, or who is told
+	Site    string          `cbor:"4,keyasint,omitempty"` // of the keeper
+	Keeper  uint64          `cbor:"5,keyasint"`           // its number
+	Seq     uint64          `cbor:"6,keyasint,omitempty"` // of its sender's messages, growing
+	Body    cbor.RawMessage `cbor:"7,keyasint,omitempty"`
+}
+
+// key names what a newer message replaces while it waits to be sent.
+func (e *Envelope) key() string {
+	if e.Subject == Purges { // what they tell of comes once
+		return ""
+	}
+	return fmt.Sprint(e.Subject, e.Up, e.Role, e.Site, e.Keeper)
+}
+
+// Spans and bounds of connections.
+const (
+	handshakeMost = 5 * time.Second
+	redialLeast   = 100 * time.Millisecond
+	redialMost    = 2 * time.Second
+	silentMost    = 5 * time.Second // a connection on which nothing comes for so long is given up
+	pingEvery     = time.Second
+	mostOutbox    = 512
+	mostMessage   = 1 << 20 // bytes
+	stream        = 1
+)
+
+var (
+	encoder = must(cbor.EncOptions{Sort: cbor.SortCanonical}.EncMode())
+	decoder = must(cbor.DecOptions{DupMapKey: cbor.DupMapKeyEnforcedAPF, IndefLength: cbor.IndefLengthForbidden, TagsMd: cbor.TagsForbidden,
+		MaxNestedLevels: 16, MaxArrayElements: 1 << 15, MaxMapPairs: 1 << 12, UTF8: cbor.UTF8RejectInvalid}.DecMode())
+)
+
+func must[T any](x T, err error) T {
+	if err != nil {
+		panic(err) // the options are constants
+	}
+	return x
+}
+
+func encode(x any) cbor.RawMessage {
+	b, err := encoder.Marshal(x)
+	if err != nil {
+		panic(fmt.Sprintf("exchange: %v", err)) // plain values always encode
+	}
+	return b
+}
+
+// errSize tells of a message that is too long; its connection ends.
+var errSize = errors.New("exchange: a message is too long")
+
+// reader gives the bytes of a connection's data frames. The messages on them are a
+// sequence in CBOR (RFC 8742).
+type reader struct {
+	conn   net.Conn
+	buf    []byte
+	data   []byte
+	since  int // bytes since the last whole message
+	hello  func(frame.Hello) error
+	greets bool
+}
+
+func (r *reader) Read(p []byte) (int, error) {
+	for len(r.data) == 0 {
+		f, used, err := frame.Parse(r.buf)
+		if err != nil {
+			return 0, err
+		}
+		if used == 0 {
+			if len(r.buf) == cap(r.buf) {
+				r.buf = slices.Grow(r.buf, 32<<10)
+			}
+			if err := r.conn.SetReadDeadline(time.Now().Add(silentMost)); err != nil {
+				return 0, err
+			}
+			n, err := r.conn.Read(r.buf[len(r.buf):cap(r.buf)])
+			r.buf = r.buf[:len(r.buf)+n]
+			if err != nil && n == 0 {
+				return 0, err
+			}
+			continue
+		}
+		switch f.Kind {
+		case frame.KindHello:
+			var h frame.Hello
+			if err := frame.Read(f, &h); err != nil {
+				return 0, err
+			}
+			if err := r.hello(h); err != nil {
+				return 0, err
+			}
+			r.greets = true
+		case frame.KindData:
+			if !r.greets {
+				return 0, errors.New("exchange: data before a greeting")
+			}
+			r.data = slices.Clone(f.Body)
+		}
+		r.buf = r.buf[:copy(r.buf, r.buf[used:])]
+	}
+	n := copy(p, r.data)
+	r.data = r.data[n:]
+	if r.since += n; r.since > mostMessage {
+		return 0, errSize
+	}
+	return n, nil
+}
+
+// conn is one connection to another front, with its outbox. It is a task of two
+// goroutines: one reads and hands messages to the hub, one writes.
+type conn struct {
+	net.Conn
+	name   string // proven by its certificate
+	outbox *box[Envelope]
+	dialed bool
+}
+
+// names are those that a connection's other side has proven.
+func names(c net.Conn) []string {
+	if t, ok := c.(*tls.Conn); ok {
+		if certs := t.ConnectionState().PeerCertificates; len(certs) > 0 {
+			return certs[0].DNSNames
+		}
+	}
+	return nil
+}
+
+// serve runs a connection until it ends. Up is told once the other side has greeted.
+func (x *Exchange) serve(ctx context.Context, c *conn, up func()) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	c.outbox = newBox(ctx, mostOutbox, &x.counts.Dropped, func(e Envelope) string { return e.key() })
+	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+	defer stop()
+	defer func() { _ = c.Close() }()
+	began := time.Now()
+	write := func(kind frame.Kind, on uint32, body []byte) error {
+		b, err := frame.Append(nil, frame.Frame{Kind: kind, Stream: on, Sent: uint64(time.Since(began).Microseconds()), Body: body})
+		if err != nil {
+			return err
+		}
+		if err := c.SetWriteDeadline(time.Now().Add(silentMost)); err != nil {
+			return err
+		}
+		_, err = c.Write(b)
+		return err
+	}
+	fleet := x.fleetID()
+	hello, err := frame.Head(frame.Hello{Versions: frame.Versions, Site: x.cfg.Name, Epoch: fleet, Window: mostMessage, Total: mostMessage, Streams: 1})
+	if err != nil {
+		return err
+	}
+	failed := make(chan error, 1)
+	go func() {
+		err := func() error {
+			if err := write(frame.KindHello, 0, hello); err != nil {
+				return err
+			}
+			ping := time.NewTicker(pingEvery)
+			defer ping.Stop()
+			for {
+				select {
+				case <-ctx.Done():
+					return nil
+				case <-ping.C:
+					if err := write(frame.KindPing, 0, nil); err != nil {
+						return err
+					}
+				case e := <-c.outbox.out:
+					b := encode(e)
+					x.counts.Sent.Add(1)
+					x.counts.Bytes.Add(int64(len(b)))
+					for len(b) > 0 {
+						n := min(len(b), frame.MostData)
+						if err := write(frame.KindData, stream, b[:n]); err != nil {
+							return err
+						}
+						b = b[n:]
+					}
+				}
+			}
+		}()
+		failed <- err
+		cancel()
+	}()
+	r := &reader{conn: c, buf: make([]byte, 0, 32<<10), hello: func(h frame.Hello) error {
+		if _, err := frame.Agree(h.Versions); err != nil {
+			return err
+		}
+		if !slices.Contains(names(c.Conn), h.Site) || c.name != "" && h.Site != c.name || h.Site == x.cfg.Name {
+			return fmt.Errorf("exchange: it calls itself %q, and its certificate is for %q", h.Site, names(c.Conn))
+		}
+		if h.Epoch != 0 && fleet != 0 && h.Epoch != fleet {
+			return fmt.Errorf("exchange: %s belongs to another fleet", h.Site)
+		}
+		c.name = h.Site
+		up()
+		return nil
+	}}
+	d := decoder.NewDecoder(r)
+	for {
+		var e Envelope
+		if err := d.Decode(&e); err != nil {
+			cancel()
+			if first := <-failed; first != nil && !errors.Is(first, net.ErrClosed) {
+				return first
+			}
+			if errors.Is(err, io.EOF) || errors.Is(err, net.ErrClosed) {
+				return nil
+			}
+			return err
+		}
+		r.since = 0
+		x.counts.Received.Add(1)
+		x.hub.put(fromFront{c.name, e})
+	}
+}
+
+// dial connects to a front and serves the connection; it comes back when that ends.
+func (x *Exchange) dial(ctx context.Context, name, address string) error {
+	dctx, cancel := context.WithTimeout(ctx, handshakeMost)
+	defer cancel()
+	cfg := x.cfg.Keys.Client()
+	cfg.NextProtos = []string{Protocol}
+	d := tls.Dialer{Config: cfg}
+	nc, err := d.DialContext(dctx, "tcp", address)
+	if err != nil {
+		return err
+	}
+	t := nc.(*tls.Conn)
+	if t.ConnectionState().NegotiatedProtocol != Protocol {
+		return errors.Join(fmt.Errorf("exchange: %s at %s takes no part", name, address), nc.Close())
+	}
+	if !slices.Contains(names(nc), name) {
+		return errors.Join(fmt.Errorf("exchange: at %s is %q, not %s", address, names(nc), name), nc.Close())
+	}
+	c := &conn{Conn: nc, name: name, dialed: true}
+	defer x.hub.put(connDown{c})
+	return x.serve(ctx, c, func() { x.hub.put(connUp{c}) })
+}
+
+// Accept takes over a connection that another front opened, whose handshake is done.
+func (x *Exchange) Accept(nc net.Conn, done func()) {
+	go func() {
+		defer done()
+		c := &conn{Conn: nc}
+		defer x.hub.put(connDown{c})
+		if err := x.serve(x.ctx, c, func() { x.hub.put(connUp{c}) }); err != nil && x.ctx.Err() == nil {
+			x.log.Info("exchange: a connection ended", "front", c.name, "error", err)
+		}
+	}()
+}
--- a/internal/fleet/calls.go
+++ b/internal/fleet/calls.go
@@ -120,7 +120,7 @@
 
 // Errors of calls.
 var (
-	errCall   = errors.New("unknown call; FLEET takes STATUS, MEMBERS, INIT, LEAVE NAME, and RULES, VERSIONS with LIST, WHY, LAG, STAGE, PROPOSE, STOP, AUDIT, and WORK with ASK, LIST, PLAN, WHY, CANCEL, HOLD, RESUME, LOST, DONE")
+	errCall   = errors.New("unknown call; FLEET takes STATUS, MEMBERS, INIT, LEAVE NAME, and RULES, TREE, LIMITS, VERDICTS, STEER REGION, PURGE with ASK, LIST, WHY, VERSIONS with LIST, WHY, LAG, STAGE, PROPOSE, STOP, AUDIT, and WORK with ASK, LIST, PLAN, WHY, CANCEL, HOLD, RESUME, LOST, DONE")
 	errNumber = errors.New("the work's number is wanted")
 	errWait   = errors.New("another process has the folder; this one waits for it to end")
 	errName   = errors.New("a name is wanted")
@@ -173,6 +173,8 @@
 		f.auditCall(rest, give, fail)
 	case "WORK":
 		f.work(rest, give, fail)
+	case "LIMITS", "PURGE", "TREE", "VERDICTS", "STEER":
+		f.exchangeCall(word, rest, give, fail)
 	default:
 		fail(errCall)
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -20,7 +20,9 @@
 
 	"golang.org/x/sys/unix"
 
+	"cherryramp/internal/config"
 	"cherryramp/internal/decide/audit"
+	"cherryramp/internal/exchange"
 	"cherryramp/internal/fleet/agree"
 	"cherryramp/internal/journal"
 	"cherryramp/internal/link/peers"
@@ -34,6 +36,7 @@
 	Folder string
 	Keys   peers.Files
 	Reach  map[string]string // where a front is reached from here, if not at its own address
+	Shared *config.Exchange  // what fronts tell each other without agreeing first; nil: nothing
 }
 
 // Host is the front round its part in the fleet.
@@ -106,6 +109,9 @@
 	asks     uint64
 	staged   map[string]*staged
 
+	ex      *exchange.Exchange // nil: off
+	changed changed            // of the fleet's fronts, as the exchange was last told
+
 	toldForeign, toldRefused loop.Micros
 }
 
@@ -214,6 +220,10 @@
 		f.breaks(fmt.Errorf("listen: %w", err))
 		return
 	}
+	if err := f.startExchange(); err != nil {
+		f.breaks(err)
+		return
+	}
 	go f.accept(f.listener)
 	f.log.Info("fleet: this front takes part", "front", f.cfg.Name, "incarnation", fmt.Sprintf("%016x", node.ID()), "applied", node.Applied())
 	f.ticked()
@@ -233,6 +243,7 @@
 		return
 	}
 	f.node.Tick(f.now())
+	f.publish()
 	if now-f.swept > sweepEvery {
 		f.swept = now
 		f.sweep()
@@ -295,7 +306,7 @@
 func (f *Fleet) Holds() (ok bool, away int64) {
 	switch {
 	case f.node == nil:
-		return f.cfg.Rules.Alone == 0, awayUnknown
+		return f.cfg.Rules.Alone == 0 && f.cfg.Shared == nil, awayUnknown
 	case f.broken != nil:
 		ok = f.node.Lives() == 0
 	case f.opened:
@@ -307,6 +318,9 @@
 	default:
 		ok = f.node.Lives() == 0 && f.node.Stale() == nil && f.ver.taker.May(f.now())
 	}
+	if ok && f.cfg.Shared != nil {
+		ok = f.ex != nil && f.ex.Open()
+	}
 	return ok, awayUnknown
 }
 
@@ -423,6 +437,9 @@
 	if f.listener != nil {
 		err = f.listener.Close()
 	}
+	if f.ex != nil {
+		err = errors.Join(err, f.ex.Close())
+	}
 	for _, p := range f.peers {
 		if p.conn != nil {
 			p.conn.Close()
--- a/internal/fleet/peers.go
+++ b/internal/fleet/peers.go
@@ -9,6 +9,7 @@
 	"slices"
 	"time"
 
+	"cherryramp/internal/exchange"
 	"cherryramp/internal/fleet/agree"
 	"cherryramp/internal/link"
 	"cherryramp/internal/link/frame"
@@ -218,7 +219,11 @@
 			continue
 		}
 		go func() { // one a connection, for its handshake alone
-			t := tls.Server(c, f.keys.Server())
+			cfg := f.keys.Server()
+			if f.ex != nil {
+				cfg.NextProtos = []string{exchange.Protocol}
+			}
+			t := tls.Server(c, cfg)
 			ctx, cancel := context.WithTimeout(context.Background(), handshakeMost)
 			defer cancel()
 			if err := t.HandshakeContext(ctx); err != nil {
@@ -227,6 +232,10 @@
 				f.loop.Post(func() { f.refused(c.RemoteAddr(), err) })
 				return
 			}
+			if t.ConnectionState().NegotiatedProtocol == exchange.Protocol {
+				f.ex.Accept(t, func() { f.incoming.Add(-1) })
+				return
+			}
 			f.loop.Post(func() {
 				if f.closed {
 					f.incoming.Add(-1)
--- a/internal/front/signed/signed.go
+++ b/internal/front/signed/signed.go
@@ -16,6 +16,7 @@
 	"strconv"
 	"strings"
 
+	"cherryramp/internal/decide/allowance"
 	"cherryramp/internal/decide/content"
 	"cherryramp/internal/decide/grants"
 	"cherryramp/internal/decide/quota"
@@ -81,6 +82,17 @@
 	Classes []Class
 }
 
+// Shared are limits that hold for the whole fleet.
+type Shared interface {
+	// Take asks for one request under all its claims; it takes from all or from none.
+	Take(claims []quota.Claim) (taken []*allowance.Bucket, away gateway.Micros, refused string)
+	// Done gives back what was taken.
+	Done(taken []*allowance.Bucket)
+}
+
+// Share has requests keep to limits of the whole fleet, besides this front's own.
+func (f *Front) Share(s Shared) { f.shared = s }
+
 // Config bounds what the front holds.
 type Config struct {
 	Queue   int // costly checks that wait
@@ -101,6 +113,7 @@
 	rates    *quota.Rates
 	uses     *quota.Uses
 	variants *encoding.Variants
+	shared   Shared // nil: no limit holds for the whole fleet
 	base     uint64 // of the ids that requests get
 	count    uint64
 }
@@ -131,6 +144,7 @@
 	call   *gateway.Call
 	class  *Class
 	claims []quota.Claim // taken
+	shared []*allowance.Bucket
 	use    [16]byte      // taken, if counted
 	used   bool
 	origin string // of a page whose script may read the answer
@@ -246,6 +260,13 @@
 		return away, status, string(refusal)
 	}
 	v.claims = claims
+	if f.shared != nil {
+		var refused string
+		if v.shared, away, refused = f.shared.Take(claims); refused != "" {
+			f.release(v, true)
+			return away, 429, refused
+		}
+	}
 	if u := f.policy.Uses[g.Profile.Name]; u.Most > 0 {
 		v.use = g.Digest()
 		away, refusal := f.uses.Take(quota.Token{Name: v.use, Until: g.Ends(), Most: u.Most,
@@ -274,6 +295,10 @@
 		f.rates.Done(v.claims)
 		v.claims = nil
 	}
+	if v.shared != nil {
+		f.shared.Done(v.shared)
+		v.shared = nil
+	}
 	if v.used {
 		f.uses.Done(v.use, harmless)
 		v.used = false
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -161,6 +161,7 @@
 	swept   Micros
 	copies  *copies
 	guard   func() (ok bool, away Micros) // nil: the gateway may always act
+	bounds  Bounds                        // nil: none
 	log     *slog.Logger
 }
 
@@ -187,6 +188,33 @@
 // rules, with nothing new sent.
 func (g *Gateway) Guard(may func() (ok bool, away Micros)) { g.guard = may }
 
+// Bounds are what the whole fleet holds of copies, beside the notice board's purges.
+type Bounds interface {
+	// Since is the moment up to which a copy of an object counts as purged; ok is false
+	// where none does.
+	Since(object string, group int) (at Micros, ok bool)
+	// Tagged is the same of copies under a tag, which only an answer tells.
+	Tagged(tag string) (at Micros, ok bool)
+}
+
+// Bound has the gateway keep to bounds.
+func (g *Gateway) Bound(b Bounds) { g.bounds = b }
+
+// since is the moment up to which a copy that a call is answered with counts as purged
+// by the whole fleet; 0: none does.
+func (g *Gateway) since(c *Call, tag string) Micros {
+	if g.bounds == nil {
+		return 0
+	}
+	at, _ := g.bounds.Since(c.Object, c.Group)
+	if tag != "" {
+		if t, ok := g.bounds.Tagged(tag); ok {
+			at = max(at, t)
+		}
+	}
+	return max(0, at)
+}
+
 // Renew takes settings for the calls that come from now on; open ones keep what
 // they came under. The classes of the settings must keep those known so far in
 // their places; else, or where the settings can't be used, nothing changes.
@@ -253,7 +281,7 @@
 			return
 		}
 	}
-	if x := g.copies.find(c, &g.cfg.Settings.Classes[c.Class], g.loop.Now()); x != nil {
+	if x := g.copies.find(c, &g.cfg.Settings.Classes[c.Class], g.loop.Now()); x != nil && x.born > g.since(c, x.tag) {
 		c.over = true
 		a := Answer{Kind: Served, Body: x.body, Tag: x.tag, Born: x.born}
 		if c.Tag != "" && c.Tag == x.tag {
@@ -505,6 +533,17 @@
 			}
 		}
 	}
+	if at := g.since(a.Call, ""); at > 0 && !g.cfg.Settings.Classes[a.Call.Class].Write {
+		if a.Call.Tag != "" { // the client's own copy may be one from before
+			a.Call.Tag = ""
+		}
+		if age := max(1000, now-at); maxAge == 0 || age < maxAge {
+			maxAge = age
+		}
+		if fresh := g.cfg.Settings.Classes[a.Call.Class].Fresh; a.maxAge == 0 && fresh > 0 {
+			maxAge = min(maxAge, fresh)
+		}
+	}
 	g.cfg.Figures.Tried(a.Call.Class)
 	return maxAge, true
 }
@@ -512,6 +551,15 @@
 // End tells how an attempt ended.
 func (g *Gateway) End(a *Attempt, e End) {
 	if !a.done {
+		if e.Code == rules.OK && g.bounds != nil && !g.cfg.Settings.Classes[a.Call.Class].Write {
+			if at := g.since(a.Call, e.Answer.Tag); at > 0 && e.Answer.Born <= at {
+				// From before a purge that came meanwhile, or of a tag that only the answer
+				// tells: as if nothing suitable had been held. It goes again for a newer one.
+				g.purges[key(a.Call.Object)] = max(g.purges[key(a.Call.Object)], at)
+				g.events = append(g.events, rules.Purge{Object: key(a.Call.Object), Age: max(0, g.loop.Now()-at)})
+				e = End{Code: rules.Miss, Waited: e.Waited}
+			}
+		}
 		g.end(a, e)
 	}
 }
@@ -535,7 +583,7 @@
 
 // purgedSince tells whether a call's object was purged after a moment.
 func (g *Gateway) purgedSince(c *Call, born Micros) bool {
-	return g.purges[key(c.Object)] >= born || g.purges[groupKey(c.Group)] >= born
+	return g.purges[key(c.Object)] >= born || g.purges[groupKey(c.Group)] >= born || g.since(c, "") >= born
 }
 
 func serverID(s *Server) rules.ServerID {
--- a/internal/program/fleet.go
+++ b/internal/program/fleet.go
@@ -62,7 +62,7 @@
 
 // Fleet begins a front's part in a fleet, under a name. It is set by the command
 // that has the part linked in; nil: this one has not.
-var Fleet func(c *config.Fleet, front string, l *loop.Loop, host FleetHost, log *slog.Logger) (FleetPart, error)
+var Fleet func(c *config.Fleet, shared *config.Exchange, front string, l *loop.Loop, host FleetHost, log *slog.Logger) (FleetPart, error)
 
 // Sibling is the command beside this one that has the part in a fleet.
 const Sibling = "cherryramp-fleet"
@@ -82,10 +82,13 @@
 }
 
 // startFleet has the front take part in the fleet of the operator's file.
-func (p *program) startFleet(c *config.Fleet) (err error) {
-	if p.fleet, err = Fleet(c, cmp.Or(c.Front, p.cfg.Name), p.loop, fleetHost{p}, p.log); err != nil {
+func (p *program) startFleet(c *config.Fleet, shared *config.Exchange) (err error) {
+	if p.fleet, err = Fleet(c, shared, cmp.Or(c.Front, p.cfg.Name), p.loop, fleetHost{p}, p.log); err != nil {
 		return err
 	}
+	if part, ok := p.fleet.(ExchangePart); ok && p.shared != nil {
+		p.shared.part = part
+	}
 	p.gate.Guard(p.fleet.Holds)
 	return nil
 }
--- a/internal/program/serve.go
+++ b/internal/program/serve.go
@@ -128,6 +128,7 @@
 	hurt     bool
 	byHand   bool // nor did it before, as a person wanted
 	versions versions
+	shared   *shared // limits and purges of the whole fleet; nil: off
 }
 
 // build wires the parts and starts to serve.
@@ -190,6 +191,10 @@
 	}
 	p.platform = platform.New(p.named(), log)
 	p.fronts = append(p.fronts, session.New(limits, p.loop, p.platform, p.gate, log))
+	if operator.Exchange != nil {
+		p.shared = newShared(p, operator.Exchange)
+		p.gate.Bound(p.shared)
+	}
 	if operator.Signed != nil {
 		o := operator.Signed
 		p.links = o
@@ -198,6 +203,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if p.shared != nil {
+			p.signed.Share(p.shared)
+		}
 		links := session.Config{Name: "signed", Listen: operator.Signed.Listen, Limits: signed.Limits,
 			Buffer: signed.Buffer, Connections: int(signedShare * float64(cfg.Sockets)), Admission: limits.Admission,
 			Figures: p.figures, Audit: limits.Audit}
@@ -225,7 +233,7 @@
 		p.news.Start()
 	}
 	if operator.Fleet != nil {
-		if err := p.startFleet(operator.Fleet); err != nil {
+		if err := p.startFleet(operator.Fleet, operator.Exchange); err != nil {
 			return nil, err
 		}
 	}
@@ -351,6 +359,9 @@
 		p.news.Move(p.cfg.Board)
 	}
 	p.gate.Limit(copies(p.cfg))
+	if p.shared != nil && operator.Exchange != nil {
+		p.shared.renew(operator.Exchange)
+	}
 	if c := operator.Clients; p.operator.Clients != nil && c != nil {
 		for i, f := range p.fronts {
 			b := session.Bounds{Connections: held(p.cfg, c), Prefix: c.Prefix, Idle: int64(c.IdleMS) * 1000, Request: int64(c.RequestMS) * 1000}
--- /dev/null
+++ b/internal/program/shared.go
@@ -0,0 +1,123 @@
+package program
+
+import (
+	"time"
+
+	"cherryramp/internal/config"
+	"cherryramp/internal/decide/allowance"
+	"cherryramp/internal/decide/purges"
+	"cherryramp/internal/decide/quota"
+	"cherryramp/internal/gateway"
+)
+
+// ExchangePart is what a front's part in the exchange does for its host, on the loop.
+type ExchangePart interface {
+	// Took tells of a request that a limit let through or refused, and by which part.
+	Took(b *allowance.Bucket, ok bool)
+	// NewName tells that a name came that no part is held of.
+	NewName()
+}
+
+// began is when this process did, for clocks that only go forward.
+var began = time.Now()
+
+// mono is this process's clock for what the fleet shares, in microseconds.
+func mono() int64 { return 1 + time.Since(began).Microseconds() }
+
+// shared is what holds for the whole fleet, as this front goes by it: parts of limits, and
+// purges. It belongs to the loop.
+type shared struct {
+	p      *program
+	purse  *allowance.Purse
+	index  *purges.Index
+	part   ExchangePart
+	limits bool
+}
+
+func newShared(p *program, x *config.Exchange) *shared {
+	rules, list := x.Allowances()
+	most := 0
+	if x.Purges != nil {
+		most = x.Purges.Most
+	}
+	return &shared{p: p, purse: allowance.NewPurse(rules, list, mono()), index: purges.NewIndex(most), limits: len(list) > 0}
+}
+
+func (s *shared) renew(x *config.Exchange) {
+	rules, list := x.Allowances()
+	s.purse.Renew(rules, list, mono())
+	s.limits = len(list) > 0
+	if r, ok := s.part.(interface{ RenewExchange(*config.Exchange) }); ok {
+		r.RenewExchange(x)
+	}
+}
+
+// kinds are what limits are for, by what claims are.
+var kinds = map[quota.Kind]string{quota.Tenant: "tenant", quota.Key: "key", quota.Subject: "subject"}
+
+// Take is part of signed.Shared.
+func (s *shared) Take(claims []quota.Claim) (taken []*allowance.Bucket, away gateway.Micros, refused string) {
+	if !s.limits {
+		return nil, 0, ""
+	}
+	now := mono()
+	for i := range claims {
+		for _, b := range s.purse.Find(kinds[claims[i].Kind], claims[i].Name, now) {
+			wait, ok := b.Take(now)
+			if s.part != nil {
+				s.part.Took(b, ok)
+			}
+			if ok {
+				taken = append(taken, b)
+				continue
+			}
+			for _, t := range taken {
+				t.Undo()
+			}
+			s.fresh()
+			return nil, wait, "limit " + b.Key.Limit + " of the fleet"
+		}
+	}
+	s.fresh()
+	return taken, 0, ""
+}
+
+func (s *shared) fresh() {
+	if s.purse.Fresh() && s.part != nil {
+		s.part.NewName()
+	}
+}
+
+// Done is part of signed.Shared.
+func (s *shared) Done(taken []*allowance.Bucket) {
+	for _, b := range taken {
+		b.Done()
+	}
+}
+
+// Since is part of gateway.Bounds.
+func (s *shared) Since(object string, group int) (at gateway.Micros, ok bool) {
+	return s.index.Since(object, group)
+}
+
+// Tagged is part of gateway.Bounds.
+func (s *shared) Tagged(tag string) (at gateway.Micros, ok bool) { return s.index.Tagged(tag) }
+
+// Mono is the clock by which the fleet's part leases what is shared.
+func (h fleetHost) Mono() int64 { return mono() }
+
+// Give is part of exchange.Limiter.
+func (h fleetHost) Give(g allowance.Grant, newest uint64) { h.p.shared.purse.Give(g, newest, mono()) }
+
+// Tell is part of exchange.Limiter.
+func (h fleetHost) Tell() []allowance.Say { return h.p.shared.purse.Tell(mono()) }
+
+// Fronts is part of exchange.Limiter.
+func (h fleetHost) Fronts(n int) { h.p.shared.purse.Fronts(n) }
+
+// Obey is part of exchange.Obeyer.
+func (h fleetHost) Obey(s purges.Scope, age int64) { h.p.shared.obey(s, age) }
+
+func (s *shared) obey(scope purges.Scope, age int64) {
+	s.index.Add(scope, s.p.loop.Now()-age)
+}
