--- /dev/null
+++ b/cmd/ramplab/exchange.go
@@ -0,0 +1,109 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"cherryramp/lab/fleet"
+	"cherryramp/lab/history"
+)
+
+type fleetExchangeCommand struct {
+	frontPath
+	Fronts  int           `default:"5" help:"How many."`
+	Zones   int           `default:"3" help:"Sites that they stand in."`
+	Seed    uint64        `default:"1" help:"Of the clients and the troubles."`
+	For     time.Duration `default:"24s" help:"How long the day is, before all is well again."`
+	Chaos   bool          `help:"Random troubles, instead of one site that is cut off in the middle."`
+	Limit   float64       `default:"100" help:"The tenant's hard limit, requests a second."`
+	Burst   float64       `default:"20" help:"And at once."`
+	Rate    float64       `default:"300" help:"Requests a second that clients ask for under the limit."`
+	Reads   float64       `default:"60" help:"Requests a second beside it."`
+	Keep    string        `type:"path" help:"Keep the histories in this folder."`
+	JSON    bool          `help:"The result as JSON."`
+	Verbose bool          `help:"Every line of what happens."`
+}
+
+// Run plays, and judges.
+func (c fleetExchangeCommand) Run() error {
+	if c.Fronts < 1 || c.Fronts > 40 || c.Zones < 1 || c.For < 4*time.Second || c.Limit <= 0 || c.Burst < 1 || c.Rate <= 0 {
+		return fmt.Errorf("--fronts 1 to 40, --zones from 1, --for from 4s on, --limit and --rate above 0 and --burst from 1 on are possible")
+	}
+	front, err := c.path()
+	if err != nil {
+		return err
+	}
+	o := fleet.Shared{Program: front, Fronts: c.Fronts, Zones: c.Zones, Seed: c.Seed, Limit: c.Limit, Burst: c.Burst, Rate: c.Rate, Reads: c.Reads, Boxes: 2, Keep: c.Keep}
+	if c.Verbose {
+		o.Verbose = func(line string) { fmt.Println(line) }
+	}
+	r, err := fleet.PlayShared(o, c.For, c.Chaos)
+	if r.Verdict == nil {
+		return err
+	}
+	if c.JSON {
+		text, e := json.Marshal(r)
+		if e != nil {
+			return e
+		}
+		fmt.Println(string(text))
+	} else {
+		fmt.Printf("%d served, %d refused, %d failed, %d lost; %d fills\n", r.Served, r.Refused, r.Failed, r.Lost, r.Fills)
+		tellVerdict(r.Verdict)
+	}
+	if err == nil && len(r.Verdict.Broken) > 0 {
+		err = errNotMet
+	}
+	return err
+}
+
+type fleetJudgeCommand struct {
+	Folder string `arg:"" type:"existingdir" help:"With the histories."`
+	JSON   bool   `help:"The result as JSON."`
+}
+
+// Run judges.
+func (c fleetJudgeCommand) Run() error {
+	h, err := history.Read(c.Folder)
+	if err != nil {
+		return err
+	}
+	v := history.Judge(h)
+	if c.JSON {
+		text, err := json.Marshal(v)
+		if err != nil {
+			return err
+		}
+		fmt.Println(string(text))
+	} else {
+		tellVerdict(v)
+	}
+	if len(v.Broken) > 0 {
+		return errNotMet
+	}
+	return nil
+}
+
+func tellVerdict(v *history.Verdict) {
+	fmt.Printf("events: %v\nhard limits: over by %.1f requests at the most (below 0: never); used at the end: %.0f%%\n", v.Counts, v.Over, 100*v.Used)
+	for _, p := range v.Purged {
+		fmt.Printf("purge %s: obeyed by %d fronts after %.3f s, complete after %.3f s\n", p.ID, p.Fronts, p.Obeyed, p.Complete)
+	}
+	if len(v.Cut) > 0 {
+		fmt.Printf("not whole, judged up to there: %v\n", v.Cut)
+	}
+	if v.Missed > 0 {
+		fmt.Printf("%d events were not written\n", v.Missed)
+	}
+	for _, f := range v.Broken {
+		fmt.Printf("BROKEN %s: %s\n", f.Promise, f.Text)
+		for _, e := range f.Shows {
+			b, _ := json.Marshal(e)
+			fmt.Printf("    %s\n", b)
+		}
+	}
+	if len(v.Broken) == 0 {
+		fmt.Println("no promise broken")
+	}
+}
--- a/cmd/ramplab/fleet.go
+++ b/cmd/ramplab/fleet.go
@@ -21,6 +21,9 @@
 	Up   fleetUpCommand   `cmd:"" help:"Hold a fleet of started fronts up, to try things out on, until interrupted."`
 	Work fleetWorkCommand `cmd:"" help:"Take machines out for work while things go wrong, and check every promise."`
 
+	Exchange fleetExchangeCommand `cmd:"" help:"Limits, purges, verdicts and latencies over started fronts while things go wrong; a judge reads the histories afterwards."`
+	Judge    fleetJudgeCommand    `cmd:"" help:"Judge a folder of histories that a day left."`
+
 	Versions fleetVersionsCommand `cmd:"" help:"Propose versions while things go wrong, read every front's answers and audits, and check every promise."`
 }
 
--- a/internal/exchange/purges.go
+++ b/internal/exchange/purges.go
@@ -125,6 +125,7 @@
 	asks    []pendingAsk
 	waits   map[string]int // purges that are not yet both kept and obeyed: 2 and down
 	began   Micros
+	opened  bool // what has it serve is on its way to the loop
 	seen    bool // the log has had this process for as long as returns says
 	since   Micros
 	rounds  int
@@ -295,7 +296,7 @@
 // returns opens the front once it has what it missed: as much as a keeper has that is
 // open itself, or, after a while, by trusting no copy from before.
 func (t *purgeTask) returns(s *Standing, now Micros) {
-	if t.x.open.Load() || !s.View.In {
+	if t.x.open.Load() || t.opened || !s.View.In {
 		return
 	}
 	if !t.seen {
@@ -310,7 +311,8 @@
 }
 
 func (t *purgeTask) opens(how string, now Micros) {
-	t.x.history.write("open", map[string]any{"how": how})
+	t.opened = true
+	t.x.history.write("open", map[string]any{"state": how})
 	t.x.log.Info("exchange: the front serves", "purges", how)
 	x := t.x
 	x.cfg.Loop.Post(func() { x.open.Store(true) }) // behind what the loop has to obey
@@ -542,7 +544,7 @@
 // syncedBy opens the front once all is here that one has who serves already. Every
 // purge that is complete is among that.
 func (t *purgeTask) syncedBy(s *Standing, marks purges.Marks, serves bool, now Micros) {
-	if t.x.open.Load() || !serves || !s.View.In {
+	if t.x.open.Load() || t.opened || !serves || !s.View.In {
 		return
 	}
 	have := t.book.Marks()
--- a/lab/fleet/processes.go
+++ b/lab/fleet/processes.go
@@ -31,6 +31,10 @@
 	Rules   map[string]any // of the section's rules; nil: short ones
 	Lines   bool           // every pair's traffic goes over a line of its own, for faults
 	Log     io.Writer      // of the fronts; nil: into a file each
+
+	SiteOf   func(i int) string                          // a front's site, as a path; nil: zones z0, z1 and so on
+	Sections func(p *Process) map[string]any             // further sections of a front's operator's file
+	Config   func(name, listen string, front int) string // its configuration; nil: before a small site's stand-ins
 }
 
 // Process is one started front.
@@ -39,6 +43,7 @@
 	Listen     string // for clients
 	Ops        string // the operators' door
 	Fleet      string // for the other fronts
+	Signed     string // for clients with links, where that is set up
 	Dir        string
 	Log        string // path
 
@@ -67,6 +72,7 @@
 	clientPort = 7001
 	opsPort    = 7002
 	fleetPort  = 7003
+	signedPort = 7004
 )
 
 // address is a front's own: by process, instance and number.
@@ -97,7 +103,7 @@
 	for i := range o.Fronts {
 		ip := address(instance, i)
 		at := func(port int) string { return net.JoinHostPort(ip, fmt.Sprint(port)) }
-		p := &Process{f: f, Name: name(i), Zone: fmt.Sprintf("z%d", i%max(1, o.Zones)), Listen: at(clientPort), Ops: at(opsPort), Fleet: at(fleetPort),
+		p := &Process{f: f, Name: name(i), Zone: o.site(i), Listen: at(clientPort), Ops: at(opsPort), Fleet: at(fleetPort), Signed: at(signedPort),
 			Dir: filepath.Join(f.Site.Dir(), name(i)), program: o.Program}
 		p.Log = filepath.Join(p.Dir, "log")
 		f.List = append(f.List, p)
@@ -129,6 +135,13 @@
 	return f, nil
 }
 
+func (o *Options) site(i int) string {
+	if o.SiteOf != nil {
+		return o.SiteOf(i)
+	}
+	return fmt.Sprintf("z%d", i%max(1, o.Zones))
+}
+
 // shortRules are rules with spans that a person, or a test, can wait for.
 func shortRules() map[string]any {
 	return map[string]any{"out": 1, "zone": 1, "percent": 34, "hurt_percent": 50, "accept_s": 5, "empty_s": 10, "back_s": 20, "cold_s": 1}
@@ -148,14 +161,23 @@
 	if rules == nil {
 		rules = shortRules()
 	}
-	text, err := json.MarshalIndent(map[string]any{"fleet": map[string]any{"name": "laboratory", "front": p.Name, "zone": p.Zone,
+	config := f.Site.Config(p.Name, p.Listen, 0, 0)
+	if f.o.Config != nil {
+		config = f.o.Config(p.Name, p.Listen, f.index(p))
+	}
+	sections := map[string]any{}
+	if f.o.Sections != nil {
+		sections = f.o.Sections(p)
+	}
+	sections["fleet"] = map[string]any{"name": "laboratory", "front": p.Name, "zone": p.Zone,
 		"listen": p.Fleet, "first": first, "folder": filepath.Join(p.Dir, "folder"), "reach": reach, "rules": rules,
-		"keys": map[string]any{"certificate": certificate, "key": key, "authorities": authorities, "names": []string{LetIn}}}}, "", " ")
+		"keys": map[string]any{"certificate": certificate, "key": key, "authorities": authorities, "names": []string{LetIn}}}
+	text, err := json.MarshalIndent(sections, "", " ")
 	if err != nil {
 		return err
 	}
 	return errors.Join(os.WriteFile(filepath.Join(p.Dir, "operator.json"), text, 0o600),
-		os.WriteFile(filepath.Join(p.Dir, "config.json"), []byte(f.Site.Config(p.Name, p.Listen, 0, 0)), 0o600))
+		os.WriteFile(filepath.Join(p.Dir, "config.json"), []byte(config), 0o600))
 }
 
 // Start starts a front, and waits until it serves.
