Purges: no telling round and round where nobody has any; verdicts and paths decided

Cause: empty marks came back as none, were taken as different, and two neighbours told each other over and over (encode compared in purges.go). Marks are compared by what they say, and telling has a least span. Ruled out: the mailbox losing below its bound (a test of it), a second life of the task.

--- a/cmd/cherryramp-fleet/calls.go
+++ b/cmd/cherryramp-fleet/calls.go
@@ -91,7 +91,7 @@
 	c := &fleetCalls{out: os.Stdout}
 	root := &cobra.Command{Use: "fleet", Args: cobra.NoArgs, RunE: help, Short: "What the fronts of one installation agree on",
 		Long: "What the fronts of one installation agree on, asked at any front's door.\n\n" +
-			"Exit codes: 0 done, 1 failed or refused, 2 called in a way that is not known, 4 with --wait: the work ended before the machine was out."}
+			"Exit codes: 0 done, 1 failed or refused, 2 called in a way that is not known, 4 with --wait: the work ended before the machine was out, or the purge is not complete in time."}
 	root.PersistentFlags().StringVar(&c.ops, "ops", "", "a front's operators' door, IP:port; ROUTER_OPS by default")
 	root.PersistentFlags().BoolVar(&c.json, "json", false, "answers as JSON")
 	simple := func(use, short string, run func(args []string) error, args cobra.PositionalArgs) *cobra.Command {
@@ -107,7 +107,7 @@
 		simple("leave NAME", "Take a front out of the fleet for good", func(args []string) error {
 			return c.show("LEAVE "+args[0], nil, func(w io.Writer) { _, _ = fmt.Fprintf(w, "%s leaves\n", args[0]) })
 		}, cobra.ExactArgs(1)),
-		c.rulesCommand(), c.versionsCommand(), c.auditCommand(), c.workCommand())
+		c.treeCommand(), c.limitsCommand(), c.purgeCommand(), c.rulesCommand(), c.versionsCommand(), c.auditCommand(), c.workCommand())
 	return root
 }
 
--- a/cmd/cherryramp/links.go
+++ b/cmd/cherryramp/links.go
@@ -49,6 +49,9 @@
 	}
 	for _, name := range files {
 		tell(name, config.CheckFile(name))
+		for _, line := range config.FileBounds(name) {
+			fmt.Printf("%s: %s\n", name, line)
+		}
 	}
 	if bad {
 		return atFault
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -240,6 +240,20 @@
 	return keys
 }
 
+// FileBounds gives the bounds that follow from an operator's file for what a fleet
+// shares, a line each; none where it shares nothing, or has faults.
+func FileBounds(path string) []string {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil
+	}
+	o, err := ParseOperator(data, filepath.Dir(path))
+	if err != nil || o.Exchange == nil {
+		return nil
+	}
+	return o.Exchange.Bounds()
+}
+
 // CheckFile tells all faults of a file, the platform's or an operator's; which
 // it is, its keys tell.
 func CheckFile(path string) error {
--- a/internal/decide/allowance/dealer.go
+++ b/internal/decide/allowance/dealer.go
@@ -393,12 +393,13 @@
 		if goal < l.least() && l.Kind == Rate {
 			goal = 0
 		}
-		grants[role] = d.give(l, key, c, goal, span, s.Epoch, grants[role], now)
+		grants[role] = d.give(l, key, c, goal, span, s.Epoch, grants[role], d.l.Members[role].Came)
 	}
 }
 
 // give adds a role's part to its grant: changed where it is worth it, or leased anew.
-func (d *Dealer) give(l *Limit, key Key, c *child, goal float64, span Micros, epoch uint64, g Grant, now Micros) Grant {
+// The lease is from the ask's stamp, which lies before the moment that it came.
+func (d *Dealer) give(l *Limit, key Key, c *child, goal float64, span Micros, epoch uint64, g Grant, came Micros) Grant {
 	changed := math.Abs(goal-c.Latest) > settleFrom*c.Latest || c.Latest > goal && len(c.Given) == 0 || c.Number == 0
 	if changed && goal != c.Latest || c.Number == 0 && goal > 0 {
 		if len(c.Given) >= mostGiven && goal > c.Latest {
@@ -422,10 +423,10 @@
 	if c.Number == 0 {
 		return g
 	}
-	over := now + lease.Until(span)
+	over := came + lease.Until(span)
 	switch l.Kind {
 	case Open:
-		over = now + lease.Until(span+d.rules.Longest)
+		over = came + lease.Until(span+d.rules.Longest)
 	case Uses:
 		over = math.MaxInt64 / 2
 	}
--- a/internal/decide/decide_test.go
+++ b/internal/decide/decide_test.go
@@ -16,7 +16,8 @@
 	"crypto/elliptic", "crypto/hmac", "crypto/md5", "crypto/rsa", "crypto/sha1", "crypto/sha256", "crypto/x509",
 	"encoding/base64", "encoding/binary", "encoding/hex", "encoding/json", "encoding/pem", "errors", "fmt", "hash",
 	"io", "maps", "math", "math/bits", "net/netip", "net/url", "regexp", "slices", "sort", "strconv", "strings",
-	"github.com/cespare/xxhash/v2", "github.com/fxamacker/cbor/v2", "github.com/go-jose/go-jose/v4",
+	"github.com/cespare/xxhash/v2", "github.com/fxamacker/cbor/v2", "github.com/DataDog/sketches-go/ddsketch", "github.com/DataDog/sketches-go/ddsketch/mapping", "github.com/DataDog/sketches-go/ddsketch/store",
+	"iter", "github.com/go-jose/go-jose/v4",
 	"cherryramp/internal/httpwire"} // which is a parser alone
 
 // Guards against decisions that do I/O, ask a clock, start or lock anything.
--- a/internal/decide/lease/lease.go
+++ b/internal/decide/lease/lease.go
@@ -28,9 +28,9 @@
 
 // Grant is the answer.
 type Grant struct {
-	Stamp Micros `cbor:"1,keyasint"` // of the ask
-	Span  Micros `cbor:"2,keyasint"` // from the stamp on
-	Index uint64 `cbor:"3,keyasint"` // committed when a majority confirmed it, after the ask
+	Stamp Micros `cbor:"1,keyasint"`           // of the ask
+	Span  Micros `cbor:"2,keyasint"`           // from the stamp on
+	Index uint64 `cbor:"3,keyasint"`           // committed when a majority confirmed it, after the ask
 	Keep  Micros `cbor:"4,keyasint,omitempty"` // from the stamp on, as a keeper of sites
 }
 
--- a/internal/decide/purges/purges.go
+++ b/internal/decide/purges/purges.go
@@ -111,6 +111,19 @@
 	return m[i].N
 }
 
+// Same tells whether both have the same of every origin.
+func (m Marks) Same(o Marks) bool { return m.covers(o) && o.covers(m) }
+
+// covers tells whether all that o has is there.
+func (m Marks) covers(o Marks) bool {
+	for _, x := range o {
+		if m.Of(x.Origin) < x.N {
+			return false
+		}
+	}
+	return true
+}
+
 // held is a purge as a book has it.
 type held struct {
 	Purge
--- /dev/null
+++ b/internal/decide/verdicts/verdicts.go
@@ -0,0 +1,297 @@
+// Package verdicts decides what holds for the whole fleet of boxes, hubs and clients'
+// prefixes: fronts have opinions, of what they saw themselves, with evidence that fades;
+// a verdict needs witnesses, in more than one site where more than one can tell, holds
+// for a span, and is taken back when witnesses change their minds (SWIM's suspicion with
+// several witnesses, as Lifeguard has it). No verdict takes more than a stated part of a
+// hub's boxes away.
+//
+// Observer is a front's side, Merge a keeper's, Bench the root's.
+package verdicts
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+)
+
+// Micros is a span, or a moment of one process's own clock, in microseconds.
+type Micros = int64
+
+// State is what is said of something.
+type State uint8
+
+// The states. Boxes are well, slow or failing; hubs overloaded; prefixes forge.
+const (
+	Well State = iota
+	Slow
+	Failing
+	Overloaded
+	Forges
+)
+
+var stateNames = [...]string{"well", "slow", "failing", "overloaded", "forges"}
+
+func (s State) String() string { return stateNames[min(int(s), len(stateNames)-1)] }
+
+// Rules are what verdicts go by.
+type Rules struct {
+	Witnesses int     // that must say the same
+	Span      Micros  // for which a verdict holds after it was last said
+	Half      Micros  // half life of evidence
+	Failing   float64 // share of bad answers
+	Slow      float64 // times what the hub takes
+	Least     float64 // answers, decayed, for an opinion
+	Most      float64 // part of a hub's boxes that verdicts may take away
+	Refused   float64 // share of refused requests of a hub
+	Forged    float64 // a second, over the fleet
+	Away      Micros  // the longest that is told
+	Spread    float64
+}
+
+// Bounds.
+const (
+	MostThings   = 2048 // boxes, hubs and prefixes that one process has opinions of
+	mostPrefixes = 256
+	mostNamed    = 6 // witnesses named of each state
+	mostSpans    = 8 // times the span, of a verdict that comes again and again
+)
+
+// Witness is a front that says something.
+type Witness struct {
+	Front    string  `cbor:"1,keyasint"`
+	Site     string  `cbor:"2,keyasint"`
+	Evidence float64 `cbor:"3,keyasint"`
+}
+
+// Opinion is what is said of one thing, by one front or by all of a site.
+type Opinion struct {
+	Thing string    `cbor:"1,keyasint"`
+	Hub   string    `cbor:"2,keyasint,omitempty"` // of a box
+	State State     `cbor:"3,keyasint"`
+	Named []Witness `cbor:"4,keyasint"` // some of those who say so, of different sites first
+	Count int       `cbor:"5,keyasint"`
+	Rate  float64   `cbor:"6,keyasint,omitempty"` // of forged signatures, a second
+}
+
+// key tells opinions apart.
+type key struct {
+	thing string
+	state State
+}
+
+// tally is what a front saw of one box.
+type tally struct {
+	hub       string
+	good, bad float64
+	took      float64 // mean of the logarithm of what good answers took, in us
+	at        Micros
+}
+
+// Observer is what one front sees. It belongs to one goroutine.
+type Observer struct {
+	rules    Rules
+	boxes    map[string]*tally
+	prefixes map[string]*tally
+	good     float64 // requests of this front's own clients
+	refused  float64
+	at       Micros
+}
+
+// NewObserver makes one that has seen nothing.
+func NewObserver(r Rules) *Observer {
+	return &Observer{rules: r, boxes: map[string]*tally{}, prefixes: map[string]*tally{}}
+}
+
+func (o *Observer) fade(span Micros) float64 {
+	if span <= 0 {
+		return 1
+	}
+	return math.Exp2(-float64(span) / float64(o.rules.Half))
+}
+
+func (o *Observer) tally(m map[string]*tally, name string, most int, now Micros) *tally {
+	t := m[name]
+	if t == nil {
+		if len(m) >= most {
+			maps.DeleteFunc(m, func(_ string, t *tally) bool { return (t.good+t.bad)*o.fade(now-t.at) < 0.5 })
+			if len(m) >= most {
+				return nil
+			}
+		}
+		t = &tally{at: now}
+		m[name] = t
+	}
+	f := o.fade(now - t.at)
+	t.good, t.bad, t.at = t.good*f, t.bad*f, now
+	return t
+}
+
+// Answered notes how an attempt at a box ended, and what it took.
+func (o *Observer) Answered(box, hub string, ok bool, took, now Micros) {
+	t := o.tally(o.boxes, box, MostThings, now)
+	if t == nil {
+		return
+	}
+	t.hub = hub
+	if !ok {
+		t.bad++
+		return
+	}
+	t.good++
+	t.took += (math.Log(float64(max(1, took))) - t.took) / math.Min(t.good, 20)
+}
+
+// Forged notes a forged signature from a prefix.
+func (o *Observer) Forged(prefix string, now Micros) {
+	if t := o.tally(o.prefixes, prefix, mostPrefixes, now); t != nil {
+		t.bad++
+	}
+}
+
+// Ended notes a request of this front's clients, answered or refused.
+func (o *Observer) Ended(refused bool, now Micros) {
+	f := o.fade(now - o.at)
+	o.good, o.refused, o.at = o.good*f, o.refused*f, now
+	if refused {
+		o.refused++
+	} else {
+		o.good++
+	}
+}
+
+// Of is this front's own opinion of a box now; fresh is false where it has seen too
+// little lately to have one.
+func (o *Observer) Of(box string, now Micros) (s State, fresh bool) {
+	t := o.boxes[box]
+	if t == nil {
+		return Well, false
+	}
+	f := o.fade(now - t.at)
+	if (t.good+t.bad)*f < o.rules.Least/2 {
+		return Well, false
+	}
+	return o.state(t, o.usual(t.hub)), true
+}
+
+// usual is what good answers of a hub's boxes take, the median of their means.
+func (o *Observer) usual(hub string) float64 {
+	var list []float64
+	for _, t := range o.boxes {
+		if t.hub == hub && t.good > 1 {
+			list = append(list, t.took)
+		}
+	}
+	if len(list) == 0 {
+		return 0
+	}
+	slices.Sort(list)
+	return list[(len(list)-1)/2]
+}
+
+func (o *Observer) state(t *tally, usual float64) State {
+	switch {
+	case t.bad/(t.good+t.bad) >= o.rules.Failing:
+		return Failing
+	case t.good > 0 && usual > 0 && t.took-usual > math.Log(o.rules.Slow):
+		return Slow
+	}
+	return Well
+}
+
+// Opinions are what this front says now: of boxes that it has seen enough of, of its own
+// hub, and of prefixes.
+func (o *Observer) Opinions(front, site string, now Micros) (list []Opinion) {
+	usual := map[string]float64{}
+	for _, name := range slices.Sorted(maps.Keys(o.boxes)) {
+		t := o.boxes[name]
+		weight := (t.good + t.bad) * o.fade(now-t.at)
+		if weight < 0.1 {
+			delete(o.boxes, name)
+			continue
+		}
+		if weight < o.rules.Least {
+			continue
+		}
+		if _, ok := usual[t.hub]; !ok {
+			usual[t.hub] = o.usual(t.hub)
+		}
+		list = append(list, Opinion{Thing: name, Hub: t.hub, State: o.state(t, usual[t.hub]), Count: 1, Named: []Witness{{front, site, math.Round(weight)}}})
+	}
+	for _, name := range slices.Sorted(maps.Keys(o.prefixes)) {
+		t := o.prefixes[name]
+		rate := t.bad * o.fade(now-t.at) * math.Ln2 / (float64(o.rules.Half) / 1e6)
+		if rate < 0.01 {
+			delete(o.prefixes, name)
+			continue
+		}
+		list = append(list, Opinion{Thing: name, State: Forges, Count: 1, Rate: rate, Named: []Witness{{front, site, math.Round(t.bad)}}})
+	}
+	if f := o.fade(now - o.at); (o.good+o.refused)*f >= o.rules.Least && o.refused/(o.good+o.refused) >= o.rules.Refused {
+		list = append(list, Opinion{Thing: site, State: Overloaded, Count: 1, Named: []Witness{{front, site, math.Round((o.good + o.refused) * f)}}})
+	}
+	return list
+}
+
+// Merge adds up what roles say of the same things. One front counts once, whatever it
+// says; a site's word stands for its fronts.
+func Merge(lists ...[]Opinion) (out []Opinion) {
+	all := map[key]*Opinion{}
+	for _, list := range lists {
+		for _, x := range list[:min(len(list), MostThings)] {
+			if x.Count < 1 || x.Count > 1<<20 || !(x.Rate >= 0 && x.Rate < 1e9) {
+				continue
+			}
+			k := key{x.Thing, x.State}
+			o := all[k]
+			if o == nil {
+				if len(all) >= 2*MostThings {
+					continue
+				}
+				o = &Opinion{Thing: x.Thing, Hub: x.Hub, State: x.State}
+				all[k] = o
+			}
+			o.Count += x.Count
+			o.Rate += x.Rate
+			o.Named = append(o.Named, x.Named[:min(len(x.Named), mostNamed)]...)
+		}
+	}
+	for _, o := range all {
+		o.Named = spread(o.Named)
+		out = append(out, *o)
+	}
+	slices.SortFunc(out, func(a, b Opinion) int {
+		return cmp.Or(cmp.Compare(a.Thing, b.Thing), cmp.Compare(a.State, b.State))
+	})
+	return out
+}
+
+// spread keeps some witnesses, one of each site first.
+func spread(list []Witness) []Witness {
+	slices.SortFunc(list, func(a, b Witness) int {
+		return cmp.Or(-cmp.Compare(a.Evidence, b.Evidence), cmp.Compare(a.Front, b.Front))
+	})
+	seen, front := map[string]int{}, map[string]bool{}
+	rank := make(map[string]int, len(list))
+	kept := list[:0]
+	for _, w := range list {
+		if front[w.Front] {
+			continue
+		}
+		front[w.Front] = true
+		rank[w.Front] = seen[w.Site]
+		seen[w.Site]++
+		kept = append(kept, w)
+	}
+	slices.SortStableFunc(kept, func(a, b Witness) int { return cmp.Compare(rank[a.Front], rank[b.Front]) })
+	return slices.Clone(kept[:min(len(kept), mostNamed)])
+}
+
+// sites counts the sites of witnesses.
+func sites(list []Witness) int {
+	seen := map[string]bool{}
+	for _, w := range list {
+		seen[w.Site] = true
+	}
+	return len(seen)
+}
--- /dev/null
+++ b/internal/exchange/box_test.go
@@ -0,0 +1,54 @@
+package exchange
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards that a mailbox loses nothing below its bound, however many put messages in.
+func TestBoxLosesNothing(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var dropped atomic.Int64
+	b := newBox(ctx, 1<<20, &dropped, func(int) string { return "" })
+	const writers, each = 8, 5000
+	var wg sync.WaitGroup
+	for w := range writers {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for i := range each {
+				b.put(w*each + i)
+			}
+		}()
+	}
+	seen := make([]bool, writers*each)
+	for range seen {
+		seen[<-b.out] = true
+	}
+	wg.Wait()
+	require.NotContains(t, seen, false)
+	require.Zero(t, dropped.Load())
+}
+
+// Guards what happens at the bound, and that newer state takes the place of older.
+func TestBoxAtItsBound(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var dropped atomic.Int64
+	b := newBox(ctx, 3, &dropped, func(s string) string { return s[:1] })
+	for _, s := range []string{"a1", "b1", "a2", "c1", "d1", "a3"} {
+		b.put(s)
+	}
+	require.Eventually(t, func() bool { return len(b.in) == 0 && dropped.Load() == 2 }, waitMost, tick)
+	require.Equal(t, []string{"c1", "d1", "a3"}, []string{<-b.out, <-b.out, <-b.out})
+}
+
+const (
+	waitMost = 10 * 1000 * 1000 * 1000
+	tick     = 1000 * 1000
+)
--- a/internal/exchange/purges.go
+++ b/internal/exchange/purges.go
@@ -1,13 +1,13 @@
 package exchange
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"path/filepath"
 	"slices"
 	"sync/atomic"
+	"time"
 
 	"cherryramp/internal/decide/purges"
 	"cherryramp/internal/decide/tree"
@@ -42,6 +42,7 @@
 
 // Messages to the task, beside envelopes.
 type (
+	poke     struct{}
 	posted   struct{ do func() } // the disk's word
 	obeyed   struct{ list []purges.Purge }
 	purgeAsk struct {
@@ -58,6 +59,7 @@
 const (
 	mostAsks   = 64
 	asksFor    = 10_000_000 // us that a purge waits for its number before who asked is told that it still does
+	tellLeast  = 5_000      // us between two tellings where something is new
 	tellRounds = 3          // rounds between two tellings where nothing is new
 	staleSpans = 3          // passes over, after which a role's word says nothing any more
 	rewriteAt  = 4 << 20    // bytes of the disk's file
@@ -130,6 +132,8 @@
 	since   Micros
 	rounds  int
 	dirty   bool
+	toldAt  Micros
+	poked   bool
 	sum     purges.Summary // of the root, where this process keeps it
 }
 
@@ -354,7 +358,7 @@
 
 // tell tells neighbours what they lack, and what is acknowledged.
 func (t *purgeTask) tell(s *Standing, now Micros) {
-	t.rounds, t.dirty = 0, false
+	t.rounds, t.dirty, t.toldAt = 0, false, now
 	links := t.x.links.Load()
 	stale := staleSpans * t.x.spans().Over
 	own := s.View.Keeps()
@@ -465,6 +469,8 @@
 	s := t.x.standing.Load()
 	now := t.x.cfg.Now()
 	switch m := m.(type) {
+	case poke:
+		t.poked = false
 	case posted:
 		m.do()
 	case obeyed:
@@ -492,8 +498,16 @@
 			t.came(s, m, now)
 		}
 	}
-	if s != nil && t.dirty {
+	if s == nil || !t.dirty {
+		return
+	}
+	// What is new is told at once, but not over and over while answers to it come.
+	if now-t.toldAt >= tellLeast {
 		t.round()
+	} else if !t.poked {
+		t.poked = true
+		x := t.x
+		time.AfterFunc(time.Duration(tellLeast)*time.Microsecond, func() { x.purges.put(poke{}) })
 	}
 }
 
@@ -517,7 +531,7 @@
 		}
 		t.obey()
 		t.syncedBy(s, u.Marks, u.Synced, now)
-		if _, gone := t.book.Lacks(u.Marks, now); len(gone) > 0 || !bytes.Equal(encode(t.book.Marks()), encode(u.Marks)) {
+		if _, gone := t.book.Lacks(u.Marks, now); len(gone) > 0 || !t.book.Marks().Same(u.Marks) {
 			t.dirty = true
 		}
 		return
--- a/internal/fleet/agree/lease.go
+++ b/internal/fleet/agree/lease.go
@@ -11,7 +11,7 @@
 // leases is what a front knows of its own lease, and what a leader grants to others.
 type leases struct {
 	own     lease.Lease
-	keep    lease.Lease // as a keeper of sites
+	keep    lease.Lease  // as a keeper of sites
 	before  lease.Micros // the span that it lived by at the last look; 0: for ever
 	looked  bool
 	grantor lease.Grantor
--- a/internal/front/signed/signed.go
+++ b/internal/front/signed/signed.go
@@ -145,7 +145,7 @@
 	class  *Class
 	claims []quota.Claim // taken
 	shared []*allowance.Bucket
-	use    [16]byte      // taken, if counted
+	use    [16]byte // taken, if counted
 	used   bool
 	origin string // of a page whose script may read the answer
 	proof  *proof // waited for
--- a/lab/fleet/exchange.go
+++ b/lab/fleet/exchange.go
@@ -321,6 +321,11 @@
 	d.http.CloseIdleConnections()
 	for _, p := range d.List { // their histories are written as they happen, but for what is under way
 		_ = p.Stop()
+		if d.keepIt {
+			if text, err := os.ReadFile(p.Log); err == nil {
+				_ = os.WriteFile(filepath.Join(d.Folder, p.Name+".log"), text, 0o600)
+			}
+		}
 	}
 	w := history.World{Sites: map[string]string{}, Settle: d.settled, Ended: ended, Seed: d.o.Seed}
 	for _, p := range d.List {
