Verdicts and paths carried: tasks, sight of the front, calls and commands

Opinions come from ends of attempts, forged signatures and refusals that the front sees anyway; verdicts stand on witnesses at the root and come back by stamps, so that none holds longer than meant; orders of edges likewise.

--- a/cmd/cherryramp-fleet/calls.go
+++ b/cmd/cherryramp-fleet/calls.go
@@ -107,7 +107,7 @@
 		simple("leave NAME", "Take a front out of the fleet for good", func(args []string) error {
 			return c.show("LEAVE "+args[0], nil, func(w io.Writer) { _, _ = fmt.Fprintf(w, "%s leaves\n", args[0]) })
 		}, cobra.ExactArgs(1)),
-		c.treeCommand(), c.limitsCommand(), c.purgeCommand(), c.rulesCommand(), c.versionsCommand(), c.auditCommand(), c.workCommand())
+		c.treeCommand(), c.limitsCommand(), c.purgeCommand(), c.verdictsCommand(), c.steerCommand(), c.rulesCommand(), c.versionsCommand(), c.auditCommand(), c.workCommand())
 	return root
 }
 
--- a/cmd/cherryramp-fleet/exchange.go
+++ b/cmd/cherryramp-fleet/exchange.go
@@ -160,3 +160,37 @@
 	return ended
 }
 
+func (c *fleetCalls) verdictsCommand() *cobra.Command {
+	return &cobra.Command{Use: "verdicts", Short: "What holds of boxes, hubs and prefixes for the whole fleet, with witnesses and age", Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error {
+		var t exchange.VerdictsTold
+		return c.show("VERDICTS", &t, func(w io.Writer) {
+			line := func(v exchange.VerdictTold) {
+				var names []string
+				for _, x := range v.Witnesses {
+					names = append(names, fmt.Sprintf("%s (/%s, %.0f)", x.Front, x.Site, x.Evidence))
+				}
+				_, _ = fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%.1f s\t%s\n", v.Thing, v.State, v.Count, v.Sites, v.LeftS, strings.Join(names, ", "))
+			}
+			_, _ = fmt.Fprintln(w, "HOLDS\tSTATE\tWITNESSES\tSITES\tLEFT\tSOME OF THEM")
+			for _, v := range t.Holds {
+				line(v)
+			}
+			_, _ = fmt.Fprintf(w, "\nOPINIONS OF %s\tSTATE\t\t\t\tEVIDENCE\n", t.Front)
+			for _, v := range t.Own {
+				line(v)
+			}
+		})
+	}}
+}
+
+func (c *fleetCalls) steerCommand() *cobra.Command {
+	return &cobra.Command{Use: "steer REGION", Short: "In which order and with which shares a region's clients should go to edges", Args: cobra.ExactArgs(1), RunE: func(_ *cobra.Command, args []string) error {
+		var t exchange.Steered
+		return c.show("STEER "+args[0], &t, func(w io.Writer) {
+			_, _ = fmt.Fprintf(w, "%s: by %s; holds for %.1f s more, stale by %.1f s at most\nEDGE\tSHARE\tTAKES\tREQUESTS\tROOM\n", t.Region, t.By, t.HoldsS, t.StaleS)
+			for _, e := range t.Edges {
+				_, _ = fmt.Fprintf(w, "%s\t%.0f%%\t%.1f ms\t%.0f\t%.0f%%\n", e.Edge, 100*e.Share, e.Took/1000, e.Weight, 100*e.Room)
+			}
+		})
+	}}
+}
--- a/internal/config/exchange.go
+++ b/internal/config/exchange.go
@@ -10,6 +10,7 @@
 	"strings"
 
 	"cherryramp/internal/decide/allowance"
+	"cherryramp/internal/decide/verdicts"
 )
 
 // Exchange has the fronts of a fleet tell each other what need not be agreed: limits,
@@ -55,12 +56,12 @@
 	SpanS     float64 `json:"span_s,omitempty"`        // for which a verdict holds after it was last said; 6
 	Failing   float64 `json:"failing,omitempty"`       // share of answers that fail, from which a box is failing; 0.5
 	Slow      float64 `json:"slow,omitempty"`          // times what its hub takes, from which a box is slow; 4
-	Least     float64 `json:"least,omitempty"`         // answers, decayed, before a front has an opinion; 10
+	Least     float64 `json:"least,omitempty"`         // answers, decayed, before a front has an opinion; 4
 	Most      float64 `json:"most_percent,omitempty"`  // of a hub's boxes that verdicts may take away; 40
 	Away      float64 `json:"most_away_s,omitempty"`   // the longest time to come back that an overloaded hub's refusals tell; 10
 	Forged    float64 `json:"forged_per_s,omitempty"`  // forged signatures a second over the fleet, from which a prefix is judged last; 5
 	Refused   float64 `json:"hub_refused,omitempty"`   // share of requests that a hub's fronts refuse, from which it is overloaded; 0.2
-	HalfS     float64 `json:"half_life_s,omitempty"`   // of evidence; 3
+	HalfS     float64 `json:"half_life_s,omitempty"`   // of evidence; 10
 	Judges    bool    `json:"observe_only,omitempty"`  // verdicts are told and not acted on
 	Spread    float64 `json:"spread_factor,omitempty"` // by which told return times are spread, up to so many times; 2
 }
@@ -116,8 +117,8 @@
 			n, least, most int
 		}{"verdicts.witnesses", v.Witnesses, 1, 100})
 		figures = append(figures, number{"verdicts.span_s", &v.SpanS, 6, 0.5, 3600}, number{"verdicts.failing", &v.Failing, 0.5, 0.01, 1}, number{"verdicts.slow", &v.Slow, 4, 1.1, 1000},
-			number{"verdicts.least", &v.Least, 10, 1, 1e6}, number{"verdicts.most_percent", &v.Most, 40, 0, 90}, number{"verdicts.most_away_s", &v.Away, 10, 0.1, 600},
-			number{"verdicts.forged_per_s", &v.Forged, 5, 0.1, 1e6}, number{"verdicts.hub_refused", &v.Refused, 0.2, 0.01, 1}, number{"verdicts.half_life_s", &v.HalfS, 3, 0.1, 3600},
+			number{"verdicts.least", &v.Least, 4, 1, 1e6}, number{"verdicts.most_percent", &v.Most, 40, 0, 90}, number{"verdicts.most_away_s", &v.Away, 10, 0.1, 600},
+			number{"verdicts.forged_per_s", &v.Forged, 5, 0.1, 1e6}, number{"verdicts.hub_refused", &v.Refused, 0.2, 0.01, 1}, number{"verdicts.half_life_s", &v.HalfS, 10, 0.1, 3600},
 			number{"verdicts.spread_factor", &v.Spread, 2, 1, 10})
 	}
 	if p := x.Paths; p != nil {
@@ -248,3 +249,9 @@
 	}
 	return out
 }
+
+// Rules gives what verdicts go by.
+func (v *Verdicts) Rules() verdicts.Rules {
+	return verdicts.Rules{Witnesses: v.Witnesses, Span: int64(v.SpanS * 1e6), Half: int64(v.HalfS * 1e6), Failing: v.Failing, Slow: v.Slow, Least: v.Least,
+		Most: v.Most / 100, Refused: v.Refused, Forged: v.Forged, Away: int64(v.Away * 1e6), Spread: v.Spread}
+}
--- a/internal/decide/verdicts/verdicts.go
+++ b/internal/decide/verdicts/verdicts.go
@@ -49,6 +49,9 @@
 	Spread    float64
 }
 
+// Longest is the longest that any verdict holds.
+func (r Rules) Longest() Micros { return mostSpans * r.Span }
+
 // Bounds.
 const (
 	MostThings   = 2048 // boxes, hubs and prefixes that one process has opinions of
@@ -83,11 +86,16 @@
 // tally is what a front saw of one box.
 type tally struct {
 	hub       string
-	good, bad float64
+	good, bad float64 // answers, by time: how much there is to go by
+	share     float64 // of bad ones among the last few, whenever they came: a box that fails is asked less and less
+	n         int
 	took      float64 // mean of the logarithm of what good answers took, in us
 	at        Micros
 }
 
+// lastFew is how many answers the share of bad ones is of, roughly.
+const lastFew = 3
+
 // Observer is what one front sees. It belongs to one goroutine.
 type Observer struct {
 	rules    Rules
@@ -134,10 +142,13 @@
 		return
 	}
 	t.hub = hub
+	t.n = min(t.n+1, lastFew)
 	if !ok {
 		t.bad++
+		t.share += (1 - t.share) / float64(t.n)
 		return
 	}
+	t.share -= t.share / float64(t.n)
 	t.good++
 	t.took += (math.Log(float64(max(1, took))) - t.took) / math.Min(t.good, 20)
 }
@@ -191,7 +202,7 @@
 
 func (o *Observer) state(t *tally, usual float64) State {
 	switch {
-	case t.bad/(t.good+t.bad) >= o.rules.Failing:
+	case t.share >= o.rules.Failing:
 		return Failing
 	case t.good > 0 && usual > 0 && t.took-usual > math.Log(o.rules.Slow):
 		return Slow
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -59,6 +59,9 @@
 	Loop    Loop
 	Limiter Limiter
 	Obeyer  Obeyer
+
+	Witness  Witness
+	Surveyor Surveyor
 }
 
 // Counts are what has gone over the connections, and what was dropped at bounds.
@@ -109,6 +112,10 @@
 	keeper uint64
 }
 
+// without is a rule that this build leaves out, for the checkers' own test; it is set by
+// the linker alone: -ldflags "-X cherryramp/internal/exchange.without=over".
+var without string
+
 // mailbox is what a subject's task may have waiting.
 const mailbox = 4096
 
@@ -148,6 +155,12 @@
 	if cfg.Section.Purges != nil {
 		x.sup.Add(&task{x: x, name: "purges", make: x.newPurges(disk)})
 	}
+	if cfg.Section.Verdicts != nil {
+		x.sup.Add(&task{x: x, name: "verdicts", make: x.newVerdicts()})
+	}
+	if cfg.Section.Paths != nil {
+		x.sup.Add(&task{x: x, name: "paths", make: x.newPaths()})
+	}
 	x.done = x.sup.ServeBackground(ctx)
 	return x, nil
 }
--- a/internal/exchange/limits.go
+++ b/internal/exchange/limits.go
@@ -105,6 +105,7 @@
 				}
 				d.Renew(l.rules, l.list, now)
 			}
+			d.Without(allowance.Rule(without))
 			l.dealers[k.Site] = d
 		}
 	}
--- /dev/null
+++ b/internal/exchange/paths.go
@@ -0,0 +1,228 @@
+package exchange
+
+import (
+	"context"
+	"slices"
+
+	"cherryramp/internal/decide/paths"
+	"cherryramp/internal/decide/tree"
+)
+
+// Surveyor is what measures latencies, on the loop.
+type Surveyor interface {
+	// Sights gives what attempts took since it was last asked.
+	Sights(each func(region, edge string, took int64))
+	// Room is which part of each edge can be used, as far as this front knows.
+	Room() map[string]float64
+}
+
+// pathsUp is what a role says, and pathsDown what it is told.
+type (
+	pathsUp struct {
+		Stamp Micros             `cbor:"1,keyasint"`
+		List  []paths.Summary    `cbor:"2,keyasint,omitempty"`
+		Room  map[string]float64 `cbor:"3,keyasint,omitempty"`
+	}
+	pathsDown struct {
+		Stamp Micros        `cbor:"1,keyasint"`
+		List  []paths.Order `cbor:"2,keyasint,omitempty"`
+	}
+)
+
+// Messages to the task, beside envelopes.
+type (
+	samples struct {
+		list []paths.Sample
+		room map[string]float64
+	}
+	steerAsk struct {
+		region string
+		answer func(any, error)
+	}
+)
+
+// pathTask is the task of paths.
+type pathTask struct {
+	teller
+	rules   paths.Rules
+	model   *paths.Model
+	room    map[string]float64
+	said    map[string]*tree.Said[pathsUp]
+	stamps  map[tie]Micros
+	maps    map[tree.Role]*paths.Map
+	planner *paths.Planner
+	root    uint64
+	rounds  int
+	told    Micros
+}
+
+// pathRounds is the rounds between two tellings.
+const pathRounds = 3
+
+func (x *Exchange) newPaths() func(context.Context) body {
+	return func(ctx context.Context) body {
+		p := x.section.Load().Paths
+		r := paths.Rules{Half: Micros(p.HalfS * 1e6), Stale: Micros(p.StaleS * 1e6), Explore: p.Explore / 100, Pace: p.Pace / 100, Weight: p.Weight}
+		return &pathTask{teller: teller{x, ctx}, rules: r, model: paths.NewModel(r), said: map[string]*tree.Said[pathsUp]{}, stamps: map[tie]Micros{}, maps: map[tree.Role]*paths.Map{}}
+	}
+}
+
+func (t *pathTask) round() {
+	if t.rounds++; t.rounds%pathRounds != 0 || t.x.standing.Load() == nil {
+		return
+	}
+	x := t.x
+	x.cfg.Loop.Post(func() {
+		var list []paths.Sample
+		x.cfg.Surveyor.Sights(func(region, edge string, took int64) {
+			list = append(list, paths.Sample{Pair: paths.Pair{Region: region, Edge: edge}, Took: took})
+		})
+		x.paths.offer(samples{list, x.cfg.Surveyor.Room()})
+	})
+}
+
+func (t *pathTask) tell(s *Standing, now Micros) {
+	links := t.x.links.Load()
+	t.up(Paths, s.View.Own(), pathsUp{now, t.model.Tell(now), t.room})
+	keeps := s.View.Keeps()
+	for site := range t.said {
+		if !slices.ContainsFunc(keeps, func(k tree.Keeper) bool { return k.Site == site }) {
+			delete(t.said, site)
+		}
+	}
+	for _, k := range keeps {
+		var fronts, sites [][]paths.Summary
+		room := map[string]float64{}
+		if said := t.said[k.Site]; said != nil {
+			for r, u := range said.All(now, t.x.spans().Over) {
+				if r.Front != "" {
+					fronts = append(fronts, u.List)
+				} else {
+					sites = append(sites, u.List)
+				}
+				for e, x := range u.Room {
+					if old, ok := room[e]; (!ok || x < old) && len(room) < paths.MostPairs {
+						room[e] = min(1, max(0, x))
+					}
+				}
+			}
+		}
+		merged := paths.Merge(t.rules, fronts, sites)
+		var list []paths.Order
+		if k.Site == tree.Root {
+			if t.planner == nil || t.root != k.Number {
+				t.planner, t.root = paths.NewPlanner(t.rules), k.Number
+			}
+			if s.May(now) {
+				list = t.planner.Step(merged, func(e string) float64 {
+					if x, ok := room[e]; ok {
+						return x
+					}
+					return 1
+				}, now)
+			}
+		} else {
+			t.up(Paths, tree.Of(k), pathsUp{now, merged, room})
+			if m := t.maps[tree.Of(k)]; m != nil {
+				list = m.All(now)
+			}
+		}
+		for _, r := range links.below(k, now, t.x.spans().Over) {
+			if stamp := t.stamps[tie{r, k.Number}]; stamp != 0 {
+				t.down(Paths, r, k, pathsDown{stamp, list})
+			}
+		}
+	}
+	for x := range t.stamps {
+		if _, ok := links.children[x]; !ok {
+			delete(t.stamps, x)
+		}
+	}
+}
+
+func (t *pathTask) take(m any) {
+	s, now := t.x.standing.Load(), t.x.cfg.Now()
+	if s == nil {
+		return
+	}
+	switch m := m.(type) {
+	case samples:
+		t.model.Add(m.list, now)
+		t.room = m.room
+		t.tell(s, now)
+	case steerAsk:
+		m.answer(t.steer(s, m.region, now), nil)
+	case Envelope:
+		if m.Up {
+			var u pathsUp
+			if decoder.Unmarshal(m.Body, &u) != nil {
+				return
+			}
+			if t.said[m.Site] == nil {
+				t.said[m.Site] = &tree.Said[pathsUp]{}
+			}
+			t.said[m.Site].Put(m.Role, m.Seq, u, now)
+			t.stamps[tie{m.Role, m.Keeper}] = u.Stamp
+			return
+		}
+		var d pathsDown
+		if decoder.Unmarshal(m.Body, &d) != nil {
+			return
+		}
+		if t.maps[m.Role] == nil {
+			t.maps[m.Role] = &paths.Map{}
+		}
+		t.maps[m.Role].Told(d.List, d.Stamp, t.rules.Stale)
+		for r := range t.maps {
+			if !slices.Contains(roles(s.View), r) {
+				delete(t.maps, r)
+			}
+		}
+		if m.Role == s.View.Own() && t.x.history.on() && now-t.told > 200_000 {
+			t.told = now
+			for _, o := range t.maps[m.Role].All(now) {
+				t.x.history.write("order", map[string]any{"region": o.Region, "age_ms": float64(t.rules.Stale-o.Left) / 1000, "bound_ms": float64(t.rules.Stale) / 1000})
+			}
+		}
+	}
+}
+
+// Steered is what a front tells of a region.
+type Steered struct {
+	Region string        `json:"region"`
+	By     string        `json:"by"` // the fleet's order, own sight, static
+	Edges  []paths.Share `json:"edges"`
+	HoldsS float64       `json:"holds_s"` // from now on
+	StaleS float64       `json:"stale_by_s"`
+}
+
+// steer falls back in steps: the fleet's order until its end, then this front's own
+// sight, then the static order, which is none: evenly.
+func (t *pathTask) steer(s *Standing, region string, now Micros) Steered {
+	out := Steered{Region: region, StaleS: float64(t.rules.Stale) / 1e6}
+	if m := t.maps[s.View.Own()]; m != nil {
+		if o, ok := m.Of(region, now); ok {
+			out.By, out.Edges, out.HoldsS = "the fleet's order", o.Edges, float64(o.Left)/1e6
+			return out
+		}
+	}
+	own := paths.NewPlanner(t.rules).Step(t.model.Tell(now), func(e string) float64 {
+		if x, ok := t.room[e]; ok {
+			return x
+		}
+		return 1
+	}, now)
+	for _, o := range own {
+		if o.Region == region {
+			out.By, out.Edges, out.HoldsS = "own sight", o.Edges, float64(t.x.round().Microseconds()*pathRounds)/1e6
+			return out
+		}
+	}
+	out.By = "static"
+	return out
+}
+
+// Steer asks for a region's order; the answer comes on the loop.
+func (x *Exchange) Steer(region string, answer func(any, error)) bool {
+	return x.cfg.Section.Paths != nil && x.paths.offer(steerAsk{region, func(v any, err error) { x.cfg.Loop.Post(func() { answer(v, err) }) }})
+}
--- a/internal/exchange/purges.go
+++ b/internal/exchange/purges.go
@@ -433,6 +433,7 @@
 	g := t.gathers[k.Site]
 	if g == nil {
 		g = purges.NewGather(k.Site)
+		g.Without(purges.Rule(without))
 		t.gathers[k.Site] = g
 	}
 	return g
--- /dev/null
+++ b/internal/exchange/verdicts.go
@@ -0,0 +1,247 @@
+package exchange
+
+import (
+	"context"
+	"slices"
+
+	"cherryramp/internal/decide/tree"
+	"cherryramp/internal/decide/verdicts"
+)
+
+// Witness is what sees boxes, clients and its own hub, on the loop.
+type Witness interface {
+	// Opinions are this front's own, and how many boxes each hub has.
+	Opinions(front, site string) (list []verdicts.Opinion, boxes map[string]int)
+	// Judged takes the verdicts that hold now.
+	Judged(list []verdicts.Held)
+}
+
+// verdictsUp is what a role says, and verdictsDown what it is told.
+type (
+	verdictsUp struct {
+		Stamp Micros             `cbor:"1,keyasint"`
+		List  []verdicts.Opinion `cbor:"2,keyasint,omitempty"`
+		Boxes map[string]int     `cbor:"3,keyasint,omitempty"`
+	}
+	verdictsDown struct {
+		Stamp Micros             `cbor:"1,keyasint"`
+		List  []verdicts.Verdict `cbor:"2,keyasint,omitempty"`
+	}
+)
+
+// Messages to the task, beside envelopes.
+type (
+	opinions struct {
+		list  []verdicts.Opinion
+		boxes map[string]int
+	}
+	verdictsAsk struct{ answer func(any) }
+)
+
+func (opinions) replaces() string { return "opinions" }
+
+// verdictTask is the task of verdicts. It keeps nothing that neighbours don't say again.
+type verdictTask struct {
+	teller
+	rules  verdicts.Rules
+	own    opinions
+	said   map[string]*tree.Said[verdictsUp] // by site
+	stamps map[tie]Micros
+	docket map[tree.Role]*verdicts.Docket
+	bench  *verdicts.Bench
+	root   uint64
+	rounds int
+}
+
+// verdictRounds is the rounds between two tellings.
+const verdictRounds = 2
+
+func (x *Exchange) newVerdicts() func(context.Context) body {
+	return func(ctx context.Context) body {
+		return &verdictTask{teller: teller{x, ctx}, rules: x.section.Load().Verdicts.Rules(), said: map[string]*tree.Said[verdictsUp]{}, stamps: map[tie]Micros{},
+			docket: map[tree.Role]*verdicts.Docket{}}
+	}
+}
+
+func (t *verdictTask) round() {
+	s := t.x.standing.Load()
+	if t.rounds++; s == nil || t.rounds%verdictRounds != 0 {
+		return
+	}
+	x := t.x
+	x.cfg.Loop.Post(func() {
+		list, boxes := x.cfg.Witness.Opinions(s.View.Self.Name, s.View.Self.Site)
+		x.verdicts.offer(opinions{list, boxes})
+	})
+}
+
+// tell merges what is said below, sends it up, and tells verdicts down.
+func (t *verdictTask) tell(s *Standing, now Micros) {
+	links := t.x.links.Load()
+	own := s.View.Own()
+	t.up(Verdicts, own, verdictsUp{now, t.own.list, t.own.boxes})
+	keeps := s.View.Keeps()
+	for site := range t.said {
+		if !slices.ContainsFunc(keeps, func(k tree.Keeper) bool { return k.Site == site }) {
+			delete(t.said, site)
+		}
+	}
+	for _, k := range keeps {
+		var lists [][]verdicts.Opinion
+		boxes := map[string]int{}
+		if said := t.said[k.Site]; said != nil {
+			for _, u := range said.All(now, t.x.spans().Over) {
+				lists = append(lists, u.List)
+				for hub, n := range u.Boxes {
+					if len(boxes) < verdicts.MostThings {
+						boxes[hub] = max(boxes[hub], min(n, 1<<16))
+					}
+				}
+			}
+		}
+		merged := verdicts.Merge(lists...)
+		var list []verdicts.Verdict
+		if k.Site == tree.Root {
+			if t.bench == nil || t.root != k.Number {
+				t.bench, t.root = verdicts.NewBench(t.rules, k.Number), k.Number
+				t.bench.Without(verdicts.Rule(without))
+			}
+			list = t.bench.Step(merged, boxes, now)
+			if !s.May(now) { // another one may judge by now
+				list = nil
+			}
+		} else {
+			t.up(Verdicts, tree.Of(k), verdictsUp{now, merged, boxes})
+			if d := t.docket[tree.Of(k)]; d != nil {
+				list = d.Hold(now)
+			}
+		}
+		for _, r := range links.below(k, now, t.x.spans().Over) {
+			if stamp := t.stamps[tie{r, k.Number}]; stamp != 0 {
+				t.down(Verdicts, r, k, verdictsDown{stamp, list})
+			}
+		}
+	}
+	for x := range t.stamps {
+		if _, ok := links.children[x]; !ok {
+			delete(t.stamps, x)
+		}
+	}
+}
+
+func (t *verdictTask) take(m any) {
+	s, now := t.x.standing.Load(), t.x.cfg.Now()
+	if s == nil {
+		return
+	}
+	switch m := m.(type) {
+	case opinions:
+		t.own = m
+		t.tell(s, now)
+	case verdictsAsk:
+		m.answer(t.tells(s, now))
+	case Envelope:
+		if m.Up {
+			var u verdictsUp
+			if decoder.Unmarshal(m.Body, &u) != nil {
+				return
+			}
+			if m.Role.Front != "" { // it speaks for itself alone, whatever it says
+				for i := range u.List {
+					u.List[i].Count = 1
+					u.List[i].Named = []verdicts.Witness{{Front: m.Role.Front, Site: m.Role.Site, Evidence: evidence(u.List[i])}}
+					u.List[i].Rate = min(u.List[i].Rate, t.rules.Forged/float64(t.rules.Witnesses)*2)
+				}
+			}
+			if t.said[m.Site] == nil {
+				t.said[m.Site] = &tree.Said[verdictsUp]{}
+			}
+			t.said[m.Site].Put(m.Role, m.Seq, u, now)
+			t.stamps[tie{m.Role, m.Keeper}] = u.Stamp
+			return
+		}
+		var d verdictsDown
+		if decoder.Unmarshal(m.Body, &d) != nil {
+			return
+		}
+		if t.docket[m.Role] == nil {
+			t.docket[m.Role] = &verdicts.Docket{}
+		}
+		t.docket[m.Role].Told(d.List, d.Stamp, t.rules.Longest())
+		if m.Role == s.View.Own() {
+			var held []verdicts.Held
+			for _, v := range t.docket[m.Role].Hold(now) {
+				held = append(held, verdicts.Held{Verdict: v, Until: now + v.Left})
+			}
+			x := t.x
+			x.cfg.Loop.Post(func() { x.cfg.Witness.Judged(held) })
+		}
+		for r := range t.docket {
+			if !slices.Contains(roles(s.View), r) {
+				delete(t.docket, r)
+			}
+		}
+	}
+}
+
+func evidence(o verdicts.Opinion) float64 {
+	if len(o.Named) == 0 {
+		return 0
+	}
+	return min(max(0, o.Named[0].Evidence), 1e6)
+}
+
+// VerdictTold is one verdict, or an opinion of this front's own, for a person.
+type VerdictTold struct {
+	Thing     string             `json:"thing"`
+	State     string             `json:"state"`
+	Number    uint64             `json:"number,omitempty"`
+	Witnesses []verdicts.Witness `json:"witnesses"`
+	Count     int                `json:"count"`
+	Sites     int                `json:"sites,omitempty"`
+	Possible  int                `json:"possible,omitempty"`
+	LeftS     float64            `json:"left_s,omitempty"`
+	SpanS     float64            `json:"span_s,omitempty"`
+	Factor    float64            `json:"factor,omitempty"`
+}
+
+// VerdictsTold is what a front tells of verdicts.
+type VerdictsTold struct {
+	Front string        `json:"front"`
+	Holds []VerdictTold `json:"holds"`
+	Own   []VerdictTold `json:"own"`
+}
+
+func (t *verdictTask) tells(s *Standing, now Micros) VerdictsTold {
+	out := VerdictsTold{Front: s.View.Self.Name}
+	if d := t.docket[s.View.Own()]; d != nil {
+		for _, v := range d.Hold(now) {
+			out.Holds = append(out.Holds, VerdictTold{v.Thing, v.State.String(), v.Number, v.Named, v.Count, v.Sites, v.Possible, float64(v.Left) / 1e6, float64(v.Span) / 1e6, v.Factor})
+		}
+	}
+	for _, o := range t.own.list {
+		out.Own = append(out.Own, VerdictTold{Thing: o.Thing, State: o.State.String(), Witnesses: o.Named, Count: o.Count})
+	}
+	return out
+}
+
+// VerdictsOf asks for what this front knows of verdicts; the answer comes on the loop.
+func (x *Exchange) VerdictsOf(answer func(any)) bool {
+	return x.cfg.Section.Verdicts != nil && x.verdicts.offer(verdictsAsk{func(v any) { x.cfg.Loop.Post(func() { answer(v) }) }})
+}
+
+// Acted notes for the laboratory that this front acts on a verdict, or does so no more.
+// Boxes is how many its hub has, and ready how many of them are left. It is called on the
+// loop.
+func (x *Exchange) Acted(v verdicts.Held, on bool, boxes, ready int) {
+	if !x.history.on() {
+		return
+	}
+	var names []string
+	for _, w := range v.Named {
+		names = append(names, w.Front)
+	}
+	left := v.Until - x.cfg.Now()
+	x.history.write("verdict", map[string]any{"box": v.Thing, "state": v.State.String(), "ok": on, "witnesses": names, "sites": v.Sites, "possible": v.Possible,
+		"age_ms": float64(v.Span-left) / 1000, "bound_ms": float64(v.Span) / 1000, "hub": v.Hub, "boxes": boxes, "ready": ready})
+}
--- a/internal/fleet/exchange.go
+++ b/internal/fleet/exchange.go
@@ -11,6 +11,7 @@
 	"cherryramp/internal/decide/allowance"
 	"cherryramp/internal/decide/purges"
 	"cherryramp/internal/decide/tree"
+	"cherryramp/internal/decide/verdicts"
 	"cherryramp/internal/exchange"
 )
 
@@ -19,6 +20,8 @@
 	Mono() int64
 	exchange.Limiter
 	exchange.Obeyer
+	exchange.Witness
+	exchange.Surveyor
 }
 
 // changed is what the exchange was last told of the fleet's fronts.
@@ -42,7 +45,7 @@
 	}
 	var err error
 	f.ex, err = exchange.Start(exchange.Config{Name: f.cfg.Name, Folder: filepath.Clean(f.cfg.Folder), Keys: f.keys, Section: f.cfg.Shared, Now: host.Mono,
-		Loop: f.loop, Limiter: host, Obeyer: host, Address: func(v *tree.View, name string) string {
+		Loop: f.loop, Limiter: host, Obeyer: host, Witness: host, Surveyor: host, Address: func(v *tree.View, name string) string {
 			if a := reach[name]; a != "" {
 				return a
 			}
@@ -112,6 +115,13 @@
 	}
 }
 
+// Acted is part of program.ExchangePart.
+func (f *Fleet) Acted(v verdicts.Held, on bool, boxes, ready int) {
+	if f.ex != nil {
+		f.ex.Acted(v, on, boxes, ready)
+	}
+}
+
 // RenewExchange takes a new section over.
 func (f *Fleet) RenewExchange(x *config.Exchange) {
 	if f.ex != nil {
@@ -149,6 +159,16 @@
 	switch word {
 	case "TREE":
 		give(f.ex.Tree())
+	case "VERDICTS":
+		if !f.ex.VerdictsOf(give) {
+			fail(errOff)
+		}
+	case "STEER":
+		if rest == "" {
+			fail(errName)
+		} else if !f.ex.Steer(rest, answer) {
+			fail(errOff)
+		}
 	case "LIMITS":
 		f.ex.LimitsOf(func(t exchange.LimitsTold) { give(t) })
 	case "PURGE":
--- a/internal/front/session/session.go
+++ b/internal/front/session/session.go
@@ -566,6 +566,7 @@
 	call.Caller = c
 	c.call = call
 	if a := c.server.cfg.Audit; a != nil {
+		call.Peer = c.address()
 		a.Came(call)
 	}
 	if q := c.server.cfg.Admission; q != nil {
--- a/internal/front/signed/proofs.go
+++ b/internal/front/signed/proofs.go
@@ -40,7 +40,7 @@
 		p = &proof{Proof: g, set: f.policy.Set}
 		prefix := suspects.Prefix(v.asked.Peer)
 		p.job = &turns.Job{Tenant: g.Tenant(), Prefix: prefix,
-			Suspect: f.suspects.Count(prefix, v.asked.Now) >= suspectFrom, Value: p}
+			Suspect: f.suspects.Count(prefix, v.asked.Now) >= suspectFrom || f.shared != nil && f.shared.Suspect(prefix), Value: p}
 		f.proofs[g] = p
 		if out := f.turns.Push(p.job); out == p.job {
 			f.forget(p)
@@ -106,6 +106,9 @@
 	p.set.Settle(p.Proof, good, now)
 	if !good {
 		f.suspects.Add(p.job.Prefix, now)
+		if f.shared != nil {
+			f.shared.Forged(p.job.Prefix)
+		}
 	}
 	for _, v := range p.visits {
 		v.proof = nil
--- a/internal/front/signed/signed.go
+++ b/internal/front/signed/signed.go
@@ -13,6 +13,7 @@
 	"encoding/binary"
 	"fmt"
 	"log/slog"
+	"net/netip"
 	"strconv"
 	"strings"
 
@@ -88,6 +89,10 @@
 	Take(claims []quota.Claim) (taken []*allowance.Bucket, away gateway.Micros, refused string)
 	// Done gives back what was taken.
 	Done(taken []*allowance.Bucket)
+	// Forged notes a forged signature from a prefix; Suspect tells whether the fleet
+	// holds a prefix for one that forges.
+	Forged(p netip.Prefix)
+	Suspect(p netip.Prefix) bool
 }
 
 // Share has requests keep to limits of the whole fleet, besides this front's own.
--- a/internal/gateway/bars.go
+++ b/internal/gateway/bars.go
@@ -59,6 +59,31 @@
 	return m.Zone, int(100*own/all + 0.5), true
 }
 
+// Place tells where a listed server stands, and of what kind it is.
+func (b *Bars) Place(name string) (zone, kind string, known bool) {
+	m, known := b.told[name]
+	return m.Zone, m.Kind, known
+}
+
+// Count counts the listed servers of a kind in a zone.
+func (b *Bars) Count(zone, kind string) (n int) {
+	for _, m := range b.told {
+		if m.Zone == zone && m.Kind == kind {
+			n++
+		}
+	}
+	return n
+}
+
+// Hubs counts the listed servers by zone and kind, as ZONE/KIND.
+func (b *Bars) Hubs() map[string]int {
+	out := map[string]int{}
+	for _, m := range b.told {
+		out[m.Zone+"/"+m.Kind]++
+	}
+	return out
+}
+
 // Listed counts the servers of the list.
 func (b *Bars) Listed() int { return len(b.told) }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -10,6 +10,7 @@
 	"hash/fnv"
 	"log/slog"
 	"maps"
+	"net/netip"
 	"slices"
 	"strings"
 
@@ -61,7 +62,8 @@
 	Repeat   bool
 	Deadline Micros // when the client stops waiting
 	Caller   Caller
-	Version  uint64 // of what its front acts on, under which it came
+	Version  uint64     // of what its front acts on, under which it came
+	Peer     netip.Addr // of its client, where calls are followed
 
 	id       rules.RequestID
 	attempts []*Attempt
@@ -195,6 +197,10 @@
 	Since(object string, group int) (at Micros, ok bool)
 	// Tagged is the same of copies under a tag, which only an answer tells.
 	Tagged(tag string) (at Micros, ok bool)
+	// Ended tells how an attempt ended, and after what time.
+	Ended(a *Attempt, code rules.Code, took Micros)
+	// Away is how long a refused client is told to stay away, of what the module says.
+	Away(base Micros) Micros
 }
 
 // Bound has the gateway keep to bounds.
@@ -451,6 +457,9 @@
 		return
 	}
 	c.over = true
+	if a.Kind == Refused && g.bounds != nil {
+		a.Await = g.bounds.Away(a.Await)
+	}
 	a.Late = g.loop.Now() >= c.Deadline
 	g.giveUp(c)
 	c.Caller.Answer(a)
@@ -569,6 +578,9 @@
 	a.done = true
 	c.out--
 	g.loop.Stop(a.due)
+	if g.bounds != nil && a.Server != nil {
+		g.bounds.Ended(a, e.Code, g.loop.Now()-a.started)
+	}
 	serves := e.Code == rules.OK && !c.over
 	g.events = append(g.events, rules.Outcome{ID: c.id, Attempt: a.number, Server: serverID(a.Server),
 		Code: e.Code, Spent: g.loop.Now() - a.started, Closed: c.over || serves, Note: e.Note,
--- a/internal/program/fleet.go
+++ b/internal/program/fleet.go
@@ -140,11 +140,14 @@
 // Leave is part of FleetHost.
 func (h fleetHost) Leave(boxes []string) (open map[string]bool) { return h.p.bars.Set(h.p.away(boxes)) }
 
-// away is the boxes that nothing new goes to: those in work, and those that the
-// version in force names.
+// away is the boxes that nothing new goes to: those in work, those that the version in
+// force names, and those that the fleet has found to fail.
 func (p *program) away(boxes []string) []string {
 	if v := p.versions.current; v != nil && len(v.Drain) > 0 {
-		return append(slices.Clone(boxes), v.Drain...)
+		boxes = append(slices.Clone(boxes), v.Drain...)
+	}
+	if p.shared != nil {
+		boxes = p.shared.away(boxes)
 	}
 	return boxes
 }
--- a/internal/program/shared.go
+++ b/internal/program/shared.go
@@ -1,12 +1,15 @@
 package program
 
 import (
+	"math/rand/v2"
+	"net/netip"
 	"time"
 
 	"cherryramp/internal/config"
 	"cherryramp/internal/decide/allowance"
 	"cherryramp/internal/decide/purges"
 	"cherryramp/internal/decide/quota"
+	"cherryramp/internal/decide/verdicts"
 	"cherryramp/internal/gateway"
 )
 
@@ -16,6 +19,9 @@
 	Took(b *allowance.Bucket, ok bool)
 	// NewName tells that a name came that no part is held of.
 	NewName()
+	// Acted tells that this front acts on a verdict, or does so no more; boxes is how many
+	// its hub has, ready how many of them are left.
+	Acted(v verdicts.Held, on bool, boxes, ready int)
 }
 
 // began is when this process did, for clocks that only go forward.
@@ -32,15 +38,39 @@
 	index  *purges.Index
 	part   ExchangePart
 	limits bool
+
+	seen   *verdicts.Observer // nil: off
+	rules  verdicts.Rules
+	holds  map[string]verdicts.Held // failing boxes, by name
+	others []verdicts.Held
+	acts   map[string]bool
+	watch  bool // verdicts are told and not acted on
+	draws  *rand.Rand
+
+	regions []region
+	branch  string
+	paths   bool
+	samples []sample
+}
+
+// region is a prefix of clients and what it is called.
+type region struct {
+	prefix netip.Prefix
+	name   string
 }
 
+// mostSamples is what is held until it is asked for.
+const mostSamples = 2048
+
 func newShared(p *program, x *config.Exchange) *shared {
 	rules, list := x.Allowances()
 	most := 0
 	if x.Purges != nil {
 		most = x.Purges.Most
 	}
-	return &shared{p: p, purse: allowance.NewPurse(rules, list, mono()), index: purges.NewIndex(most), limits: len(list) > 0}
+	s := &shared{p: p, acts: map[string]bool{}, holds: map[string]verdicts.Held{}, draws: rand.New(rand.NewPCG(p.cfg.Seed, 0x5a)), purse: allowance.NewPurse(rules, list, mono()), index: purges.NewIndex(most), limits: len(list) > 0}
+	s.sees(x)
+	return s
 }
 
 func (s *shared) renew(x *config.Exchange) {
--- a/internal/program/versions.go
+++ b/internal/program/versions.go
@@ -158,6 +158,9 @@
 	if a.p.fleet != nil {
 		a.p.fleet.Answered(c.Version, c.Class, o, c.ID)
 	}
+	if a.p.shared != nil {
+		a.p.shared.answered(o)
+	}
 }
 
 // Left is part of session.Audit.
--- a/lab/fleet/exchange.go
+++ b/lab/fleet/exchange.go
@@ -5,6 +5,7 @@
 	"crypto/hmac"
 	"crypto/sha256"
 	"encoding/hex"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -131,6 +132,12 @@
 	if !o.Off["purges"] {
 		x["purges"] = map[string]any{"return_s": 3}
 	}
+	if !o.Off["verdicts"] {
+		x["verdicts"] = map[string]any{"span_s": 4, "half_life_s": 5, "least": 3}
+	}
+	if !o.Off["paths"] {
+		x["paths"] = map[string]any{"half_life_s": 5, "stale_s": 6}
+	}
 	for k, v := range o.Section {
 		x[k] = v
 	}
@@ -421,9 +428,65 @@
 	return in, out
 }
 
+// Verdicts are what a front holds.
+func (d *SharedDay) Verdicts(p *Process) (held map[string]string) {
+	var t struct {
+		Holds []struct{ Thing, State string }
+	}
+	held = map[string]string{}
+	if p.Call("FLEET VERDICTS", &t) == nil {
+		for _, v := range t.Holds {
+			held[v.Thing] = v.State
+		}
+	}
+	return held
+}
+
+// AllJudge tells whether every front that runs holds a verdict, or none does.
+func (d *SharedDay) AllJudge(thing, state string) bool {
+	for _, p := range d.List {
+		if p.Up() && d.Verdicts(p)[thing] != state {
+			return false
+		}
+	}
+	return true
+}
+
+// sick has a box fail for a while: the fleet must find it, leave it, and come back to it.
+func (d *SharedDay) sick() error {
+	b := d.Stand.Boxes[0]
+	began := time.Now()
+	d.Tell("%s fails", b.Name)
+	b.Fail.Store(90)
+	if err := Await(20*time.Second, func() bool { return d.AllJudge(b.Name, "failing") }); err != nil {
+		text := ""
+		for _, p := range d.List {
+			var raw json.RawMessage
+			e := p.Call("FLEET VERDICTS", &raw)
+			text += fmt.Sprintf("%s: %s %v\n", p.Name, raw, e)
+		}
+		return fmt.Errorf("no verdict on a box that fails: %w\n%s", err, text)
+	}
+	d.Tell("all fronts hold the verdict, after %.1f s", time.Since(began).Seconds())
+	b.Fail.Store(0)
+	d.Tell("%s is well again", b.Name)
+	began = time.Now()
+	if err := Await(60*time.Second, func() bool { return d.AllJudge(b.Name, "") }); err != nil {
+		return fmt.Errorf("a verdict on a box that is well again: %w", err)
+	}
+	d.Tell("nobody holds it any more, after %.1f s", time.Since(began).Seconds())
+	return nil
+}
+
 // cut is the day of one site cut off in the middle.
 func (d *SharedDay) cut(span time.Duration) error {
-	time.Sleep(span / 4)
+	time.Sleep(span / 8)
+	if !d.o.Off["verdicts"] {
+		if err := d.sick(); err != nil {
+			return err
+		}
+	}
+	time.Sleep(span / 8)
 	id, err := d.Purge(d.List[0], "object", "o1", "first")
 	if err != nil {
 		return fmt.Errorf("the first purge: %w", err)
