Keys and sizes of requests pass through: Req-Token to dedupe, Req-Kb to the module

The front read neither header (platform.go read) and wrote no dedupe (lines.go appendServe). The module asks for no probe, so none is sent.

--- a/internal/decide/verdicts/bench.go
+++ b/internal/decide/verdicts/bench.go
@@ -140,7 +140,7 @@
 		v := s.v
 		if v.State == Failing {
 			n := boxes[v.Hub]
-			if most := min(int(float64(n)*b.rules.Most), n-1); taken[v.Hub] >= most {
+			if most := min(max(1, int(float64(n)*b.rules.Most)), n-1); taken[v.Hub] >= most { // one of two may go, never the last
 				continue
 			}
 			taken[v.Hub]++
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -26,8 +26,12 @@
 	Name  string
 	Place int // by which the gateway knows it
 	Write bool
+	Keyed bool // repeats are dropped by their key, which every request has
 }
 
+// mostKB is the size of the largest part that can be told, in KB.
+const mostKB = 1e9
+
 // Front reads the platform's requests and words its answers.
 type Front struct {
 	classes []Class
@@ -71,7 +75,8 @@
 		return nil, bad("class is unknown")
 	case !gateway.IsName(object):
 		return nil, bad("object is malformed")
-	case r.Header.Count("Req-Id") > 1 || r.Header.Count("Req-Wait-Ms") > 1 || r.Header.Count("X-Bucket") > 1:
+	case r.Header.Count("Req-Id") > 1 || r.Header.Count("Req-Wait-Ms") > 1 || r.Header.Count("X-Bucket") > 1 ||
+		r.Header.Count("Req-Token") > 1 || r.Header.Count("Req-Kb") > 1:
 		return nil, bad("a field stands twice")
 	case len(id) != 16 || strings.Trim(id, "0123456789abcdefABCDEF") != "":
 		return nil, bad("Req-Id is not 16 hex digits")
@@ -87,6 +92,16 @@
 		return nil, bad("Req-Wait-Ms is not 1 to 60000")
 	}
 	c.Deadline = came + int64(wait)*1000
+	if f.classes[class].Keyed {
+		if c.Token = r.Header.Get("Req-Token"); !gateway.IsName(c.Token) {
+			return nil, bad("Req-Token is missing or malformed: the class is keyed")
+		}
+	}
+	if text := r.Header.Get("Req-Kb"); text != "" {
+		if c.Size, err = strconv.ParseFloat(text, 64); err != nil || !(c.Size >= 0 && c.Size <= mostKB) {
+			return nil, bad("Req-Kb is no size in KB")
+		}
+	}
 	if fault := session.ReadCopy(c, query, r.Header.Get("X-Bucket")); fault != "" {
 		return nil, bad(fault)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -58,7 +58,9 @@
 	HasPart  bool
 	Group    int
 	Body     []byte
-	Tag      string // of the copy that the client holds
+	Tag      string  // of the copy that the client holds
+	Token    string  // of a keyed class: the same for all tries of one request, passed on unchanged
+	Size     float64 // KB of the part as the settings count; 0: not told
 	Repeat   bool
 	Deadline Micros // when the client stops waiting
 	Caller   Caller
@@ -301,7 +303,7 @@
 	g.calls[c.id] = c
 	g.open[c.ID] = struct{}{}
 	g.events = append(g.events, rules.Request{ID: c.id, Class: c.Class, Object: key(c.Object),
-		Part: c.Part, Group: c.Group, Expires: max(0, c.Deadline-g.loop.Now()), Repeat: c.Repeat})
+		Part: c.Part, Group: c.Group, Size: c.Size, Expires: max(0, c.Deadline-g.loop.Now()), Repeat: c.Repeat})
 }
 
 // Leave ends a call whose client has gone; its attempts are given up.
--- a/internal/program/settings.go
+++ b/internal/program/settings.go
@@ -49,7 +49,7 @@
 func (p *program) named() (out []platform.Class) {
 	for _, place := range p.table.InForce() {
 		c := &p.table.Classes()[place]
-		out = append(out, platform.Class{Name: c.Name, Place: place, Write: c.Write})
+		out = append(out, platform.Class{Name: c.Name, Place: place, Write: c.Write, Keyed: c.Effect == rules.Keyed})
 	}
 	return out
 }
--- a/internal/upstream/lines.go
+++ b/internal/upstream/lines.go
@@ -129,6 +129,10 @@
 		number(",piece=", int64(c.Part))
 	}
 	number(",ttl=", max(1, (a.Deadline-now)/1000))
+	if c.Token != "" {
+		dst = append(dst, ",dedupe="...)
+		dst = append(dst, c.Token...)
+	}
 	if a.Source != nil {
 		dst = append(dst, ",next="...)
 		dst = append(dst, a.Source.Name...)
--- a/lab/fleet/exchange.go
+++ b/lab/fleet/exchange.go
@@ -83,6 +83,8 @@
 		if d.Folder, err = os.MkdirTemp("", "history"); err != nil {
 			return nil, err
 		}
+	} else if list, e := os.ReadDir(d.Folder); e == nil && len(list) > 0 {
+		return nil, fmt.Errorf("%s holds something already: a history begins in an empty folder", d.Folder)
 	} else if err = os.MkdirAll(d.Folder, 0o700); err != nil {
 		return nil, err
 	}
