--- a/internal/program/sight.go
+++ b/internal/program/sight.go
@@ -123,6 +123,10 @@
 	}
 }
 
+// lookEvery is the longest time between two looks at verdicts, in us: none is acted on past its
+// end because the next look comes later.
+const lookEvery = 100_000
+
 // away adds the boxes that the fleet has found to fail, but for those that this front has
 // itself seen to be well lately, and never all of a hub.
 func (s *shared) away(boxes []string) []string {
@@ -134,7 +138,7 @@
 	hubs := map[string]int{}
 	for name, h := range s.holds {
 		state, fresh := s.seen.Of(name, now)
-		if s.watch || now >= h.Until || fresh && state != verdicts.Failing {
+		if s.watch || now+lookEvery >= h.Until || fresh && state != verdicts.Failing {
 			continue
 		}
 		add = append(add, name)
