--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -11,6 +11,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"path/filepath"
@@ -85,6 +86,7 @@
 	sup     *suture.Supervisor
 	counts  Counts
 	history *history
+	disk    *disk // nil: no purges
 
 	standing atomic.Pointer[Standing]
 	links    atomic.Pointer[links] // who attaches where, by the hub
@@ -145,7 +147,7 @@
 			x.log.Error("exchange: a task is started anew", "event", e.String())
 		}
 	}, FailureThreshold: 50, FailureBackoff: time.Second, Timeout: 2 * time.Second})
-	disk, err := openDisk(x, filepath.Join(cfg.Folder, "purges"))
+	x.disk, err = openDisk(x, filepath.Join(cfg.Folder, "purges"))
 	if err != nil {
 		cancel()
 		return nil, fmt.Errorf("exchange: purges: %w", err)
@@ -153,7 +155,7 @@
 	x.sup.Add(&task{x: x, name: "tree", make: func(context.Context) body { return newHub(x) }})
 	x.sup.Add(&task{x: x, name: "limits", make: x.newLimits()})
 	if cfg.Section.Purges != nil {
-		x.sup.Add(&task{x: x, name: "purges", make: x.newPurges(disk)})
+		x.sup.Add(&task{x: x, name: "purges", make: x.newPurges(x.disk)})
 	}
 	if cfg.Section.Verdicts != nil {
 		x.sup.Add(&task{x: x, name: "verdicts", make: x.newVerdicts()})
@@ -202,7 +204,11 @@
 func (x *Exchange) Close() error {
 	x.cancel()
 	<-x.done
-	return x.history.close()
+	err := x.history.close()
+	if x.disk != nil {
+		err = errors.Join(err, x.disk.j.Close())
+	}
+	return err
 }
 
 // teller sends what one life of a task says. One that was left behind, since it stalled,
