--- /dev/null
+++ b/internal/decide/paths/paths_test.go
@@ -0,0 +1,98 @@
+package paths
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+const second Micros = 1_000_000
+
+var rules = Rules{Half: 10 * second, Stale: 6 * second, Explore: 0.02, Pace: 0.1, Weight: 200}
+
+// world has fronts measure true latencies that change.
+func measure(r *rand.Rand, m *Model, region, edge string, ms float64, n int, now Micros) {
+	var list []Sample
+	for range n {
+		list = append(list, Sample{Pair{region, edge}, Micros(ms * 1000 * math.Exp(0.2*r.NormFloat64()))})
+	}
+	m.Add(list, now)
+}
+
+func everywhere(string) float64 { return 1 }
+
+func share(o []Order, region, edge string) Share {
+	for _, x := range o {
+		for _, s := range x.Edges {
+			if x.Region == region && s.Edge == edge {
+				return s
+			}
+		}
+	}
+	return Share{}
+}
+
+// Guards the estimate against the truth, that it follows a change, that shares move at
+// their pace, and that an edge without room gets little.
+func TestFollows(t *testing.T) {
+	r := rand.New(rand.NewPCG(1, 1))
+	models := []*Model{NewModel(rules), NewModel(rules), NewModel(rules)}
+	p := NewPlanner(rules)
+	now := second
+	run := func(span Micros, near, far float64, room func(string) float64) (last []Order) {
+		for end := now + span; now < end; now += second {
+			var fronts [][]Summary
+			for _, m := range models {
+				measure(r, m, "west/a", "near", near, 30, now)
+				measure(r, m, "west/a", "far", far, 4, now)
+				fronts = append(fronts, m.Tell(now))
+			}
+			last = p.Step(Merge(rules, fronts, nil), room, now)
+		}
+		return last
+	}
+	o := run(40*second, 10, 60, everywhere)
+	require.InEpsilon(t, 10_000, share(o, "west/a", "near").Took, 0.1)
+	require.Greater(t, share(o, "west/a", "near").Share, 0.9)
+	before := share(o, "west/a", "near").Share
+	o = run(second, 200, 60, everywhere)
+	require.InDelta(t, before, share(o, "west/a", "near").Share, rules.Pace+1e-9, "never a jump")
+	o = run(60*second, 200, 60, everywhere)
+	require.Greater(t, share(o, "west/a", "far").Share, 0.9, "it follows")
+	moved := p.Moved
+	o = run(30*second, 200, 60, everywhere)
+	require.Less(t, p.Moved-moved, 0.05, "and comes to rest")
+	o = run(40*second, 200, 60, func(e string) float64 { return map[string]float64{"near": 1}[e] })
+	require.Less(t, share(o, "west/a", "far").Share, 0.05, "no room")
+}
+
+// Guards that a front that lies moves an estimate no more than its weight allows, and
+// that a pair nobody has measured is drawn from the region above.
+func TestLiarAndUnknown(t *testing.T) {
+	r := rand.New(rand.NewPCG(2, 2))
+	now := second
+	var fronts [][]Summary
+	for range 4 {
+		m := NewModel(rules)
+		measure(r, m, "west/a", "e", 50, 300, now)
+		fronts = append(fronts, m.Tell(now))
+	}
+	liar := NewModel(rules)
+	measure(r, liar, "west/a", "e", 1, 100_000, now)
+	fronts = append(fronts, liar.Tell(now))
+	other := NewModel(rules)
+	measure(r, other, "west/b", "f", 20, 30, now)
+	fronts = append(fronts, other.Tell(now))
+	o := NewPlanner(rules).Step(Merge(rules, fronts, nil), everywhere, now)
+	require.InEpsilon(t, 50_000, share(o, "west/a", "e").Took, 0.15, "one of five says 1 ms")
+	require.InEpsilon(t, 50_000, share(o, "west/b", "e").Took, 0.15, "by the region above")
+	require.Zero(t, share(o, "west/b", "e").Weight)
+	var m Map
+	m.Told(o, 10*second, 6*second)
+	_, ok := m.Of("west/b/c", 15*second)
+	require.True(t, ok)
+	_, ok = m.Of("west/b", 17*second)
+	require.False(t, ok, "stale")
+}
--- /dev/null
+++ b/internal/decide/purges/purges_test.go
@@ -0,0 +1,284 @@
+package purges
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"cherryramp/internal/decide/tree"
+)
+
+const second Micros = 1_000_000
+
+// front is one process in a day of purges: its book, and what it gathers for its sites.
+type front struct {
+	tree.Front
+	book    *Book
+	gathers map[string]*Gather
+	disk    []Purge // kept
+	paused  bool
+	closing Closing
+	has     map[string]Marks
+}
+
+// play plays a day in which purges are asked for while messages are lost, doubled and
+// come late and fronts crash, sleep and join; it gives what was said too early.
+func play(seed uint64, rule Rule) (early string, complete int) {
+	r := rand.New(rand.NewPCG(seed, 3))
+	now, index := Micros(0), uint64(1)
+	sites := []string{"a", "b"}
+	keepers := map[string]string{"": "f0", "a": "f0", "b": "f1"}
+	var list []*front
+	var wire []struct {
+		at Micros
+		do func()
+	}
+	later := func(do func()) {
+		for range 1 + r.IntN(10)/9 {
+			if r.IntN(5) > 0 {
+				wire = append(wire, struct {
+					at Micros
+					do func()
+				}{now + Micros(r.IntN(400_000)), do})
+			}
+		}
+	}
+	join := func() {
+		i := len(list)
+		f := &front{Front: tree.Front{Name: fmt.Sprintf("f%d", i), Site: sites[i%2], ID: uint64(i + 1), Start: 1, Keep: second}, book: NewBook(Config{Most: 1000, Keep: 1e12}),
+			gathers: map[string]*Gather{}, has: map[string]Marks{}}
+		// What serves already told it all before it serves itself.
+		if i > 0 {
+			news, _ := list[0].book.Lacks(nil, now)
+			f.book.Told(news, now)
+		}
+		list = append(list, f)
+		index++
+	}
+	for range 4 {
+		join()
+	}
+	view := func(f *front) *tree.View {
+		v := &tree.View{Index: index, Self: f.Front, In: true}
+		for _, x := range list {
+			v.Fronts = append(v.Fronts, x.Front)
+		}
+		return v
+	}
+	find := func(name string) *front {
+		for _, f := range list {
+			if f.Name == name {
+				return f
+			}
+		}
+		return nil
+	}
+	said := map[string]bool{}
+	seq, asked := uint64(0), 0
+	for ; now < 60*second; now += 50_000 {
+		for i := 0; i < len(wire); {
+			if wire[i].at <= now {
+				do := wire[i].do
+				wire = append(wire[:i], wire[i+1:]...)
+				do()
+			} else {
+				i++
+			}
+		}
+		switch f := list[r.IntN(len(list))]; r.IntN(60) {
+		case 0:
+			k := find(keepers[f.Site])
+			if !k.paused && asked < 20 {
+				asked++
+				k.book.Ask(Origin{f.Site, 1}, Scope{Object, fmt.Sprintf("o%d", asked)}, fmt.Sprint(asked), "", now)
+			}
+		case 1:
+			f.paused = !f.paused && r.IntN(4) == 0
+		case 2: // a crash: what was not kept is gone, and so is what was gathered; keepers' numbers are drawn anew in earnest
+			if f.Name != "f0" && f.Name != "f1" {
+				f.book, f.gathers, f.has = NewBook(Config{Most: 1000, Keep: 1e12}), map[string]*Gather{}, map[string]Marks{}
+				for _, p := range f.disk {
+					f.book.Recovered(p, now)
+				}
+				f.Start++
+				index++
+			}
+		case 3:
+			if len(list) < 8 && r.IntN(4) == 0 {
+				join()
+			}
+		}
+		for _, f := range list {
+			if f.paused {
+				continue
+			}
+			for _, p := range f.book.Apply() {
+				if r.IntN(3) == 0 { // the disk takes its time
+					later(func() { f.disk = append(f.disk, p); f.book.Kept(p.Origin, p.N) })
+				} else {
+					f.disk = append(f.disk, p)
+					f.book.Kept(p.Origin, p.N)
+				}
+			}
+			seq++
+			n, s := seq, Summary{Index: index, Done: f.book.Done(), Count: 1}
+			role, k := tree.Role{Front: f.Name, Start: f.Start, Site: f.Site}, find(keepers[f.Site])
+			exchange := func(role tree.Role, k *front, site string, s Summary) {
+				news, _ := f.book.Lacks(f.has[k.Name], now)
+				marks := f.book.Marks()
+				start := f.Start
+				later(func() {
+					if k.paused {
+						return
+					}
+					k.book.Told(news, now)
+					if k.gathers[site] == nil {
+						k.gathers[site] = NewGather(site)
+						k.gathers[site].Without(rule)
+					}
+					k.gathers[site].Heard(role, n, s, now)
+					back, _ := k.book.Lacks(marks, now)
+					has := k.book.Marks()
+					later(func() {
+						if !f.paused && f.Start == start {
+							f.book.Told(back, now)
+							f.has[k.Name] = has
+						}
+					})
+				})
+			}
+			exchange(role, k, f.Site, s)
+			for _, site := range []string{"a", "b", ""} {
+				g := f.gathers[site]
+				if g == nil || keepers[site] != f.Name {
+					continue
+				}
+				sum := g.Sum(view(f), index, f.book.Marks(), 2*second, now)
+				if site != "" {
+					exchange(tree.Role{Site: site, Keeper: 1}, find(keepers[""]), "", sum)
+					continue
+				}
+				for _, m := range f.closing.Step(sum.Done, now-1, now) {
+					for i := uint64(1); i <= m.N; i++ {
+						p := Purge{Origin: m.Origin, N: i}
+						if said[p.ID()] {
+							continue
+						}
+						said[p.ID()] = true
+						for _, x := range list {
+							if x.book.Done().Of(m.Origin) < i {
+								return fmt.Sprintf("seed %d: %s is complete, and %s has not kept it", seed, p.ID(), x.Name), len(said)
+							}
+						}
+					}
+				}
+			}
+		}
+	}
+	return "", len(said)
+}
+
+// Guards that a purge is never said to be complete too early, and is by and by.
+func TestCompleteIsTrue(t *testing.T) {
+	total := 0
+	for seed := range uint64(150) {
+		early, n := play(seed, "")
+		require.Empty(t, early)
+		total += n
+	}
+	require.Greater(t, total, 150*3, "of use")
+}
+
+// Guards the check above.
+func TestCompleteIsTrueFires(t *testing.T) {
+	for seed := range uint64(150) {
+		if early, _ := play(seed, NoAck); early != "" {
+			return
+		}
+	}
+	t.Fatal("complete by those heard alone was not found")
+}
+
+// plain is an index that only remembers.
+type plain []struct {
+	s  Scope
+	at Micros
+}
+
+func (p plain) since(object string, number int) (at Micros, ok bool) {
+	group := strconv.Itoa(number)
+	for _, x := range p {
+		hit := x.s.Kind == All || x.s.Kind == Object && x.s.Name == object || x.s.Kind == Prefix && strings.HasPrefix(object, x.s.Name) ||
+			x.s.Kind == Group && x.s.Name == group
+		if hit && (!ok || x.at > at) {
+			at, ok = x.at, true
+		}
+	}
+	return at, ok
+}
+
+// Guards that an index says the same as one that only remembers, and where it folds
+// never less.
+func TestIndex(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		x, p := NewIndex(rapid.SampledFrom([]int{16, 40, 100_000}).Draw(t, "most")), plain{}
+		for i := range rapid.IntRange(0, 120).Draw(t, "n") {
+			kind := rapid.SampledFrom([]Kind{Object, Object, Object, Group, Prefix}).Draw(t, "kind")
+			name := fmt.Sprintf("o%d", rapid.IntRange(0, 400).Draw(t, "name"))
+			if kind == Group {
+				name = name[1:]
+			} else if kind == Prefix {
+				name = name[:min(len(name), 3)]
+			}
+			s := Scope{kind, name}
+			x.Add(s, Micros(i+1))
+			p = append(p, struct {
+				s  Scope
+				at Micros
+			}{s, Micros(i + 1)})
+		}
+		if x.Len() > x.most {
+			t.Fatalf("%d scopes held, %d may be", x.Len(), x.most)
+		}
+		for i := range 50 {
+			object, group := fmt.Sprintf("o%d", i*9), i*7
+			got, some := x.Since(object, group)
+			want, must := p.since(object, group)
+			if must && (!some || got < want) || x.Folded == 0 && (some != must || must && got != want) {
+				t.Fatalf("%s: %d %t, %d %t wanted", object, got, some, want, must)
+			}
+		}
+	})
+}
+
+// The cost of a look at 10,000 purges: go test -bench Since ./internal/decide/purges
+func BenchmarkSince(b *testing.B) {
+	x, p := NewIndex(20_000), plain{}
+	for i := range 10_000 {
+		s := Scope{Object, fmt.Sprintf("o%d", i)}
+		if i%20 == 0 {
+			s = Scope{Prefix, fmt.Sprintf("p%d", i)}
+		}
+		x.Add(s, Micros(i+1))
+		p = append(p, struct {
+			s  Scope
+			at Micros
+		}{s, Micros(i + 1)})
+	}
+	b.Run("index", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			x.Since("o7777", 17)
+		}
+	})
+	b.Run("plain", func(b *testing.B) {
+		for b.Loop() {
+			p.since("o7777", 17)
+		}
+	})
+}
