--- a/internal/upstream/lines_test.go
+++ b/internal/upstream/lines_test.go
@@ -71,11 +71,11 @@
 }
 
 func TestAppendServe(t *testing.T) {
-	a := &gateway.Attempt{Call: &gateway.Call{ID: "00ff", Object: "9f", Part: 3, HasPart: true, Tag: "t",
+	a := &gateway.Attempt{Call: &gateway.Call{ID: "00ff", Object: "9f", Part: 3, HasPart: true, Tag: "t", Token: "5c0f",
 		Body: []byte("xy")}, Source: &gateway.Server{Name: "s-1"}, Deadline: 1_500_000, Keep: 2, Held: true,
 		Renew: true}
 	got := string(appendServe(nil, a, "video", 1_000_000, 2_500_000))
-	want := "serve 00ff lane=video,name=9f,piece=3,ttl=500,next=s-1,admit=2,agelim=2500," +
+	want := "serve 00ff lane=video,name=9f,piece=3,ttl=500,dedupe=5c0f,next=s-1,admit=2,agelim=2500," +
 		"ways=have-only+update,cached=t 2\r\nxy\r\n"
 	if got != want {
 		t.Errorf("got %q\nwant %q", got, want)
