The front links no CBOR for limits: a dealer's ledger is written out by its driver

Saw: idle resident size of bin/cherryramp with the section off grew from 9.74-10.14 to 10.43-10.54 MB, since config links allowance and that linked CBOR.

--- a/internal/decide/allowance/allowance_test.go
+++ b/internal/decide/allowance/allowance_test.go
@@ -8,6 +8,7 @@
 	"slices"
 	"testing"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/google/go-cmp/cmp"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
@@ -270,7 +271,14 @@
 			continue
 		}
 		back := NewDealer(d.rules, []Limit{w.limit}, d.Site(), d.Number(), 0, now)
-		if err := back.Restore(d.Snapshot()); err != nil || cmp.Diff(back.l.List, d.l.List) != "" || len(back.l.Sheets) != len(d.l.Sheets) {
+		var l Ledger
+		b, err := cbor.Marshal(d.Ledger())
+		if err == nil {
+			err = cbor.Unmarshal(b, &l)
+		}
+		back.Restore(l)
+		back.Ledger()
+		if err != nil || cmp.Diff(back.l.List, d.l.List) != "" || len(back.l.Sheets) != len(d.l.Sheets) {
 			panic(fmt.Sprint("a snapshot does not come back: ", err))
 		}
 	}
--- a/internal/decide/allowance/dealer.go
+++ b/internal/decide/allowance/dealer.go
@@ -6,8 +6,6 @@
 	"math"
 	"slices"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"cherryramp/internal/decide/lease"
 )
 
@@ -75,8 +73,8 @@
 	Came  Micros // when that came
 }
 
-// ledger is all that a dealer knows; it is written out as it is.
-type ledger struct {
+// Ledger is all that a dealer knows; whoever keeps it writes it out as it is.
+type Ledger struct {
 	Site    string
 	Number  uint64
 	Quiet   Micros         // the keeper before may still deal until then
@@ -95,7 +93,7 @@
 type Dealer struct {
 	rules   Rules
 	limits  map[string]*Limit
-	l       ledger
+	l       Ledger
 	without Rule
 }
 
@@ -112,7 +110,7 @@
 // is the span of the lease that a root's keeper before it may still have; what a site's
 // keeper deals lies in its part, whoever kept the site before.
 func NewDealer(rules Rules, limits []Limit, site string, number uint64, wait, now Micros) *Dealer {
-	d := &Dealer{l: ledger{Site: site, Number: number, Sheets: map[Key]*sheet{}, Members: map[string]*member{}}}
+	d := &Dealer{l: Ledger{Site: site, Number: number, Sheets: map[Key]*sheet{}, Members: map[string]*member{}}}
 	if wait > 0 && site == "" {
 		d.l.Quiet = now + lease.Until(wait)
 	}
@@ -521,25 +519,18 @@
 	return list
 }
 
-// Snapshot writes all that a dealer knows; it must be kept before what it deals leaves.
-func (d *Dealer) Snapshot() []byte {
-	x := d.l
+// Ledger is all that a dealer knows, to be written out; it must be kept before what it
+// deals leaves. It is the dealer's own until it has been written.
+func (d *Dealer) Ledger() *Ledger {
+	d.l.List = d.l.List[:0]
 	for _, k := range d.Keys() {
-		x.List = append(x.List, named{k, x.Sheets[k]})
-	}
-	b, err := cbor.Marshal(x)
-	if err != nil {
-		panic(err) // plain values always encode
+		d.l.List = append(d.l.List, named{k, d.l.Sheets[k]})
 	}
-	return b
+	return &d.l
 }
 
-// Restore takes a snapshot in.
-func (d *Dealer) Restore(b []byte) error {
-	var l ledger
-	if err := cbor.Unmarshal(b, &l); err != nil {
-		return err
-	}
+// Restore takes a ledger in that was written out.
+func (d *Dealer) Restore(l Ledger) {
 	l.Sheets = map[Key]*sheet{}
 	for _, x := range l.List {
 		if x.Sheet.Children == nil {
@@ -547,10 +538,8 @@
 		}
 		l.Sheets[x.Key] = x.Sheet
 	}
-	l.List = nil
 	if l.Members == nil {
 		l.Members = map[string]*member{}
 	}
-	d.l = l
-	return nil
+	l.List, d.l = nil, l
 }
--- a/internal/exchange/limits.go
+++ b/internal/exchange/limits.go
@@ -99,7 +99,10 @@
 		if l.dealers[k.Site] == nil {
 			d := allowance.NewDealer(l.rules, l.list, k.Site, k.Number, k.Wait, now)
 			if old, ok := (*l.snaps.Load())[k.Site]; ok && old.number == k.Number {
-				if err := d.Restore(old.b); err != nil {
+				var ledger allowance.Ledger
+				if err := decoder.Unmarshal(old.b, &ledger); err == nil {
+					d.Restore(ledger)
+				} else {
 					l.x.log.Error("exchange: limits: a snapshot can't be read", "error", err)
 					d = allowance.NewDealer(l.rules, l.list, k.Site, k.Number, max(k.Wait, l.rules.Keep), now)
 				}
@@ -144,7 +147,7 @@
 	if l.ctx.Err() != nil {
 		return
 	}
-	next := kept{k.Site: {k.Number, d.Snapshot()}}
+	next := kept{k.Site: {k.Number, encode(d.Ledger())}}
 	for site, x := range *l.snaps.Load() {
 		if site != k.Site && l.dealers[site] != nil {
 			next[site] = x
