--- a/internal/config/exchange.go
+++ b/internal/config/exchange.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"errors"
 	"fmt"
 	"net/netip"
 	"path/filepath"
@@ -33,7 +32,7 @@
 // SharedLimit is a limit that holds for the whole fleet.
 type SharedLimit struct {
 	Name   string  `json:"name"`
-	For    string  `json:"for"`                     // tenant, key, subject, fills, cold
+	For    string  `json:"for"`                     // tenant, key, subject
 	Of     string  `json:"of"`                      // whose; *: of each by itself
 	Kind   string  `json:"kind"`                    // rate, open, uses
 	Amount float64 `json:"amount"`                  // a second, at once, in the span
@@ -94,7 +93,7 @@
 
 func (x *Exchange) check(at *faults, dir string, fleet bool) {
 	if !fleet {
-		at.add("", errors.New("needs the section fleet"))
+		at.addf("limits, purges, verdicts, paths", "they need the section fleet")
 	}
 	x.RoundMS, x.PassMS, x.BackMS = cmp.Or(x.RoundMS, 100), cmp.Or(x.PassMS, 1500), cmp.Or(x.BackMS, 3000)
 	whole := []struct {
@@ -163,9 +162,9 @@
 		}
 		names[l.Name] = true
 		switch l.For {
-		case "tenant", "key", "subject", "fills", "cold":
+		case "tenant", "key", "subject":
 		default:
-			key.addf("for", "%q is not tenant, key, subject, fills or cold", l.For)
+			key.addf("for", "%q is not tenant, key or subject", l.For)
 		}
 		if l.Of == "" {
 			key.addf("of", "missing: a name, or * for each")
--- a/internal/config/operator_test.go
+++ b/internal/config/operator_test.go
@@ -14,8 +14,8 @@
 		t.Fatalf("found %v, %v", paths, err)
 	}
 	for _, path := range paths {
-		if filepath.Base(path) == "operator-fleet.json" {
-			continue // its keys are the installation's own; see TestFleetSection
+		if name := filepath.Base(path); name == "operator-fleet.json" || name == "operator-exchange.json" {
+			continue // their keys are the installation's own; see TestFleetSection and TestExchangeSection
 		}
 		if _, err := LoadOperator(func(string) string { return path }); err != nil {
 			t.Error(err)
--- a/internal/decide/allowance/limit.go
+++ b/internal/decide/allowance/limit.go
@@ -49,7 +49,7 @@
 // Limit is one limit of the fleet.
 type Limit struct {
 	Name   string
-	For    string // what it is for: tenant, key, subject, fills, cold
+	For    string // what it is for: tenant, key, subject
 	Of     string // whose; *: of each by itself
 	Kind   Kind
 	Amount float64 // requests a second, at once, or uses
