--- a/lab/fleet/exchange_test.go
+++ b/lab/fleet/exchange_test.go
@@ -234,7 +234,7 @@
 	require.Empty(t, write(good).Broken)
 	require.NotEmpty(t, write(strings.Replace(good, `"filled":10`, `"filled":0.5`, 1)+"").Cut, "a line that can't be read is told")
 	require.Equal(t, "complete too early", write(strings.Replace(good, `"t":1,"by":"a","e":"ask"`, `"t":15,"by":"a","e":"ask"`, 1)).Broken[0].Promise)
-	require.Equal(t, "limit l", write(strings.Replace(good, `"t":1000000000`, `"t":900000000`, 1) + `{"t":900000001,"by":"b","e":"take","limit":"l","who":"w","ok":true}`+"\n"+`{"t":900000002,"by":"b","e":"take","limit":"l","who":"w","ok":true}`+"\n").Broken[0].Promise)
-	require.Equal(t, "one answer", write(good+`{"t":40,"by":"c","e":"request","id":1,"front":"b","end":50,"status":200}`+"\n").Broken[0].Promise)
+	require.Equal(t, "limit l", write(strings.Replace(good, `"t":1000000000`, `"t":900000000`, 1) + `{"t":900000001,"by":"b","e":"take","limit":"l","who":"w","ok":true}` + "\n" + `{"t":900000002,"by":"b","e":"take","limit":"l","who":"w","ok":true}` + "\n").Broken[0].Promise)
+	require.Equal(t, "one answer", write(good + `{"t":40,"by":"c","e":"request","id":1,"front":"b","end":50,"status":200}` + "\n").Broken[0].Promise)
 	require.NotEmpty(t, write(good[:len(good)-9]).Cut)
 }
