A front whose fleet part broke serves on where no purges are exchanged; tests without a race

Read once more: Holds asked for an open exchange also where no purges are exchanged, so a front with limits alone and a broken folder would have refused for ever; now purges alone are waited for. The fault that tests play is part of what a task is started with (race detector).

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -63,6 +63,8 @@
 
 	Witness  Witness
 	Surveyor Surveyor
+
+	fault func(task string, message any) // for tests: panics or stalls
 }
 
 // Counts are what has gone over the connections, and what was dropped at bounds.
@@ -98,8 +100,6 @@
 	purges   *box[any]
 	verdicts *box[any]
 	paths    *box[any]
-
-	fault func(task string, message any) // for tests: panics or stalls
 }
 
 // links is who is attached where now.
@@ -297,8 +297,8 @@
 			return ctx.Err()
 		case m := <-box.out:
 			beat.Store(time.Now().UnixMicro())
-			if t.x.fault != nil {
-				t.x.fault(t.name, m)
+			if t.x.cfg.fault != nil {
+				t.x.cfg.fault(t.name, m)
 			}
 			if ctx.Err() != nil { // it was left behind meanwhile
 				return ctx.Err()
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -68,10 +68,9 @@
 		require.NoError(t, err)
 		rules, list := o.Exchange.Allowances()
 		h.purse = allowance.NewPurse(rules, list, h.now())
-		x, err := Start(Config{Name: "a", Folder: t.TempDir(), Section: o.Exchange, Now: h.now, Loop: h, Limiter: h, Obeyer: h, Witness: h, Surveyor: h,
+		x, err := Start(Config{Name: "a", Folder: t.TempDir(), Section: o.Exchange, Now: h.now, Loop: h, Limiter: h, Obeyer: h, Witness: h, Surveyor: h, fault: fault,
 			Address: func(*tree.View, string) string { return "" }}, slog.New(slog.NewTextHandler(io.Discard, nil)))
 		require.NoError(t, err)
-		x.fault = fault
 		me := tree.Front{Name: "a", Site: "west/hub", ID: 1, Start: 2, Keep: 2_000_000}
 		v := &tree.View{Index: 5, Fleet: 9, Fronts: []tree.Front{me}, Self: me, In: true}
 		for i, site := range []string{"", "west", "west/hub"} {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -306,7 +306,7 @@
 func (f *Fleet) Holds() (ok bool, away int64) {
 	switch {
 	case f.node == nil:
-		return f.cfg.Rules.Alone == 0 && f.cfg.Shared == nil, awayUnknown
+		return f.cfg.Rules.Alone == 0 && (f.cfg.Shared == nil || f.cfg.Shared.Purges == nil), awayUnknown
 	case f.broken != nil:
 		ok = f.node.Lives() == 0
 	case f.opened:
@@ -318,7 +318,7 @@
 	default:
 		ok = f.node.Lives() == 0 && f.node.Stale() == nil && f.ver.taker.May(f.now())
 	}
-	if ok && f.cfg.Shared != nil {
+	if ok && f.cfg.Shared != nil && f.cfg.Shared.Purges != nil { // what it missed comes first
 		ok = f.ex != nil && f.ex.Open()
 	}
 	return ok, awayUnknown
