--- /dev/null
+++ b/internal/decide/allowance/ledger.go
@@ -0,0 +1,95 @@
+package allowance
+
+// Wants is what this site asks the keeper above for, which is attached as up.
+func (d *Dealer) Wants(up Source, now Micros) (list []Want) {
+	if d.root() {
+		return nil
+	}
+	for _, key := range d.Keys() {
+		s := d.l.Sheets[key]
+		w := Want{Key: key, Epoch: s.Epoch}
+		out, others := 0.0, 0.0
+		for role, c := range s.Children {
+			if m := d.l.Members[role]; m != nil && now-m.Heard <= d.rules.Child {
+				w.Demand += c.Demand
+			}
+			out += c.out(now)
+		}
+		for _, o := range s.Own {
+			switch {
+			case o.From == up:
+				w.Number, w.Held = o.Number, o.Amount
+			case now < o.End:
+				others += o.Amount
+				if o.From.Site == up.Site {
+					w.Before += o.Amount
+				}
+			}
+		}
+		if w.Number > 0 {
+			w.Held = max(w.Held, out-others) // what it has of it, or has dealt out of an earlier and larger one
+		}
+		list = append(list, w)
+	}
+	return list
+}
+
+// Line is what a dealer tells of one limit, for a person.
+type Line struct {
+	Key     Key     `json:"key"`
+	Has     float64 `json:"has"`     // what the keeper may deal out
+	Out     float64 `json:"out"`     // the most that may be spent below it now
+	Demand  float64 `json:"demand"`  //
+	Roles   int     `json:"roles"`   // that it deals to
+	Silent  int     `json:"silent"`  // of them, that are not heard
+	Waits   float64 `json:"waits_s"` // until all that an earlier root dealt is surely over
+	Holders int     `json:"holders"`
+}
+
+// Lines tells all.
+func (d *Dealer) Lines(up Source, now Micros) (list []Line) {
+	for _, key := range d.Keys() {
+		s := d.l.Sheets[key]
+		x := Line{Key: key, Waits: float64(max(0, d.unknown(d.limits[key.Limit])-now)) / 1e6}
+		x.Has, _ = d.has(d.limits[key.Limit], s, up, now)
+		for role, c := range s.Children {
+			x.Roles++
+			if m := d.l.Members[role]; m == nil || now-m.Heard > d.rules.Child {
+				x.Silent++
+			} else {
+				x.Demand += c.Demand
+			}
+			if o := c.out(now); o > 0 {
+				x.Out += o
+				x.Holders++
+			}
+		}
+		list = append(list, x)
+	}
+	return list
+}
+
+// Ledger is all that a dealer knows, to be written out; it must be kept before what it
+// deals leaves. It is the dealer's own until it has been written.
+func (d *Dealer) Ledger() *Ledger {
+	d.l.List = d.l.List[:0]
+	for _, k := range d.Keys() {
+		d.l.List = append(d.l.List, named{k, d.l.Sheets[k]})
+	}
+	return &d.l
+}
+
+// Restore takes a ledger in that was written out.
+func (d *Dealer) Restore(l Ledger) {
+	l.Sheets = map[Key]*sheet{}
+	for _, x := range l.List {
+		if x.Sheet.Children == nil {
+			x.Sheet.Children = map[string]*child{}
+		}
+		l.Sheets[x.Key] = x.Sheet
+	}
+	if l.Members == nil {
+		l.Members = map[string]*member{}
+	}
+	l.List, d.l = nil, l
+}
--- /dev/null
+++ b/internal/exchange/purgelook.go
@@ -0,0 +1,78 @@
+package exchange
+
+import (
+	"errors"
+	"fmt"
+
+	"cherryramp/internal/decide/purges"
+	"cherryramp/internal/decide/tree"
+)
+
+// Purged is what a front tells of one purge.
+type Purged struct {
+	ID       string        `json:"id"`
+	Asked    string        `json:"asked"`
+	Scope    string        `json:"scope"`
+	Complete bool          `json:"complete"`
+	Late     []purges.Late `json:"late,omitempty"`
+	Lag      int           `json:"lag,omitempty"`
+	Told     string        `json:"told"`
+}
+
+// look answers what a person asks.
+func (t *purgeTask) look(s *Standing, m purgeLook, now Micros) {
+	if m.what == "" {
+		m.answer(t.book.List(1000, now), nil)
+		return
+	}
+	for _, l := range t.book.List(1<<30, now) {
+		if l.ID != m.what && l.Asked != m.what {
+			continue
+		}
+		p := Purged{ID: l.ID, Asked: l.Asked, Scope: l.Scope, Complete: l.Complete}
+		switch {
+		case l.Complete:
+			p.Told = "complete: every front of the fleet keeps and obeys it, or surely serves no more"
+		case s != nil && t.keepsRoot(s):
+			p.Late, p.Lag = t.sum.Late, t.sum.Lag
+			p.Told = fmt.Sprintf("%d of %d fronts have not acknowledged", p.Lag, t.sum.Count)
+		case s != nil:
+			g := t.gathers
+			for site, x := range g {
+				sum := x.Sum(s.View, s.Changed, t.book.Marks(), staleSpans*t.x.spans().Over, now)
+				p.Late, p.Lag = append(p.Late, sum.Late...), p.Lag+sum.Lag
+				p.Told += fmt.Sprintf("of site %q %d of %d fronts have not acknowledged; ", site, sum.Lag, sum.Count)
+			}
+			if k := s.View.Keeper(tree.Root); k != nil {
+				p.Told += "ask " + k.Name + ", which keeps the root"
+			}
+		}
+		m.answer(p, nil)
+		return
+	}
+	m.answer(nil, fmt.Errorf("no purge %q is held here", m.what))
+}
+
+func (t *purgeTask) keepsRoot(s *Standing) bool {
+	k := s.View.Keeper(tree.Root)
+	return k != nil && k.Is(s.View.Self.Name, s.View.Self.ID, s.View.Self.Start)
+}
+
+// AskPurge asks for a purge; asked again under the same name it is the same one. The
+// answer comes on the loop, once it has its number.
+func (x *Exchange) AskPurge(s purges.Scope, asked, why string, answer func(purges.Purge, error)) {
+	ok := x.cfg.Section.Purges != nil && x.purges.offer(purgeAsk{asking{asked, s, why}, func(p purges.Purge, err error) {
+		x.cfg.Loop.Post(func() { answer(p, err) })
+	}})
+	if !ok {
+		answer(purges.Purge{}, errors.New("no purges are taken now"))
+	}
+}
+
+// LookPurges gives the purges held, or one by its number or the name of its asking.
+func (x *Exchange) LookPurges(what string, answer func(any, error)) {
+	ok := x.cfg.Section.Purges != nil && x.purges.offer(purgeLook{what, func(v any, err error) { x.cfg.Loop.Post(func() { answer(v, err) }) }})
+	if !ok {
+		answer(nil, errors.New("no purges are told now"))
+	}
+}
--- a/internal/exchange/purges.go
+++ b/internal/exchange/purges.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"path/filepath"
 	"slices"
 	"sync/atomic"
@@ -65,53 +64,6 @@
 	rewriteAt  = 4 << 20    // bytes of the disk's file
 )
 
-// disk is the purges' file, and what it held at the start.
-type disk struct {
-	j       *journal.Journal
-	purges  []purges.Purge
-	gone    purges.Marks
-	rewrote int64
-}
-
-// What a record is, by its first byte.
-const (
-	recPurge byte = iota + 1
-	recGone
-)
-
-func openDisk(x *Exchange, path string) (*disk, error) {
-	if x.cfg.Section.Purges == nil {
-		return nil, nil
-	}
-	d := &disk{}
-	var torn int64
-	var err error
-	d.j, torn, err = journal.Open(path, 1<<16, func(do func()) { x.purges.put(posted{do}) }, func(rec []byte) error {
-		if len(rec) < 2 {
-			return errors.New("an empty record")
-		}
-		switch rec[0] {
-		case recPurge:
-			var p purges.Purge
-			if err := decoder.Unmarshal(rec[1:], &p); err != nil {
-				return err
-			}
-			d.purges = append(d.purges, p)
-		case recGone:
-			return decoder.Unmarshal(rec[1:], &d.gone)
-		default:
-			return fmt.Errorf("a record of kind %d", rec[0])
-		}
-		return nil
-	})
-	if torn > 0 {
-		x.log.Warn("exchange: the purges' file had a torn end, which is cut off", "bytes", torn)
-	}
-	return d, err
-}
-
-func record(kind byte, v any) []byte { return append([]byte{kind}, encode(v)...) }
-
 // purgeTask is the task of purges.
 type purgeTask struct {
 	teller
@@ -273,30 +225,6 @@
 	x.cfg.Loop.Post(func() { x.cfg.Obeyer.Obey(purges.Scope{Kind: purges.All}, age) })
 }
 
-// rewrite begins the disk's file anew with what is still held.
-func (t *purgeTask) rewrite(now Micros) {
-	list, gone := t.book.Snapshot(now)
-	recs := [][]byte{record(recGone, gone)}
-	for _, p := range list {
-		if t.waits[p.ID()] == 0 {
-			recs = append(recs, record(recPurge, p))
-		}
-	}
-	for _, r := range recs {
-		t.disk.rewrote += int64(len(r))
-	}
-	t.disk.j.Rewrite(recs, func(err error) {
-		if err != nil {
-			t.x.log.Error("exchange: the purges' file is not made smaller", "error", err)
-		}
-	})
-	for _, p := range list { // those on their way to the disk stand behind it
-		if t.waits[p.ID()] > 0 {
-			t.disk.j.Append(record(recPurge, p), func(error) {})
-		}
-	}
-}
-
 // returns opens the front once it has what it missed: as much as a keeper has that is
 // open itself, or, after a while, by trusting no copy from before.
 func (t *purgeTask) returns(s *Standing, now Micros) {
@@ -570,72 +498,3 @@
 	}
 	t.opens("all that was missed is here", now)
 }
-
-// Purged is what a front tells of one purge.
-type Purged struct {
-	ID       string        `json:"id"`
-	Asked    string        `json:"asked"`
-	Scope    string        `json:"scope"`
-	Complete bool          `json:"complete"`
-	Late     []purges.Late `json:"late,omitempty"`
-	Lag      int           `json:"lag,omitempty"`
-	Told     string        `json:"told"`
-}
-
-// look answers what a person asks.
-func (t *purgeTask) look(s *Standing, m purgeLook, now Micros) {
-	if m.what == "" {
-		m.answer(t.book.List(1000, now), nil)
-		return
-	}
-	for _, l := range t.book.List(1<<30, now) {
-		if l.ID != m.what && l.Asked != m.what {
-			continue
-		}
-		p := Purged{ID: l.ID, Asked: l.Asked, Scope: l.Scope, Complete: l.Complete}
-		switch {
-		case l.Complete:
-			p.Told = "complete: every front of the fleet keeps and obeys it, or surely serves no more"
-		case s != nil && t.keepsRoot(s):
-			p.Late, p.Lag = t.sum.Late, t.sum.Lag
-			p.Told = fmt.Sprintf("%d of %d fronts have not acknowledged", p.Lag, t.sum.Count)
-		case s != nil:
-			g := t.gathers
-			for site, x := range g {
-				sum := x.Sum(s.View, s.Changed, t.book.Marks(), staleSpans*t.x.spans().Over, now)
-				p.Late, p.Lag = append(p.Late, sum.Late...), p.Lag+sum.Lag
-				p.Told += fmt.Sprintf("of site %q %d of %d fronts have not acknowledged; ", site, sum.Lag, sum.Count)
-			}
-			if k := s.View.Keeper(tree.Root); k != nil {
-				p.Told += "ask " + k.Name + ", which keeps the root"
-			}
-		}
-		m.answer(p, nil)
-		return
-	}
-	m.answer(nil, fmt.Errorf("no purge %q is held here", m.what))
-}
-
-func (t *purgeTask) keepsRoot(s *Standing) bool {
-	k := s.View.Keeper(tree.Root)
-	return k != nil && k.Is(s.View.Self.Name, s.View.Self.ID, s.View.Self.Start)
-}
-
-// AskPurge asks for a purge; asked again under the same name it is the same one. The
-// answer comes on the loop, once it has its number.
-func (x *Exchange) AskPurge(s purges.Scope, asked, why string, answer func(purges.Purge, error)) {
-	ok := x.cfg.Section.Purges != nil && x.purges.offer(purgeAsk{asking{asked, s, why}, func(p purges.Purge, err error) {
-		x.cfg.Loop.Post(func() { answer(p, err) })
-	}})
-	if !ok {
-		answer(purges.Purge{}, errors.New("no purges are taken now"))
-	}
-}
-
-// LookPurges gives the purges held, or one by its number or the name of its asking.
-func (x *Exchange) LookPurges(what string, answer func(any, error)) {
-	ok := x.cfg.Section.Purges != nil && x.purges.offer(purgeLook{what, func(v any, err error) { x.cfg.Loop.Post(func() { answer(v, err) }) }})
-	if !ok {
-		answer(nil, errors.New("no purges are told now"))
-	}
-}
