--- a/lab/fleet/exchange.go
+++ b/lab/fleet/exchange.go
@@ -274,6 +274,8 @@
 	switch {
 	case err != nil && (errors.Is(err, syscall.ECONNREFUSED) || isDial(err)):
 		return // nothing was sent
+	case err != nil && pid == 0:
+		return // it was down: an idle connection to the process before
 	case err != nil && (stopped || p.Killed.Load() != killed || p.Pid() != pid):
 		e.Excuse = "the front was killed or stopped"
 		d.Excused.Add(1)
--- a/lab/fleet/exchange_test.go
+++ b/lab/fleet/exchange_test.go
@@ -188,7 +188,16 @@
 		return filepath.Join(dir, "cherryramp")
 	}
 	d := day(t, Shared{Seed: 24, Program: without("over"), Off: map[string]bool{"verdicts": true, "paths": true, "purges": true}})
-	in, out := d.others(d.keeperOf("/").Zone)
+	apart := func() (in, out []*Process) { // a site without the root's keeper, which deals on
+		root := d.keeperOf("/")
+		for _, p := range d.List {
+			if p.Zone != root.Zone {
+				return d.others(p.Zone)
+			}
+		}
+		return nil, nil
+	}
+	in, out := apart()
 	time.Sleep(2 * time.Second)
 	d.Part(in, out)
 	time.Sleep(5 * time.Second)
@@ -198,21 +207,16 @@
 	require.Positive(t, v.Counts["broken limit acme-rate"], "over by %.1f at the most", v.Over)
 
 	d = day(t, Shared{Seed: 25, Program: without("ack"), Off: map[string]bool{"verdicts": true, "paths": true, "limits": true}})
-	root := d.keeperOf("/")
-	in, out = d.others(root.Zone)
+	in, out = apart()
 	d.Part(in, out)
-	time.Sleep(4 * time.Second)
-	id, err := d.Purge(in[0], "object", "o1", "early")
+	time.Sleep(6 * time.Second)
+	id, err := d.Purge(out[0], "object", "o1", "early")
 	require.NoError(t, err)
-	early := Await(15*time.Second, func() bool { return d.Complete(in[0], id) })
+	require.NoError(t, Await(20*time.Second, func() bool { return d.Complete(out[0], id) }), "it is said too early")
 	d.Part()
 	v, err = d.End()
 	require.NoError(t, err)
-	if early == nil {
-		require.Positive(t, v.Counts["broken complete too early"])
-	} else {
-		t.Log("the root did not keep its lease on the small side; nothing was said too early")
-	}
+	require.Positive(t, v.Counts["broken complete too early"])
 }
 
 // Guards that a folder can be judged twice, with a line changed, and cut off in a line.
