A request over an idle connection to a process just killed is no lost one

Saw: one of 8,000 requests, 14 ms after its front was killed and started again, got a reset on a connection to the process before; the clients' count of kills was read between both.

--- a/lab/fleet/processes.go
+++ b/lab/fleet/processes.go
@@ -53,6 +53,7 @@
 	program string
 	log     *os.File
 	Killed  atomic.Int64 // how often it was ended at once, or stopped
+	ended   atomic.Int64 // when it was last ended at once, in Unix ms
 }
 
 // Processes are a fleet of started fronts before one site.
@@ -230,6 +231,7 @@
 		p.running.Signal(syscall.SIGCONT) // one that is stopped can't be waited for
 		p.running.Kill()
 		p.running = nil
+		p.ended.Store(time.Now().UnixMilli())
 	}
 }
 
