--- a/internal/decide/purges/purges.go
+++ b/internal/decide/purges/purges.go
@@ -160,9 +160,9 @@
 	lines map[Origin]*line
 	asked map[string]*held
 	count int
-	// Apply has a purge obeyed; it comes once for each.
+	// To be obeyed and kept; each comes once.
 	apply []Purge
-	// Floor: no copy from before is trusted. It grows alone.
+	// No copy from before is trusted; it only grows.
 	floor Micros
 	lost  bool // purges went by that this process was never told of
 }
--- a/internal/exchange/limits.go
+++ b/internal/exchange/limits.go
@@ -19,7 +19,7 @@
 
 func (newcomer) replaces() string { return "newcomer" }
 
-// demandHalf is the half life of demand, in rounds of telling, roughly.
+// demandKeep is the part of demand that stays from one round of telling to the next, where less is asked for.
 const demandKeep = 0.75
 
 // limits is the task of limits: this front's side, and that of each site it keeps.
