A client that goes in the moment of the module's choice leaves nothing booked

Seen by reading Gateway.get and confirmed by a test: Submit and Leave (or an attempt's end and Leave) in one turn of the loop reach the router together; it books an attempt on request and server, and Gateway.get dropped the Get of a call that is over without a word. The request then stayed in Router.reqs and in member.out for ever. With MaxHeld 10, ten such clients were enough for a good client to be refused at once (crowded), for as long as the process runs; expect() grew with member.out as well.

Ruled out: the outcomes of attempts that did leave (giveUp tells those). At fault: internal/gateway/gateway.go, get, the early return. Get now says which attempt it is (rules.Get.Attempt), and get tells the module that it never left. The same for a front that its guard shuts out. TestClientsThatGoAtOnceLeaveNothing fails in all three cases without it.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -471,11 +471,16 @@
 func (g *Gateway) get(x rules.Get) {
 	c, now := g.calls[x.ID], g.loop.Now()
 	if c == nil || c.over {
+		// Its client went in the moment in which the module chose. The module books every attempt on
+		// its request and server until it has ended, so it is told that this one never left.
+		g.events = append(g.events, rules.Outcome{ID: x.ID, Attempt: x.Attempt, Server: x.Server,
+			Code: rules.Moot, Closed: true})
 		return
 	}
 	if g.guard != nil && !c.left {
 		if ok, away := g.guard(); !ok {
-			g.events = append(g.events, rules.Expired{ID: c.id})
+			g.events = append(g.events, rules.Expired{ID: c.id}, rules.Outcome{ID: x.ID, Attempt: x.Attempt,
+				Server: x.Server, Code: rules.Moot, Closed: true})
 			g.finish(c.id, Answer{Kind: Refused, Await: away})
 			return
 		}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -28,17 +28,24 @@
 
 func newGateway(t *testing.T) (*Gateway, *nodes) {
 	t.Helper()
-	g, err := New(Config{
-		Settings: rules.Settings{
-			Classes: []rules.Class{
-				{Name: "video", Aim: second, AimStretch: 2, GiveUp: 5 * second, Worth: 2},
-				{Name: "page", Aim: second, GiveUp: 5 * second, Worth: 1, Fresh: 8 * second, Grace: 10 * second},
-				{Name: "pay", Aim: second, GiveUp: 3 * second, Worth: 3, Effect: rules.Unsafe, Write: true},
-			},
-			Gateways: 1, Zone: 0, ParentKind: 1, OriginKind: 2, Weights: rules.WeightsRough, Direct: true,
-			Siblings: rules.SiblingsAny, Notes: rules.NotesAll, MaxAttempts: 6, RetryAfter: true,
-			MaxAway: second / 2, Tick: 1000, PurgeSettle: 6 * second, PurgeGrace: second / 3,
+	return newGatewayOf(t, func(*rules.Settings) {})
+}
+
+// newGatewayOf makes a gateway whose settings are changed first.
+func newGatewayOf(t *testing.T, change func(*rules.Settings)) (*Gateway, *nodes) {
+	t.Helper()
+	settings := rules.Settings{
+		Classes: []rules.Class{
+			{Name: "video", Aim: second, AimStretch: 2, GiveUp: 5 * second, Worth: 2},
+			{Name: "page", Aim: second, GiveUp: 5 * second, Worth: 1, Fresh: 8 * second, Grace: 10 * second},
+			{Name: "pay", Aim: second, GiveUp: 3 * second, Worth: 3, Effect: rules.Unsafe, Write: true},
 		},
+		Gateways: 1, Zone: 0, ParentKind: 1, OriginKind: 2, Weights: rules.WeightsRough, Direct: true,
+		Siblings: rules.SiblingsAny, Notes: rules.NotesAll, MaxAttempts: 6, RetryAfter: true,
+		MaxAway: second / 2, Tick: 1000, PurgeSettle: 6 * second, PurgeGrace: second / 3,
+	}
+	change(&settings)
+	g, err := New(Config{Settings: settings,
 		Zones: []string{"edge"}, Kinds: []string{"box", "parent", "origin"}, Seed: 1,
 		Copies: Copies{Bytes: 1 << 20, Flow: 1 << 20, Link: 1 << 24},
 	}, loop.New(func() {}), slog.New(slog.NewTextHandler(io.Discard, nil)))
@@ -196,3 +203,47 @@
 		t.Errorf("%d bytes in %d copies", g.copies.bytes, g.copies.order.Len())
 	}
 }
+
+// Guards against what a client leaves behind that goes in the very moment in which the
+// module chooses: neither a place among the open requests nor work at a server may stay
+// booked for it, or a burst of such clients has the front refuse good ones for ever.
+func TestClientsThatGoAtOnceLeaveNothing(t *testing.T) {
+	leave := map[string]func(g *Gateway, n *nodes){
+		"before the first attempt": func(g *Gateway, _ *nodes) {
+			c := &Call{ID: "1", Object: "a", Group: 17, Deadline: g.loop.Now() + 4*second, Caller: &caller{}}
+			g.Submit(c)
+			g.Leave(c)
+			g.Settle()
+		},
+		"between two attempts": func(g *Gateway, n *nodes) {
+			c, _ := submit(g, 0, "a")
+			g.End(n.started[len(n.started)-1], End{Code: rules.Reset})
+			g.Leave(c)
+			g.Settle()
+		},
+		"while a guard shuts the front out": func(g *Gateway, _ *nodes) {
+			shut := false
+			g.Guard(func() (bool, Micros) { return !shut, 0 })
+			c := &Call{ID: "1", Object: "a", Group: 17, Deadline: g.loop.Now() + 4*second, Caller: &caller{}}
+			g.Submit(c)
+			shut = true
+			g.Settle()
+			g.Guard(nil)
+		},
+	}
+	for name, one := range leave {
+		t.Run(name, func(t *testing.T) {
+			g, n := newGatewayOf(t, func(s *rules.Settings) { s.MaxHeld = 10 })
+			for range 50 {
+				started := len(n.started)
+				one(g, n)
+				if more := len(n.started) - started; name != "between two attempts" && more > 0 {
+					t.Fatalf("%d attempts were begun for clients that had gone", more)
+				}
+			}
+			if _, got := submit(g, 0, "b"); len(got.got) > 0 {
+				t.Errorf("a good client was answered %+v at once", got.got[0])
+			}
+		})
+	}
+}
--- a/rules/api.go
+++ b/rules/api.go
@@ -270,16 +270,17 @@
 
 // Get sends a request to a server.
 type Get struct {
-	ID     RequestID
-	Server ServerID
-	Within Micros   // time-out; 0 is until the client stops waiting
-	Source ServerID // who supplies a miss; the server itself for no fill
-	Keep   int      // rank of the copy, 1 to 3; 0 keeps none
-	MaxAge Micros   // oldest copy that will do; 0 is the class's fresh time
-	Join   bool     // join a fill under way
-	Held   bool     // the source gives only what it holds
-	Pass   bool     // the parent keeps no copy
-	Renew  bool     // an ageing copy is served and fetched anew behind
+	ID      RequestID
+	Attempt int // its number among the request's, from 0
+	Server  ServerID
+	Within  Micros   // time-out; 0 is until the client stops waiting
+	Source  ServerID // who supplies a miss; the server itself for no fill
+	Keep    int      // rank of the copy, 1 to 3; 0 keeps none
+	MaxAge  Micros   // oldest copy that will do; 0 is the class's fresh time
+	Join    bool     // join a fill under way
+	Held    bool     // the source gives only what it holds
+	Pass    bool     // the parent keeps no copy
+	Renew   bool     // an ageing copy is served and fetched anew behind
 }
 
 // Cancel stops one attempt.
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -384,7 +384,7 @@
 	if again {
 		r.retries--
 	}
-	g := Get{ID: q.ID, MaxAge: r.ageBound(q, q.class.Fresh)}
+	g := Get{ID: q.ID, Attempt: len(q.tries), MaxAge: r.ageBound(q, q.class.Fresh)}
 	var server, source *member
 	switch {
 	case !q.class.Write:
@@ -441,7 +441,8 @@
 	r.hold(m, 1)
 	q.tries = append(q.tries, attempt{server: m, sent: r.now, expect: t.expect, bucket: len(r.hitBy) - 1})
 	q.out++
-	r.do(Get{ID: q.ID, Server: m.ID, Source: m.ID, MaxAge: r.ageBound(q, q.class.Fresh+q.class.Grace)})
+	r.do(Get{ID: q.ID, Attempt: len(q.tries) - 1, Server: m.ID, Source: m.ID,
+		MaxAge: r.ageBound(q, q.class.Fresh+q.class.Grace)})
 }
 
 func (r *Router) hitTime(t *attempt) float64 { return t.expect * (1 + r.paceOf(t.server).slow) }
