Ids, queues and cancels on nodes' connections: no answer is mistaken, nobody held up

Found by reading internal/upstream for what is still owed when something ends; each is confirmed by a test that fails without its mend.

- An id that was answered could go out again on the same connection (a payout after "refused"): a second answer, some ms late, was taken for the answer to the next attempt, so that a payout under way counted as not run.
Connections now remember such ids until the call's deadline; reads that may be out twice still go again on their connection (no handshakes for looks that missed).
- One attempt that no connection suited, since its id had been given up on the only one, held up everything that waited for the server, until its deadline (flush, the break).
Room is made for it, or it ends as never sent.
- What waited for a connection to a server told as draining or gone stayed until the dial or the deadline; it ends at once as never sent and goes elsewhere.
A dial that completes for a server that is gone is closed.
- "cancel" was sent whatever limits.cancel says.
- "current" was passed on as 304 where no tag, or another one, was asked about.
- Five answers at once on a connection counted as a flood, and all that was open there was lost, though 32 may be asked for (inputLimit).
The bound is now what was asked for, within an eighth of the memory.

--- a/internal/decide/resources/budget.go
+++ b/internal/decide/resources/budget.go
@@ -129,5 +129,13 @@
 	return true
 }
 
+// Gave tells that a part has given back some bytes: they are free at once, and not only
+// from the next look on.
+func (b *Budget) Gave(p Part, n int64) {
+	n = min(n, b.held[p])
+	b.held[p] -= n
+	b.sum -= n
+}
+
 // String names a mark, for the log.
 func (m Mark) String() string { return [...]string{"easy", "tight", "critical"}[m] }
--- a/internal/decide/resources/resources_test.go
+++ b/internal/decide/resources/resources_test.go
@@ -97,6 +97,24 @@
 	}
 }
 
+// Guards against a good client ended for what slow ones held a moment ago: what was given
+// back is free at once.
+func TestWhatWasGivenBackIsFree(t *testing.T) {
+	limits := Bytes{All: 1000}
+	limits.Cap[Out] = 500
+	b := NewBudget(limits)
+	b.Observe([Parts]int64{Out: 500})
+	if b.May(Out, 100) {
+		t.Fatal("over the cap")
+	}
+	if b.Gave(Out, 100); !b.May(Out, 100) || b.May(Out, 1) {
+		t.Error("what was given back is not free, or more than that is")
+	}
+	if b.Gave(Out, 900); !b.May(Out, 500) || b.May(Out, 1) {
+		t.Error("more was given back than was held")
+	}
+}
+
 // Whatever is held: nobody gives more than is held or goes below the floor but for
 // the cap, and what all can give is enough, or all give what they can. Nobody new
 // is let in, and nothing grows past its floor, while it is critical.
--- a/internal/front/session/session.go
+++ b/internal/front/session/session.go
@@ -432,17 +432,27 @@
 
 // Shed gives bytes back: answers that wait, the slowest first, requests that have
 // come in part, the longest under way first, and the connections least missed.
-func (s *Server) Shed(out, in int64, records int) {
+func (s *Server) Shed(out, in int64, records int) { s.shed(out, in, records, nil) }
+
+// shed is Shed, but for one connection: its answer has just been written, and nothing can
+// be known of its pace yet.
+func (s *Server) shed(out, in int64, records int, but *conn) {
 	ended := 0
 	for i := sending; i < states && out > 0; i++ {
 		l, next := &s.lists[i], (*conn)(nil)
 		for c, seen := l.head.next, 0; c != &l.head && out > 0 && seen < mostShed; c, seen = next, seen+1 {
 			next = c.next
-			if _, n := c.tc.Taken(); n > 0 {
-				out -= int64(n)
-				ended++
+			if _, n := c.tc.Taken(); n > 0 && c != but {
+				counted := s.cfg.Pace.Left()
 				c.tc.Abort()
 				c.enter(ending)
+				// The account knows what was left when the transfer was last looked at, which is more.
+				freed := max(int64(n), counted-s.cfg.Pace.Left())
+				out -= freed
+				ended++
+				if b := s.cfg.Bytes; b != nil {
+					b.Gave(resources.Out, freed)
+				}
 			}
 		}
 	}
@@ -630,7 +640,8 @@
 			c.enter(sending + state(pace.Fast))
 			c.measure(taken, int64(left))
 			if b := s.cfg.Bytes; b != nil && !b.May(resources.Out, int64(left)) {
-				s.Shed(int64(left), 0, 0)
+				s.shed(int64(left), 0, 0, c)
+				b.May(resources.Out, int64(left))
 			}
 		}
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -521,22 +521,30 @@
 	g.end(a, End{Code: code})
 }
 
-// Clear tells, just before an attempt's first byte leaves, whether it still
-// may, and the oldest copy that will do (0: the class's default). Whoever
-// waited for a connection or a full socket may have been overtaken by its
-// deadline, by a drain or restart of the server or the source, or by a purge.
-// An attempt that may not leave must be ended as never sent.
-func (g *Gateway) Clear(a *Attempt) (maxAge Micros, ok bool) {
-	now := g.loop.Now()
-	if a.done || now >= a.Deadline || a.Server.State != rules.Ready || a.Server.Born != a.born ||
+// May tells whether an attempt that waits for a connection or a full socket may
+// still leave. It may have been overtaken by its deadline, or by a drain or restart of
+// the server or the source.
+func (g *Gateway) May(a *Attempt) bool {
+	if a.done || g.loop.Now() >= a.Deadline || a.Server.State != rules.Ready || a.Server.Born != a.born ||
 		a.Source != nil && (a.Source.State != rules.Ready || a.Source.Born != a.srcBorn) {
-		return 0, false
+		return false
 	}
 	if g.guard != nil {
 		if ok, _ := g.guard(); !ok {
-			return 0, false
+			return false
 		}
 	}
+	return true
+}
+
+// Clear tells, just before an attempt's first byte leaves, whether it still may (see
+// May), and the oldest copy that will do, by what was purged meanwhile (0: the
+// class's default). An attempt that may not leave must be ended as never sent.
+func (g *Gateway) Clear(a *Attempt) (maxAge Micros, ok bool) {
+	if !g.May(a) {
+		return 0, false
+	}
+	now := g.loop.Now()
 	a.Call.left = true
 	maxAge = a.maxAge
 	for _, k := range []uint64{key(a.Call.Object), groupKey(a.Call.Group)} {
--- a/internal/program/serve.go
+++ b/internal/program/serve.go
@@ -43,6 +43,7 @@
 	clientShare  = 0.55      // part of the descriptors for clients; the usual ones hold a third at most
 	signedShare  = 0.1       // part of them for the clients of the signed front, where it is on
 	poolShare    = 0.25      // part of them for cache nodes
+	inputShare   = 0.125     // part of the memory limit that answers on one connection may fill unseen
 	poolMost     = 8         // connections to one node at most
 	idleShare    = 0.8       // part of the nodes' idle time after which we close first
 	drainAfter   = 750_000   // us after SIGTERM until which clients may still come
@@ -159,6 +160,7 @@
 	}
 	tcp := upstream.NewTCP(p.loop)
 	to := towards(cfg, cfg.Settings.Classes)
+	to.Input = min(to.Streams*upstream.AnswerMost, int(inputShare*float64(cfg.MemoryMB)*(1<<20)))
 	to.Connections = max(1, min(poolMost, int(poolShare*float64(cfg.Sockets))/nodes))
 	p.pools = upstream.New(to, tcp, p.loop, p.gate, log)
 	p.gate.Use(p.pools)
--- a/internal/program/settings.go
+++ b/internal/program/settings.go
@@ -57,9 +57,10 @@
 // towards is what the connections to nodes are told of settings and of all classes.
 func towards(cfg *config.Config, classes []rules.Class) upstream.Config {
 	c := upstream.Config{Lanes: lanes(classes), Streams: cfg.Streams, ConnectTime: cfg.ConnectTime,
-		IdleTime: int64(idleShare * float64(cfg.ConnIdle))}
+		IdleTime: int64(idleShare * float64(cfg.ConnIdle)), Cancel: cfg.Settings.Cancel, Hedges: cfg.Settings.Hedges}
 	for _, x := range classes { // what must not run twice does not suffer from others' answers
 		c.Alone = append(c.Alone, x.Effect == rules.Unsafe)
+		c.Repeat = append(c.Repeat, x.Effect == rules.Safe)
 	}
 	return c
 }
--- a/internal/upstream/lines.go
+++ b/internal/upstream/lines.go
@@ -20,6 +20,7 @@
 	errLine    = errors.New("upstream: answer is malformed")
 	errFlood   = errors.New("upstream: more came than an answer may hold")
 	errStalled = errors.New("upstream: answer stopped short")
+	errUnasked = errors.New("upstream: a copy is called current that was not asked about")
 )
 
 // answer is one answer of a cache node.
@@ -74,6 +75,13 @@
 }
 
 // fields reads name=value,name=value; names that are not known are passed over.
+// fits tells whether an answer can be one to a request that passed on a tag, or none:
+// only the copy that was asked about can be current, and only the client that asked
+// may be told so.
+func (a *answer) fits(tag string) bool {
+	return a.end.Answer.Kind != gateway.Current || tag != "" && (a.end.Answer.Tag == "" || a.end.Answer.Tag == tag)
+}
+
 func (a *answer) fields(text string) error {
 	if text == "-" {
 		return nil
--- a/internal/upstream/lines_test.go
+++ b/internal/upstream/lines_test.go
@@ -81,3 +81,18 @@
 		t.Errorf("got %q\nwant %q", got, want)
 	}
 }
+
+// Guards against a client being told that its copy is current when no node has said so of
+// that copy.
+func TestOnlyTheCopyAskedAboutIsCurrent(t *testing.T) {
+	for _, x := range []struct {
+		asked, text string
+		fits        bool
+	}{{"", "a current - 0", false}, {"", "a current sum=t 0", false}, {"t", "a current sum=u 0", false},
+		{"t", "a current sum=t 0", true}, {"t", "a current - 0", true}, {"", "a ok sum=t 0", true}, {"t", "a ok sum=u 0", true}} {
+		got, _, err := parseAnswer([]byte(x.text + "\r\n\r\n"))
+		if err != nil || got.fits(x.asked) != x.fits {
+			t.Errorf("%q to a request with tag %q: fits %v, %v", x.text, x.asked, !x.fits, err)
+		}
+	}
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -6,6 +6,7 @@
 
 import (
 	"log/slog"
+	"maps"
 	"slices"
 
 	"cherryramp/internal/gateway"
@@ -13,16 +14,20 @@
 	"cherryramp/rules"
 )
 
+// AnswerMost is what one answer holds at most, in bytes. As many may come at once on a
+// connection as attempts were sent there, and are no flood.
+const AnswerMost = maxLine + maxBody + 2
+
 const (
-	inputLimit = 4 * maxBody // several answers may come before the loop looks
-	pastLimit  = 512         // ids given up on a connection before it is retired
-	muteLimit  = 2           // attempts that run out on a silent connection before it is retired
-	muteSpan   = 300_000     // us without a word, with something open, from which it is taken for silent
-	wholeMost  = 500_000     // us from an answer's first byte to its last
-	shareMost  = 2           // attempts on a connection from which another one is opened beside it
-	muteCost   = 1000        // in pick, of a silent connection: above any number of open attempts
-	busyCost   = 2000        // in pick, where an attempt should be alone
-	freshSpan  = 50_000      // us idle from which a used connection may be reset under what comes next
+	inputLeast = 4       // answers that may come on a connection before the loop looks, at the least
+	pastLimit  = 512     // ids that a connection remembers before it is retired
+	muteLimit  = 2       // attempts that run out on a silent connection before it is retired
+	muteSpan   = 300_000 // us without a word, with something open, from which it is taken for silent
+	wholeMost  = 500_000 // us from an answer's first byte to its last
+	shareMost  = 2       // attempts on a connection from which another one is opened beside it
+	muteCost   = 1000    // in pick, of a silent connection: above any number of open attempts
+	busyCost   = 2000    // in pick, where an attempt should be alone
+	freshSpan  = 50_000  // us idle from which a used connection may be reset under what comes next
 )
 
 // Config bounds the connections.
@@ -33,10 +38,17 @@
 	Connections int            // connections to one server
 	ConnectTime gateway.Micros // a connection not up by then has failed
 	IdleTime    gateway.Micros // an idle connection is closed after it
+	Input       int            // bytes of answers that may come on a connection before the loop looks; see AnswerMost
+	Cancel      bool           // nodes may be told that a request is given up
+	Hedges      bool           // two attempts of one request may be out together
+	Repeat      []bool         // of the classes: those that may run any number of times
 }
 
 // Clearer is what the pools ask of the gateway.
 type Clearer interface {
+	// May tells whether an attempt that waits may still leave.
+	May(a *gateway.Attempt) bool
+	// Clear is May just before the first byte, and the oldest copy that will do.
 	Clear(a *gateway.Attempt) (maxAge gateway.Micros, ok bool)
 	End(a *gateway.Attempt, e gateway.End)
 }
@@ -62,10 +74,10 @@
 }
 
 // Renew takes a further configuration. Its lanes must keep those known so far in
-// their places. Connections that are up stay; the number to one server is the
-// one given at the start.
+// their places. Connections that are up stay; the number to one server, and what may
+// come on one unseen, are those given at the start.
 func (p *Pools) Renew(cfg Config) {
-	cfg.Connections = p.cfg.Connections
+	cfg.Connections, cfg.Input = p.cfg.Connections, p.cfg.Input
 	p.cfg = cfg
 }
 
@@ -86,17 +98,25 @@
 	conns   []*conn
 	dialing int
 	denied  bool // the last connection did not come up
+	gone    bool // the server has left the list
 	waiting []*gateway.Attempt
 }
 
+// past is what is kept of an id that has ended on a connection. Answers name nothing but
+// ids, so what still comes under one can't be told from the answer to its next attempt.
+type past struct {
+	until    gateway.Micros // its call's deadline; nothing goes under the id afterwards
+	answered bool           // only a second answer can come, which is rare
+}
+
 // conn is one connection to a cache node.
 type conn struct {
 	pool    *pool
 	tc      Conn
 	open    map[string]*gateway.Attempt
-	past    map[string]struct{} // ids given up, whose answers may still cross
-	partial *gateway.Attempt    // what a full socket has not taken whole
-	alone   int                 // open attempts of classes that share no connection
+	past    map[string]past  // ids that have ended on it, to which answers may still come
+	partial *gateway.Attempt // what a full socket has not taken whole
+	alone   int              // open attempts of classes that share no connection
 	used    bool
 	retired bool           // takes nothing new; closed when nothing is open
 	mute    int            // attempts that ran out since it last said anything
@@ -121,10 +141,32 @@
 			c.retire()
 		}
 	}
-	x.addr, x.born = s.Addr, s.Born
-	if s.State == rules.Gone { // what it still has open ends on its own
+	x.addr, x.born, x.gone = s.Addr, s.Born, s.State == rules.Gone
+	if x.gone { // what it still has open ends on its own
 		delete(p.pools, s.ID)
 	}
+	if len(x.waiting) > 0 { // once the module knows of it too, so that it does not choose this server again
+		p.loop.Post(x.release)
+	}
+}
+
+// release ends what waits and may no longer leave, so that it can go elsewhere in time.
+func (x *pool) release() {
+	for _, a := range x.take(func(a *gateway.Attempt) bool { return !x.all.gate.May(a) }) {
+		x.all.gate.End(a, gateway.End{Code: rules.Moot})
+	}
+}
+
+// take takes out of what waits all for which out holds.
+func (x *pool) take(out func(a *gateway.Attempt) bool) (taken []*gateway.Attempt) {
+	x.waiting = slices.DeleteFunc(x.waiting, func(a *gateway.Attempt) bool {
+		if out(a) {
+			taken = append(taken, a)
+			return true
+		}
+		return false
+	})
+	return taken
 }
 
 // Start sends an attempt as soon as a connection takes it.
@@ -154,40 +196,69 @@
 		return false
 	}
 	c.forget(a)
-	c.past[a.Call.ID] = struct{}{}
+	c.remember(a, false)
 	if c.pool.all.loop.Now()-c.since > muteSpan {
 		c.mute++
 	}
-	if c.mute >= muteLimit || c.mute > 0 && len(c.open) == 0 || len(c.past) >= pastLimit {
-		p.log.Info("connection retired", "server", c.pool.name, "silent", c.mute, "given_up", len(c.past))
+	if c.mute >= muteLimit || c.mute > 0 && len(c.open) == 0 {
+		p.log.Info("connection retired", "server", c.pool.name, "silent", c.mute, "ended_ids", len(c.past))
 		c.retired = true
 	}
-	if _, err := c.tc.Send(appendCancel(p.buf[:0], a.Call.ID)); err != nil {
-		c.tc.Close()
+	if p.cfg.Cancel {
+		if _, err := c.tc.Send(appendCancel(p.buf[:0], a.Call.ID)); err != nil {
+			c.tc.Close()
+		}
 	}
 	c.rest()
 	return true
 }
 
+// remember keeps an id that has ended on a connection for as long as its call may go
+// out again. One that has to remember too many takes nothing new.
+func (c *conn) remember(a *gateway.Attempt, answered bool) {
+	if len(c.past) >= pastLimit {
+		now := c.pool.all.loop.Now()
+		maps.DeleteFunc(c.past, func(_ string, p past) bool { return p.until <= now })
+	}
+	if c.past[a.Call.ID] = (past{until: a.Call.Deadline, answered: answered}); len(c.past) > pastLimit && !c.retired {
+		c.pool.all.log.Info("connection retired", "server", c.pool.name, "ended_ids", len(c.past))
+		c.retired = true
+	}
+}
+
 // flush hands what waits to connections, and opens one more where they don't
-// suffice, or where one that breaks would take too much with it.
+// suffice, or where one that breaks would take too much with it. What no connection
+// suits does not hold up what waits behind it.
 func (x *pool) flush() {
 	more := 0
-	for len(x.waiting) > 0 {
-		a := x.waiting[0]
+	for i := 0; i < len(x.waiting); {
+		a := x.waiting[i]
 		c, cost := x.pick(a)
-		if c == nil {
-			break
+		if c == nil && !x.barred(a) {
+			break // nor would any of the rest find one
 		}
-		if cost >= busyCost {
-			x.makeRoom()
+		if c == nil || cost >= busyCost {
+			x.makeRoom(a, c == nil)
+			if c != nil && c.retired { // it made room itself
+				continue
+			}
 		}
-		if cost >= shareMost && x.room() && !x.denied {
-			if more++; cost >= muteCost {
-				break // it waits for a connection of its own
+		switch {
+		case c == nil && !x.room() && x.dialing == 0: // its id has been on all that there may be
+			x.waiting = slices.Delete(x.waiting, i, i+1)
+			x.all.gate.End(a, gateway.End{Code: rules.Moot})
+			continue
+		case c == nil:
+			more++
+			i++
+			continue
+		case cost >= shareMost && x.room() && !x.denied:
+			if more++; cost >= muteCost { // it waits for a connection of its own
+				i++
+				continue
 			}
 		}
-		x.waiting = slices.Delete(x.waiting, 0, 1)
+		x.waiting = slices.Delete(x.waiting, i, i+1)
 		x.send(c, a)
 	}
 	streams := max(1, x.all.cfg.Streams)
@@ -196,6 +267,25 @@
 	}
 }
 
+// barred tells whether there are connections that would take an attempt, but for its id
+// having been on them.
+func (x *pool) barred(a *gateway.Attempt) bool {
+	return slices.ContainsFunc(x.conns, func(c *conn) bool { return !c.retired && c.knows(a) })
+}
+
+// knows tells whether an attempt may not go on a connection because of what its id did
+// there: it is open, or what still comes under it could be taken for this attempt's
+// answer. A second answer to one that was answered is that rare that only what must not
+// run twice, or be out twice, keeps away for its sake.
+func (c *conn) knows(a *gateway.Attempt) bool {
+	if _, open := c.open[a.Call.ID]; open {
+		return true
+	}
+	p, known := c.past[a.Call.ID]
+	cfg := &c.pool.all.cfg
+	return known && (!p.answered || !cfg.Hedges || a.Call.Class >= len(cfg.Repeat) || !cfg.Repeat[a.Call.Class])
+}
+
 // room tells whether one more connection may be opened. Retired ones, which may
 // stay open for as long as their last attempt, take no place of the new; all
 // together are bounded too.
@@ -210,17 +300,21 @@
 	return live < most && len(x.conns)+x.dialing < 2*most
 }
 
-// makeRoom closes a connection with nothing open, if no other may be opened.
-func (x *pool) makeRoom() {
+// makeRoom has a connection take nothing new, if no other may be opened: one with
+// nothing open or, for an attempt that can go on none, the least busy that bars it.
+func (x *pool) makeRoom(a *gateway.Attempt, barred bool) {
 	if x.room() {
 		return
 	}
+	var least *conn
 	for _, c := range x.conns {
-		if !c.retired && len(c.open) == 0 {
-			c.retire()
-			return
+		if !c.retired && (len(c.open) == 0 || barred && c.knows(a)) && (least == nil || len(c.open) < len(least.open)) {
+			least = c
 		}
 	}
+	if least != nil {
+		least.retire()
+	}
 }
 
 // pick finds the connection that suits an attempt best, and at what cost: the
@@ -229,12 +323,13 @@
 // Two attempts of one call never share one, since their answers would be alike.
 func (x *pool) pick(a *gateway.Attempt) (best *conn, least int) {
 	for _, c := range x.conns {
-		_, open := c.open[a.Call.ID]
-		_, past := c.past[a.Call.ID]
-		if c.retired || open || past || len(c.open) >= max(1, x.all.cfg.Streams) || c.tc.Blocked() {
+		if c.retired || c.knows(a) || len(c.open) >= max(1, x.all.cfg.Streams) || c.tc.Blocked() {
 			continue
 		}
 		cost := len(c.open)
+		if _, known := c.past[a.Call.ID]; known {
+			cost++
+		}
 		if c.alone > 0 || x.all.alone(a) && (cost > 0 || c.stale()) {
 			cost += busyCost
 		}
@@ -292,15 +387,15 @@
 func (x *pool) dial() {
 	x.dialing++
 	p := x.all
-	c := &conn{pool: x, open: map[string]*gateway.Attempt{}, past: map[string]struct{}{}}
+	c := &conn{pool: x, open: map[string]*gateway.Attempt{}, past: map[string]past{}}
 	addr, born := x.addr, x.born
-	p.net.Dial(addr, inputLimit, c, p.loop.Now()+p.cfg.ConnectTime,
+	p.net.Dial(addr, max(p.cfg.Input, inputLeast*AnswerMost), c, p.loop.Now()+p.cfg.ConnectTime,
 		func(tc Conn, err error) {
 			x.dialing--
 			if x.denied = err != nil; err == nil {
 				c.tc = tc
 				x.conns = append(x.conns, c)
-				c.retired = addr != x.addr || born != x.born
+				c.retired = x.gone || addr != x.addr || born != x.born
 				c.rest()
 			} else if x.dialing == 0 {
 				p.log.Warn("connect failed", "server", x.name, "error", err)
@@ -384,7 +479,14 @@
 		}
 		c.await(false)
 		if a := c.open[ans.id]; a != nil {
+			if !ans.fits(a.Call.Tag) {
+				c.spoilt(errUnasked)
+				return
+			}
 			c.forget(a)
+			if ans.end.Code != rules.OK { // else its call is over
+				c.remember(a, true)
+			}
 			c.pool.all.gate.End(a, ans.end)
 		}
 	}
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -39,6 +39,7 @@
 	end gateway.End
 }
 
+func (g *gate) May(*gateway.Attempt) bool                     { return g.clear }
 func (g *gate) Clear(*gateway.Attempt) (gateway.Micros, bool) { return 0, g.clear }
 func (g *gate) End(a *gateway.Attempt, e gateway.End)         { g.ended <- ended{a.Call.ID, e} }
 
@@ -61,7 +62,7 @@
 	}
 	r := &rig{t: t, loop: loop.New(func() {}), gate: &gate{clear: true, ended: make(chan ended, 1000)}, ln: ln}
 	r.pools = New(Config{Lanes: []string{"pay"}, Streams: 1000, Connections: connections, ConnectTime: 1_000_000,
-		IdleTime: 60_000_000}, NewTCP(r.loop), r.loop, r.gate, slog.New(slog.NewTextHandler(io.Discard, nil)))
+		IdleTime: 60_000_000, Cancel: true}, NewTCP(r.loop), r.loop, r.gate, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	r.srv = &gateway.Server{ID: 1, Name: "s-1", Addr: ln.Addr().String(), State: rules.Ready}
 	done := make(chan struct{})
 	go func() { r.loop.Run(); close(done) }()
@@ -252,6 +253,7 @@
 		"no line":    strings.Repeat("a", maxLine),
 		"wrong size": "%s ok - 1\r\nabc\r\n",
 		"tag":        "%s ok sum=\" 0\r\n\r\n",
+		"unasked":    "%s current sum=t 0\r\n\r\n",
 		"stalled":    "%s ok - 100\r\nabc",
 		"broken off": "%s ok - 100\r\nabc",
 	} {
@@ -360,3 +362,181 @@
 		t.Error("the idle connection stays open")
 	}
 }
+
+// again starts a further attempt of a call.
+func (r *rig) again(a *gateway.Attempt) *gateway.Attempt {
+	b := &gateway.Attempt{Server: r.srv, Deadline: a.Deadline, Call: a.Call}
+	r.on(func() { r.pools.Start(b) })
+	return b
+}
+
+// Guards against a payout that runs twice because a second answer to its first attempt,
+// some ms late, is taken for the answer to its next one: answers name ids alone, so the
+// next attempt must not share the connection. There is one place; it is made.
+func TestSecondAnswerIsNotTheNextAttempts(t *testing.T) {
+	r := newRig(t, 1)
+	a := r.start(10)
+	old := r.accept()
+	readUntil(t, old, a.Call.ID)
+	_, _ = fmt.Fprintf(old, "%s refused - 0\r\n\r\n", a.Call.ID)
+	if e := r.await(a.Call.ID); e.Code != rules.Full {
+		t.Fatalf("ended as %+v", e)
+	}
+	r.again(a)
+	_, _ = fmt.Fprintf(old, "%s refused - 0\r\n\r\n", a.Call.ID) // the late one
+	fresh := r.accept()
+	readUntil(t, fresh, a.Call.ID)
+	_, _ = fmt.Fprintf(fresh, "%s ok - 0\r\n\r\n", a.Call.ID)
+	if e := r.await(a.Call.ID); e.Code != rules.OK {
+		t.Errorf("ended as %+v", e)
+	}
+}
+
+// Guards against handshakes for each look that missed: a read that may be out twice goes
+// again where it was, also at a server with one connection.
+func TestReadsGoAgainOnTheirConnection(t *testing.T) {
+	r := newRig(t, 1)
+	r.on(func() { r.pools.cfg.Hedges, r.pools.cfg.Repeat = true, []bool{true} })
+	a := r.start(10)
+	c := r.accept()
+	for range 3 {
+		readUntil(t, c, a.Call.ID)
+		_, _ = fmt.Fprintf(c, "%s nothing - 0\r\n\r\n", a.Call.ID)
+		r.await(a.Call.ID)
+		r.again(a)
+	}
+	readUntil(t, c, a.Call.ID)
+}
+
+// Guards against one attempt that no connection suits, since its id was given up on the
+// only one, holding up all that waits behind it.
+func TestBarredAttemptHoldsUpNobody(t *testing.T) {
+	r := newRig(t, 1)
+	a := r.start(10)
+	old := r.accept()
+	readUntil(t, old, a.Call.ID)
+	keep := r.start(10) // so that the connection stays
+	readUntil(t, old, keep.Call.ID)
+	r.on(func() { r.pools.Stop(a) })
+	r.again(a)
+	fresh := r.accept()
+	readUntil(t, fresh, a.Call.ID)
+	b := r.start(10)
+	readUntil(t, fresh, b.Call.ID)
+	// Where its id was on all that there may be, it is ended as never sent, so that it can go elsewhere.
+	r.on(func() { r.pools.Stop(b) })
+	r.again(b)
+	if e := r.await(b.Call.ID); e.Code != rules.Moot {
+		t.Errorf("ended as %+v", e)
+	}
+}
+
+// Guards against what waits for a connection to a server that drains: it is ended as
+// never sent at once, and not when the connection is up or its time is out. One that comes up
+// after its server has gone is closed.
+func TestWaitingLeavesADrainingServer(t *testing.T) {
+	for _, state := range []rules.MemberState{rules.Draining, rules.Gone} {
+		r := newRig(t, 1)
+		net := &held{made: make(chan func(), 1)}
+		r.on(func() { r.pools.net = net })
+		a := r.start(10)
+		up := <-net.made
+		r.on(func() {
+			r.gate.clear = false
+			r.srv.State = state
+			r.pools.Follow(r.srv)
+		})
+		if e := r.await(a.Call.ID); e.Code != rules.Moot {
+			t.Errorf("ended as %+v", e)
+		}
+		r.on(up)
+		r.on(func() {
+			if closed := net.closed; closed != (state == rules.Gone) {
+				t.Errorf("state %d: the late connection is closed: %v", state, closed)
+			}
+		})
+	}
+}
+
+// held is a network on which a connection comes up when the test says so.
+type held struct {
+	made   chan func()
+	closed bool
+}
+
+func (n *held) Dial(_ string, _ int, _ Handler, _ gateway.Micros, ready func(Conn, error)) {
+	n.made <- func() { ready(n, nil) }
+}
+
+func (n *held) Send([]byte) (bool, error)  { return true, nil }
+func (n *held) Consume(func(b []byte) int) {}
+func (n *held) Flooded() bool              { return false }
+func (n *held) Blocked() bool              { return false }
+func (n *held) Close()                     { n.closed = true }
+
+// Guards against a word that the settings do not allow: what is given up is let go.
+func TestNothingIsCancelledWhereThatIsNotAllowed(t *testing.T) {
+	r := newRig(t, 1)
+	r.on(func() { r.pools.cfg.Cancel = false })
+	a := r.start(10)
+	c := r.accept()
+	readUntil(t, c, a.Call.ID)
+	r.on(func() {
+		if !r.pools.Stop(a) {
+			t.Error("it was sent")
+		}
+	})
+	b := r.start(10)
+	var told []string
+	for in := bufio.NewReader(c); ; {
+		line, err := in.ReadString('\n')
+		if err != nil {
+			t.Fatal(err)
+		}
+		if told = append(told, line); strings.HasPrefix(line, "serve "+b.Call.ID) {
+			break
+		}
+	}
+	if all := strings.Join(told, ""); strings.Contains(all, "cancel") {
+		t.Errorf("the node was told %q", all)
+	}
+}
+
+// Guards against answers that came together being taken for a flood, and all that is open
+// on their connection being lost with them: as many may come before the loop looks as were
+// asked for there.
+func TestAnswersThatComeTogetherAreNoFlood(t *testing.T) {
+	const many = 12
+	r := newRig(t, 1)
+	r.on(func() { r.pools.cfg.Input = many * AnswerMost })
+	var asked []*gateway.Attempt
+	for range many {
+		asked = append(asked, r.start(10))
+	}
+	c := r.accept()
+	readUntil(t, c, asked[many-1].Call.ID)
+	var tc *transport.Conn
+	r.on(func() { tc = r.pools.pools[1].conns[0].tc.(*transport.Conn) })
+	busy, goOn := make(chan struct{}), make(chan struct{})
+	r.loop.Post(func() { close(busy); <-goOn }) // the loop is busy elsewhere
+	<-busy
+	body := strings.Repeat("x", maxBody)
+	sent := 0
+	for _, a := range asked {
+		n, err := fmt.Fprintf(c, "%s ok - %d\r\n%s\r\n", a.Call.ID, maxBody, body)
+		if sent += n; err != nil {
+			t.Fatal(err)
+		}
+	}
+	for end := time.Now().Add(patience); tc.Came() < int64(sent); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%d of %d bytes came", tc.Came(), sent)
+		}
+	}
+	close(goOn)
+	for range asked {
+		if e := <-r.gate.ended; e.end.Code != rules.OK || len(e.end.Answer.Body) != maxBody {
+			t.Fatalf("%s ended as %d with %d bytes", e.id, e.end.Code, len(e.end.Answer.Body))
+		}
+	}
+}
--- a/lab/world/inside.go
+++ b/lab/world/inside.go
@@ -49,12 +49,12 @@
 		panic(err) // the settings are the world's own, and New has tried them
 	}
 	var lanes []string
-	var alone []bool
+	var alone, repeat []bool
 	for _, c := range w.spec.Classes {
-		lanes, alone = append(lanes, c.Name), append(alone, c.Write)
+		lanes, alone, repeat = append(lanes, c.Name), append(alone, c.Write), append(repeat, !c.Write)
 	}
 	x.gate.Use(upstream.New(upstream.Config{Lanes: lanes, Alone: alone, Streams: streams, Connections: 8, ConnectTime: connectTime,
-		IdleTime: connIdle}, x, w.loop, x.gate, quiet))
+		IdleTime: connIdle, Cancel: cfg.Settings.Cancel, Hedges: cfg.Settings.Hedges, Repeat: repeat}, x, w.loop, x.gate, quiet))
 	x.gate.Members(true, known)
 	for _, p := range purges {
 		x.gate.Purge(p)
