Shutdown and closes: what crosses an end is served, last answers are not reset away

- A request whose bytes had been read when its resting connection was ended (by a drain, its idle time, or for room) was dropped with the connection: quitBy called Finish, which drops the input.
Before an end the input, here and in the kernel, is looked at (Conn.Pending); a connection with some is served.
Connections that are being ended count as busy; each is bounded.
- A drain answered a first request that had come in part with 408; without a section of clients such connections stand among the silent ones.

--- a/internal/front/session/session.go
+++ b/internal/front/session/session.go
@@ -291,16 +291,15 @@
 			continue
 		}
 		s.lists[i].each(func(c *conn) {
-			if c.state == silent && c.since > now-arriving {
-				return // its request may be on the way
+			if c.brings(now) {
+				return
 			}
-			if !c.tc.Blocked() {
-				c.quit()
+			if _, left := c.tc.Taken(); left == 0 && !c.tc.Blocked() {
+				c.quitBy(now + lingerShort)
 				return
 			}
 			c.last = true
-			c.enter(ending)
-			c.tc.Finish(now + lateOut)
+			c.finish()
 		})
 	}
 }
@@ -308,11 +307,13 @@
 // Rejoin takes back a Drain: answers keep their connections again.
 func (s *Server) Rejoin() { s.closing = false }
 
-// Busy counts connections whose answer is open or not all out.
+// Busy counts connections whose answer is open or not all out, and those that are being
+// ended: their last answer may be on its way, and the program's end would reset it away
+// where anything more has come from the client. All are bounded in time.
 func (s *Server) Busy() (n int) {
 	for i := range s.lists {
 		s.lists[i].each(func(c *conn) {
-			if c.x != nil || c.tc.Blocked() {
+			if c.x != nil || c.state == ending || c.tc.Blocked() {
 				n++
 			}
 		})
@@ -325,13 +326,19 @@
 func (s *Server) Coming() int {
 	n, now := s.lists[reading].count, s.loop.Now()
 	s.lists[silent].each(func(c *conn) {
-		if c.since > now-arriving {
+		if c.brings(now) {
 			n++
 		}
 	})
 	return n
 }
 
+// brings tells whether one that has brought no whole request yet may still: its first has
+// come in part, or may be on the way.
+func (c *conn) brings(now loop.Micros) bool {
+	return c.state == silent && (c.begun || c.since > now-arriving)
+}
+
 // Readable takes the next request, unless one is open.
 func (c *conn) Readable(tc *transport.Conn) {
 	for c.x == nil && !c.over && !c.last {
@@ -546,12 +553,17 @@
 func (c *conn) quit() { c.quitBy(c.server.loop.Now() + linger) }
 
 // quitBy is quit for one whose place is wanted, and whose client may never end its
-// side.
+// side. One on which something has just come is left: its request is looked at next.
 func (c *conn) quitBy(by loop.Micros) {
 	if c.begun {
 		c.write(&httpwire.Response{Status: 408, Close: true})
 		return
 	}
+	if c.tc.Pending() {
+		c.began = c.server.loop.Now()
+		c.enter(reading)
+		return
+	}
 	c.last = true
 	c.enter(ending)
 	c.tc.Finish(by)
@@ -646,11 +658,23 @@
 		}
 	}
 	if c.last {
-		c.enter(ending)
-		c.tc.Finish(s.loop.Now() + linger)
+		c.finish()
 	}
 }
 
+// finish ends a connection behind its last answer. A slow client's is owed whole as any
+// other: where it has not taken all of it after linger, it has until lateOut.
+func (c *conn) finish() {
+	now := c.server.loop.Now()
+	c.enter(ending)
+	c.tc.Finish(now + lateOut)
+	c.server.loop.At(now+linger, func() {
+		if _, left := c.tc.Taken(); left == 0 {
+			c.tc.Close()
+		}
+	})
+}
+
 // outcome is what the figures count an answer as.
 func outcome(k gateway.Kind) figures.Outcome {
 	switch k {
--- a/internal/program/serve.go
+++ b/internal/program/serve.go
@@ -412,9 +412,11 @@
 	p.loop.At(now+last+drainFlush, p.loop.Quit)
 }
 
+// watch ends the program once all is answered and all connections have ended.
 func (p *program) watch() {
 	busy := p.gate.Open()
 	for _, f := range p.fronts {
+		f.Drain() // those that have said nothing since end too
 		busy += f.Busy() + f.Coming()
 	}
 	if busy == 0 {
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -413,6 +413,21 @@
 	return c.sent - int64(held), held + len(c.out)
 }
 
+// Pending tells whether bytes have come that nobody has looked at: here, or in the
+// kernel. Whoever ends a connection with some resets it, and loses a request.
+func (c *Conn) Pending() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed || c.discard {
+		return false
+	}
+	if len(c.in) > 0 {
+		return true
+	}
+	n, err := unix.IoctlGetInt(c.fd, unix.TIOCINQ)
+	return err == nil && n > 0
+}
+
 // Blocked tells whether bytes wait for a full socket.
 func (c *Conn) Blocked() bool {
 	c.mu.Lock()
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
 	"pgregory.net/rapid"
 
 	"cherryramp/internal/loop"
@@ -293,3 +294,41 @@
 		}
 	}
 }
+
+// Guards against small writes that the system holds back, to go out with the next or be lost
+// with a reset: both kinds of connections have TCP_NODELAY.
+func TestNothingIsHeldBack(t *testing.T) {
+	w := newWorld(t)
+	dialled, failed := make(chan *Conn, 1), make(chan error, 1)
+	var g Gauge
+	e := &end{more: make(chan struct{}, 1), drained: make(chan struct{}, 1), closed: make(chan struct{})}
+	w.loop.Post(func() {
+		Dial(w.loop, w.addr, 1<<20, &g, e, w.loop.Now()+int64(patience/time.Microsecond), func(c *Conn, err error) {
+			if err != nil {
+				failed <- err
+				return
+			}
+			dialled <- c
+		})
+	})
+	var both []*Conn
+	for len(both) < 2 {
+		select {
+		case c := <-dialled:
+			both = append(both, c)
+		case x := <-w.ends:
+			both = append(both, x.c)
+		case err := <-failed:
+			t.Fatal(err)
+		case <-time.After(patience):
+			t.Fatal("no connection")
+		}
+	}
+	for _, c := range both {
+		on, err := unix.GetsockoptInt(c.fd, unix.IPPROTO_TCP, unix.TCP_NODELAY)
+		if err != nil || on == 0 {
+			t.Errorf("dialled %v: TCP_NODELAY is %d, %v", c.dialed, on, err)
+		}
+		c.Close()
+	}
+}
