The notice board is found within the grace that the settings give, silent or hanging

PROTOCOL counts an event as told once the board holds it. A watch that fell silent was left after 500 ms (linger 150 + slack 350, constants), and a connect that hung held the next one up for 400 ms and a pause of up to 160: that is all of a drain's 500 ms, and past the 300 ms (padma: obey-after-us) after which no copy from before a purge may be given. Other customers' graces are shorter or longer still.

All times now follow from the shorter grace of the settings (drain, purge): at 300 ms a poll may be held 150 ms, silence is noticed at 250, another connect is begun beside one that hangs after 100, pauses are 75 at most. An answer that is coming is not silent: each part extends its time, 2 s in all. Ruled out: a board that is slow for a moment costs a reconnect, no lines of the list. Tests: silent watches from the first moment, after an answer and in the middle of an event; long answers; connects that hang; times for any grace.

--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -1,6 +1,7 @@
 package board
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"log/slog"
@@ -12,15 +13,36 @@
 )
 
 const (
-	linger      = 150     // ms that the board may hold a poll
-	answerSlack = 350_000 // us past it after which a connection is taken for dead
-	connectTime = 400_000 // us for a connection to come up
-	pauseFirst  = 10_000  // us before the next connection after a failed one; doubles
-	pauseMost   = 160_000
+	connectTime = 400_000   // us for a connection to come up
+	answerMost  = 2_000_000 // us from a poll for the whole of an answer that is coming
+	pauseFirst  = 10_000    // us before the next connection after a failed one; doubles
 	warnEvery   = 1_000_000 // us between log lines about trouble
 	maxAnswer   = 4 << 20
+	lingerMost  = 150_000 // us that the board may hold a poll at most
+	graceLeast  = 100_000 // us: a shorter grace leaves no time for a poll and its answer
 )
 
+// Times are how long a client waits for what. All follow from the grace that the
+// settings give for what the board tells: an event counts as told once the board holds it,
+// whether a watch on it still speaks or not. So a silent watch has to be noticed, and the
+// board asked on another connection, within the grace; and after an outage the board has to be
+// found within it too, whether connects are refused or hang.
+type Times struct {
+	linger gateway.Micros // that the board may hold a poll
+	silent gateway.Micros // after a poll, from which a connection is taken for dead
+	stall  gateway.Micros // between two parts of an answer, likewise
+	redial gateway.Micros // from which a connect that hangs gets another beside it
+	pause  gateway.Micros // between two connects at most
+}
+
+// Within gives the times for a grace; 0 stands for the least that a site has been
+// seen with.
+func Within(grace gateway.Micros) Times {
+	g := max(graceLeast, cmp.Or(max(0, grace), 300_000))
+	linger := min(lingerMost, g/2)
+	return Times{linger: linger, silent: linger + g/3, stall: g / 3, redial: g / 3, pause: g / 4}
+}
+
 var limits = httpwire.Limits{Head: 16 << 10, Body: maxAnswer}
 
 // Sink is told what the board holds.
@@ -36,8 +58,10 @@
 	log      *slog.Logger
 	address  string
 	sink     Sink
+	times    Times
 	last     int64
-	link     *link // the one that counts
+	link     *link   // the one that counts; nil while none is up
+	search   *search // for one
 	pause    loop.Micros
 	warned   loop.Micros
 	held     transport.Gauge
@@ -47,18 +71,27 @@
 // Answered tells whether the board has given a whole answer since the start.
 func (b *Board) Answered() bool { return b.answered }
 
+// search is one search for a connection to an address; dials of it run beside each
+// other, and the first to come up ends it.
+type search struct {
+	dials int
+	over  bool
+	next  *loop.Deadline // when one more begins, if none has come up
+}
+
 // link is one connection to the board. What an older one still brings is passed
 // over: its events come again under their numbers.
 type link struct {
 	board *Board
-	conn  *transport.Conn // nil until it is up
-	good  bool            // it has brought an answer
+	conn  *transport.Conn
+	good  bool        // it has brought an answer
+	asked loop.Micros // when the last poll went out
 	dead  *loop.Deadline
 }
 
 // New makes a client that starts from what is known.
-func New(l *loop.Loop, log *slog.Logger, address string, known *News, sink Sink) *Board {
-	b := &Board{loop: l, log: log, address: address, sink: sink, pause: pauseFirst}
+func New(l *loop.Loop, log *slog.Logger, address string, times Times, known *News, sink Sink) *Board {
+	b := &Board{loop: l, log: log, address: address, times: times, sink: sink, pause: pauseFirst}
 	if known != nil {
 		b.take(known)
 	}
@@ -66,7 +99,10 @@
 }
 
 // Start begins to follow the board.
-func (b *Board) Start() { b.connect() }
+func (b *Board) Start() { b.seek() }
+
+// Renew takes other times over, for what begins from now on.
+func (b *Board) Renew(t Times) { b.times = t }
 
 // Move follows the board at another address, at once and from the last event known.
 func (b *Board) Move(address string) {
@@ -79,7 +115,7 @@
 		b.link = nil
 		old.end()
 	}
-	b.connect()
+	b.seek()
 }
 
 // take passes on the events that are new.
@@ -99,35 +135,53 @@
 	b.last = max(b.last, n.Last)
 }
 
-func (b *Board) connect() {
+// seek begins to look for a connection, in place of any search under way.
+func (b *Board) seek() {
+	if b.search != nil {
+		b.search.over = true
+	}
+	b.search = &search{}
+	b.dial(b.search)
+}
+
+func (b *Board) dial(s *search) {
+	s.dials++
 	k := &link{board: b}
-	b.link = k
 	transport.Dial(b.loop, b.address, maxAnswer+limits.Head, &b.held, k, b.loop.Now()+connectTime,
 		func(c *transport.Conn, err error) {
+			s.dials--
 			switch {
-			case b.link != k: // the board has moved meanwhile
+			case s.over: // another came up first, or the board has moved
 				if err == nil {
 					c.Close()
 				}
 			case err != nil:
 				b.warn("notice board can't be reached", "error", err)
-				b.link = nil
-				b.again()
+				if s.dials == 0 {
+					b.again(s)
+				}
 			default:
-				k.conn = c
+				s.over = true
+				b.link, k.conn = k, c
 				k.poll()
 			}
 		})
+	b.loop.Stop(s.next)
+	s.next = b.loop.At(b.loop.Now()+b.times.redial, func() {
+		if !s.over && s.dials > 0 { // it hangs: the board may be back by now
+			b.dial(s)
+		}
+	})
 }
 
-// again connects anew after a pause, unless the board has moved by then.
-func (b *Board) again() {
+// again connects anew after a pause, unless the search is over by then.
+func (b *Board) again(s *search) {
 	b.loop.At(b.loop.Now()+b.pause, func() {
-		if b.link == nil {
-			b.connect()
+		if !s.over && s.dials == 0 {
+			b.dial(s)
 		}
 	})
-	b.pause = min(2*b.pause, pauseMost)
+	b.pause = min(2*b.pause, b.times.pause)
 }
 
 // warn logs trouble, but not each time where it repeats.
@@ -141,9 +195,7 @@
 // end leaves a connection.
 func (k *link) end() {
 	k.board.loop.Stop(k.dead)
-	if k.conn != nil {
-		k.conn.Close()
-	}
+	k.conn.Close()
 }
 
 // fail leaves a connection that is of no more use and connects anew: at once if
@@ -157,21 +209,23 @@
 	b.link = nil
 	if k.good {
 		b.pause = pauseFirst
-		b.connect()
+		b.seek()
 		return
 	}
-	b.again()
+	b.search = &search{}
+	b.again(b.search)
 }
 
 func (k *link) poll() {
 	b := k.board
 	b.loop.Stop(k.dead)
-	k.dead = b.loop.At(b.loop.Now()+linger*1000+answerSlack, func() {
+	k.asked = b.loop.Now()
+	k.dead = b.loop.At(k.asked+b.times.silent, func() {
 		b.warn("notice board is silent")
 		k.fail()
 	})
 	request := fmt.Appendf(nil, "GET /board/poll?watch=%d&linger=%d HTTP/1.1\r\nHost: %s\r\n\r\n", b.last,
-		linger, b.address)
+		b.times.linger/1000, b.address)
 	if _, err := k.conn.Send(request); err != nil {
 		k.fail()
 	}
@@ -190,7 +244,8 @@
 		return used
 	})
 	if err == nil && r == nil {
-		if !c.Flooded() {
+		if !c.Flooded() { // it is coming: long ones take their time
+			b.loop.Set(k.dead, min(k.asked+answerMost, max(k.asked+b.times.silent, b.loop.Now()+b.times.stall)))
 			return
 		}
 		err = errors.New("board: answer is too long")
--- /dev/null
+++ b/internal/board/board_test.go
@@ -0,0 +1,231 @@
+package board
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"cherryramp/internal/gateway"
+	"cherryramp/internal/loop"
+	"cherryramp/internal/seeded"
+	"cherryramp/internal/transport"
+)
+
+func TestMain(m *testing.M) {
+	if err := transport.Setup(quiet); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	seeded.Main(m)
+}
+
+var quiet = slog.New(slog.NewTextHandler(io.Discard, nil))
+
+const patience = 10 * time.Second
+
+// told is a sink that hands on the states it is told.
+type told struct{ members chan gateway.Member }
+
+func (s told) Members(_ bool, list []gateway.Member) {
+	for _, m := range list {
+		s.members <- m
+	}
+}
+func (told) Purge(gateway.Purge) {}
+func (told) Heard()              {}
+
+// follow begins to follow a board at an address, on a running loop.
+func follow(t *testing.T, address string) (*Board, told, func(func())) {
+	t.Helper()
+	l := loop.New(func() {})
+	sink := told{make(chan gateway.Member, 100)}
+	b := New(l, quiet, address, Within(500_000), nil, sink)
+	done := make(chan struct{})
+	go func() { l.Run(); close(done) }()
+	t.Cleanup(func() { l.Post(l.Quit); <-done })
+	l.Post(b.Start)
+	return b, sink, func(f func()) {
+		done := make(chan struct{})
+		l.Post(func() { f(); close(done) })
+		<-done
+	}
+}
+
+// watch accepts one connection and reads its first poll.
+type watch struct {
+	t *testing.T
+	c net.Conn
+	r *bufio.Reader
+}
+
+func accept(t *testing.T, ln net.Listener) *watch {
+	t.Helper()
+	_ = ln.(*net.TCPListener).SetDeadline(time.Now().Add(patience))
+	c, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	_ = c.SetDeadline(time.Now().Add(patience))
+	return &watch{t, c, bufio.NewReader(c)}
+}
+
+// poll reads a poll and tells the number after which it asks.
+func (w *watch) poll() string {
+	w.t.Helper()
+	r, err := http.ReadRequest(w.r)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	return r.URL.Query().Get("watch")
+}
+
+const event = `{"rev":1,"notices":[{"rev":1,"pool":{"complete":true,"members":[{"id":"s-1","host_port":"127.0.0.1:1",` +
+	`"locality":"z","flavor":"k","phase":"DRAINING"}]}}]}`
+
+func whole(body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+}
+
+func (w *watch) send(text string) {
+	w.t.Helper()
+	if _, err := io.WriteString(w.c, text); err != nil {
+		w.t.Fatal(err)
+	}
+}
+
+// Guards against a draining server that is still sent to because the watch that would have
+// told of it fell silent: silent from the first moment on, after a whole answer, or in the middle of
+// an event. Each time the board is asked on another connection, from the last whole event on.
+func TestSilentWatches(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = ln.Close() }()
+	_, sink, _ := follow(t, ln.Addr().String())
+	if n := accept(t, ln).poll(); n != "0" { // and never a word
+		t.Errorf("asked after %s", n)
+	}
+	cut := accept(t, ln)
+	cut.poll()
+	cut.send(whole(event)[:120])
+	w := accept(t, ln)
+	if n := w.poll(); n != "0" {
+		t.Errorf("after half an event it asks after %s", n)
+	}
+	w.send(whole(event))
+	select {
+	case m := <-sink.members:
+		if m.Name != "s-1" {
+			t.Errorf("told of %+v", m)
+		}
+	case <-time.After(patience):
+		t.Fatal("not told")
+	}
+	if n := w.poll(); n != "1" {
+		t.Errorf("the next poll asks after %s", n)
+	}
+	if n := accept(t, ln).poll(); n != "1" {
+		t.Errorf("on another connection it asks after %s", n)
+	}
+}
+
+// Guards against an answer that is taken for silence because it is long: it comes in parts,
+// all of them together slower than the board may be silent.
+func TestLongAnswerIsNotSilence(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = ln.Close() }()
+	_, sink, on := follow(t, ln.Addr().String())
+	w := accept(t, ln)
+	w.poll()
+	text := whole(strings.Replace(event, `"notices"`, strings.Repeat(" ", 400)+`"notices"`, 1))
+	var silent time.Duration
+	on(func() { silent = time.Duration(Within(500_000).silent) * time.Microsecond })
+	for began := time.Now(); time.Since(began) < 2*silent; time.Sleep(20 * time.Millisecond) {
+		w.send(text[:1])
+		text = text[1:]
+	}
+	w.send(text)
+	select {
+	case <-sink.members:
+	case <-time.After(patience):
+		t.Fatal("not told")
+	}
+	if n := w.poll(); n != "1" { // still the same connection
+		t.Errorf("asks after %s", n)
+	}
+}
+
+// Guards against a board that is back and not asked, since a connect from before hangs:
+// others are begun beside it, and few.
+func TestHangingConnects(t *testing.T) {
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = syscall.Close(fd) }()
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	if err := syscall.Listen(fd, 0); err != nil { // one connection fills it, and connects hang from then on
+		t.Fatal(err)
+	}
+	at, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := fmt.Sprintf("127.0.0.1:%d", at.(*syscall.SockaddrInet4).Port)
+	clog, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = clog.Close() }()
+	b, _, on := follow(t, address)
+	most := 0
+	for end := time.Now().Add(patience); most < 3; time.Sleep(time.Millisecond) {
+		on(func() { most = max(most, b.search.dials) })
+		if time.Now().After(end) {
+			t.Fatalf("%d connects at a time", most)
+		}
+	}
+	for end := time.Now().Add(connectTime * 2 * time.Microsecond); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if on(func() { most = max(most, b.search.dials) }); most > 6 {
+			t.Fatalf("%d connects at a time", most)
+		}
+	}
+}
+
+// Whatever grace the settings give: a watch that falls silent right after its poll is
+// noticed, and another connect that hangs at first is begun again, with time left to be told and
+// to act; polls are not so short that they make up most of the work.
+func TestTimesFitTheGrace(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		grace := rapid.Int64Range(graceLeast, 10_000_000).Draw(t, "grace")
+		x := Within(grace)
+		if x.silent+x.linger/3 > grace || x.redial+x.pause > grace*3/4 || x.silent <= x.linger {
+			t.Fatalf("%+v", x)
+		}
+		if x.linger < graceLeast/2 || x.linger > lingerMost {
+			t.Fatalf("%+v", x)
+		}
+	})
+	for _, grace := range []gateway.Micros{-5, 0} {
+		if Within(grace) != Within(300_000) {
+			t.Errorf("%d: %+v", grace, Within(grace))
+		}
+	}
+}
--- a/internal/program/serve.go
+++ b/internal/program/serve.go
@@ -181,7 +181,7 @@
 			return nil, err
 		}
 	}
-	p.news = board.New(p.loop, log, cfg.Board, cfg.Known, sink)
+	p.news = board.New(p.loop, log, cfg.Board, board.Within(grace(cfg)), cfg.Known, sink)
 	limits := session.Config{Name: "platform", Listen: cfg.Listen, Limits: platform.Limits}
 	bound(&limits, operator.Clients)
 	limits.Connections = held(cfg, operator.Clients)
@@ -242,6 +242,16 @@
 	return p, nil
 }
 
+// grace is the shortest that the settings give to act on what the notice board tells; 0
+// where they give none.
+func grace(cfg *config.Config) loop.Micros {
+	drain, purge := cfg.Settings.DrainGrace, cfg.Settings.PurgeGrace
+	if drain == 0 || purge == 0 {
+		return max(drain, purge)
+	}
+	return min(drain, purge)
+}
+
 // held is the connections of the platform's front.
 func held(cfg *config.Config, c *config.Clients) int {
 	if c != nil && c.Held > 0 {
@@ -357,6 +367,7 @@
 		p.log.Warn("configuration: these keys need a restart, their old values stay", "keys", fixed)
 	}
 	p.cfg = next
+	p.news.Renew(board.Within(grace(p.cfg)))
 	if p.cfg.Board != "" {
 		p.news.Move(p.cfg.Board)
 	}
