Cold servers: what all instances send together stays in N, whoever is asked

Each gateway's bucket held coldBurst of its part of N and, where that was less than one call, went into debt: a floor of one call for each gateway. Buckets filled while nobody asked. Ruled out: restarts (a new instance began in debt) and retries (they pass the same budget). At fault: rules/rules.go, budget and earned.

Now each gateway has 0.6 of its part of N for any span of FallTime as whole calls; the fraction is drawn, anew every 8 spans at a moment of its own, and who has just been told of a server has nothing saved. The rule, its bound and an example stand at the code.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -22,8 +22,9 @@
 	trialsNeeded   = 2           // trials in a row that must succeed: failing half, one passes easily
 	retryShare     = 0.2         // further attempts earned per request, so retries can't amplify overload
 	retryBurst     = 20          // further attempts saved up, for a member that fails all at once
-	coldRate       = 0.4         // part of the fall multiple used as a steady rate at a cold member
-	coldBurst      = 0.3         // part of it that may come at once; with the rate under 1, for chance
+	coldPart       = 0.6         // part of the calls that a cold member bears that all gateways may send
+	coldMost       = 0.3         // part of them that one request may take
+	coldDraw       = 8           // spans for which a gateway's whole calls are drawn
 	roughTrust     = 0.7         // part of a weight believed where it is said to be rough
 	tableCap       = 1 << 15     // entries in one generation of an object or part table
 	tableAge       = 60 * second // a generation's age at most
@@ -82,6 +83,10 @@
 	grown   float64 // the origin: what good straight fills added to their allowance, in parts of it
 	share   float64 // part of its objects sent to it as a source; below 1 after refusals
 	pace
+	told   Micros // when it was listed with its last start
+	phase  Micros // of the draws of whole calls, counted from told
+	drawn  Micros // how many there were; draw is the last
+	draw   float64
 	tokens float64
 	filled Micros // when tokens were last earned
 }
@@ -254,12 +259,13 @@
 	}
 	for _, x := range e.List {
 		m := r.members[x.ID]
-		if m == nil {
-			m = &member{share: 1}
+		if m == nil || x.Born != m.Born { // a restart under the same id: empty, cold, and without a past
+			r.rng++
+			u := unit(r.rng, x.ID, 3) // started together, they do not ask together
+			m = cmp.Or(m, &member{})
 			r.members[x.ID] = m
-		}
-		if x.Born != m.Born { // a restart under the same id: empty, cold, and without a past
-			*m = member{out: m.out, share: 1}
+			*m = member{out: m.out, share: 1, tokens: -u, told: r.now, filled: r.now,
+				phase: Micros(u * float64(coldDraw*max(r.cfg.FallTime, milli)))}
 		}
 		m.Member = x
 		m.listed = x.State != Gone
@@ -621,7 +627,7 @@
 		return r.origin
 	}
 	rate := originRate * (1 + r.origin.grown) / r.gates(r.origin)
-	if !r.earned(r.origin, rate/float64(second), rate, 1, 1) {
+	if !r.earned(r.origin, rate/float64(second), rate, 1) {
 		return nil
 	}
 	r.origin.tokens--
@@ -919,33 +925,36 @@
 	return from + (1-from)*float64(max(0, r.now-m.Born))/float64(span)
 }
 
-// budget tells whether a cold member can take the request: all gateways that
-// share it together must stay under the fall multiple of what it can do now.
+// budget tells whether a cold member can take the request. It bears N calls within FallTime from all
+// gateways, which share nothing. Each has coldPart of its part of N, as whole calls: the fraction is
+// drawn, since a floor of one call for each adds up, anew every coldDraw spans, at a moment of its own;
+// nothing is saved by who has just been told. All: coldPart x N, an eighth more where draws change, with
+// a deviation of sqrt(N) at most. N = 37, 300 gateways: 22 may send one, whoever is asked.
 func (r *Router) budget(m *member, q *request) bool {
-	w := r.warmth(m)
-	if w >= 1 {
+	w, span, usual := r.warmth(m), max(r.cfg.FallTime, milli), 0.0
+	multiple := [...]float64{r.cfg.FallMultiple, r.cfg.ParentFallMultiple, 0}[m.tier]
+	able := w * m.size() * multiple * float64(span)
+	if w >= 1 || able == 0 { // without a multiple it bears anything
 		return true
 	}
-	able := w * m.size() * r.cfg.ParentFallMultiple
-	if m.tier == tierCache {
-		able = w * m.size() * r.cfg.FallMultiple
-	}
 	if r.cfg.Weights == WeightsRough {
 		able *= roughTrust
 	}
-	all := able * coldBurst * float64(r.cfg.FallTime)
-	weight, gates := r.weigh(m, q), r.gates(m)
-	return weight <= max(all, r.mean[q.Class]) &&
-		r.earned(m, able*coldRate/gates, all/gates, weight, slices.Max(r.mean))
-}
-
-// earned tells whether a member's tokens allow what costs so many. Where many gateways share, one
-// cost can be more than may be saved: a full bucket then goes into debt, and starts spread by seed.
-func (r *Router) earned(m *member, rate, most, cost, usual float64) bool {
-	if m.filled == 0 {
+	for i, c := range r.cfg.Classes {
+		usual = max(usual, r.mean[i], workPriorShare*float64(c.Aim))
+	}
+	if n := 1 + (r.now-m.told+m.phase)/(coldDraw*span); n > m.drawn {
 		r.rng++
-		m.tokens, m.filled = -max(0, usual-most)*unit(r.rng, m.ID, 3), r.now
+		m.drawn, m.draw = n, unit(r.rng, m.ID, 3)
 	}
+	calls, weight := math.Floor(able*coldPart/r.gates(m)/usual+m.draw), r.weigh(m, q)
+	most := max(1, calls/2) * usual // and as much earned in a span
+	return calls > 0 && weight <= max(able*coldMost, r.mean[q.Class]) &&
+		r.earned(m, most/float64(span), most, min(weight, usual))
+}
+
+// earned tells whether a member's tokens allow what costs so many.
+func (r *Router) earned(m *member, rate, most, cost float64) bool {
 	m.tokens, m.filled = min(m.tokens+rate*float64(r.now-m.filled), most), r.now
 	return m.tokens >= min(cost, most)
 }
