Descriptors for board and nodes are kept, settings of any customer work or are named

- Connections to all nodes together are bounded by what clients may not hold and the program does not need itself; the longest idle one yields to a new one.
Before, one to each node and as many retired ones could go past limits.sockets, and the board could not be dialled.
Clients' places are fewer where the limit is small (cfg.Sockets under 63).
A test fills a front of 96 descriptors with idle clients while the board is down; with clients' places unbounded it fails.
- A keyed request that may have run is refused only while the window for repeats is still open when the client is back (MaxAway later): rules, mayRefuse.
It was refused until the window's last moment, and a repeat after it runs twice.
- A number out of range in the settings is told under the file's own key; before, "Flow: -1 is not possible" came from the module.

--- a/cmd/cherryramp/clients_hard_test.go
+++ b/cmd/cherryramp/clients_hard_test.go
@@ -273,3 +273,36 @@
 		}
 	}
 }
+
+// Idle clients fill all the places there are while the notice board is down: it is followed
+// again once it is back, the door answers, and a client that comes then is served.
+func TestIdleClientsLeaveRoomForTheBoard(t *testing.T) {
+	const sockets = 96
+	door := freeAddress(t)
+	s := newSiteChanged(t, 1, "", func(config string) string {
+		return strings.Replace(config, `"sockets":1024`, fmt.Sprintf(`"sockets":%d`, sockets), 1)
+	}, "ROUTER_OPS="+door)
+	s.boxes[0].serveAll()
+	if err := unix.Prlimit(s.cmd.Process.Pid, unix.RLIMIT_NOFILE, &unix.Rlimit{Cur: sockets, Max: sockets}, nil); err != nil {
+		t.Fatal(err)
+	}
+	s.board.stop()
+	s.log.await(t, "notice board can't be reached")
+	for range 3 * sockets {
+		c, err := net.Dial("tcp", s.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = c.Close() }()
+		_, _ = io.WriteString(c, "GET /ping HTTP/1.1\r\nHost: x\r\n\r\n") // whoever is turned away is
+	}
+	s.board.resume(t)
+	s.board.add(s.draining())
+	s.log.await(t, "state=draining")
+	if strings.Contains(s.log.String(), "descriptors have run out") {
+		t.Error("the descriptors ran out")
+	}
+	if got := call(t, door, "PING"); got[0] != "ok ready" {
+		t.Errorf("the door said %q", got)
+	}
+}
--- a/cmd/cherryramp/standin_test.go
+++ b/cmd/cherryramp/standin_test.go
@@ -163,6 +163,20 @@
 	return b
 }
 
+// stop has the board refuse connections and end those that are open.
+func (b *board) stop() { _ = b.srv.Close() }
+
+// resume takes back a stop.
+func (b *board) resume(t *testing.T) {
+	t.Helper()
+	ln, err := net.Listen("tcp", b.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.srv = &http.Server{Handler: http.HandlerFunc(b.poll), ReadHeaderTimeout: patience}
+	go func(s *http.Server) { _ = s.Serve(ln) }(b.srv)
+}
+
 // add tells of an event, numbered from 2: the start has number 1.
 func (b *board) add(event string) {
 	b.mu.Lock()
@@ -244,6 +258,12 @@
 
 // newSiteEnv is newSite with more of the environment.
 func newSiteEnv(t *testing.T, boxes int, operator string, more ...string) *site {
+	t.Helper()
+	return newSiteChanged(t, boxes, operator, func(config string) string { return config }, more...)
+}
+
+// newSiteChanged is newSiteEnv with a configuration that is changed first.
+func newSiteChanged(t *testing.T, boxes int, operator string, change func(config string) string, more ...string) *site {
 	t.Helper()
 	s := &site{t: t, parent: newNode(t), origin: newNode(t), board: newBoard(t), addr: freeAddress(t)}
 	var members []string
@@ -261,7 +281,7 @@
 		"limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"board":"%s",
 		"known":{"rev":1,"notices":[{"rev":1,"pool":{"revision":0,"complete":true,"members":[%s]}}]},
 		"settings":%s}`, s.addr, s.board.addr, strings.Join(members, ","), settings)
-	s.config = write(t, config)
+	s.config = write(t, change(config))
 	env := append([]string{"ROUTER_CONFIG=" + s.config}, more...)
 	if operator != "" {
 		s.signed = freeAddress(t)
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -23,19 +23,33 @@
 	}
 }
 
-func (f *facts) float(key string, absent float64) float64 {
+// between reads a number from a range.
+func (f *facts) between(key string, absent, least, most float64) float64 {
 	s, ok := f.values[key]
 	if !ok || s == "" {
 		return absent
 	}
 	v, err := strconv.ParseFloat(s, 64)
-	if err != nil || math.IsNaN(v) || math.IsInf(v, 0) || math.Abs(v) > 1e15 {
-		f.fail(key, "not a number in range")
+	if err != nil || math.IsNaN(v) || v < least || v > most {
+		f.fail(key, fmt.Sprintf("not a number from %g to %g", least, most))
 		return absent
 	}
 	return v
 }
 
+// mostNumber is the most that any number may be; as an integer it loses nothing.
+const mostNumber = 1e15
+
+func (f *facts) float(key string, absent float64) float64 {
+	return f.between(key, absent, 0, mostNumber)
+}
+
+// share reads a part of a whole.
+func (f *facts) share(key string, absent float64) float64 { return f.between(key, absent, 0, 1) }
+
+// place reads a place in a list, or -1 for none.
+func (f *facts) place(key string) int { return int(f.between(key, -1, -1, mostNumber)) }
+
 func (f *facts) int(key string, absent int) int { return int(f.float(key, float64(absent))) }
 
 func (f *facts) micros(key string, absent rules.Micros) rules.Micros {
@@ -74,11 +88,14 @@
 	return strings.Split(f.values[key], ",")
 }
 
-func (f *facts) floats(key string) (out []float64) {
+func (f *facts) floats(key string) []float64 { return f.floatsFrom(key, 0) }
+
+// floatsFrom reads a list of numbers, of which each is at least so much.
+func (f *facts) floatsFrom(key string, least float64) (out []float64) {
 	for _, s := range f.list(key) {
 		v, err := strconv.ParseFloat(s, 64)
-		if err != nil || math.IsNaN(v) || math.Abs(v) > 1e15 {
-			f.fail(key, "not a list of numbers")
+		if err != nil || math.IsNaN(v) || v < least || v > mostNumber {
+			f.fail(key, fmt.Sprintf("not a list of numbers from %g to %g", least, mostNumber))
 			return nil
 		}
 		out = append(out, v)
@@ -86,8 +103,13 @@
 	return out
 }
 
-func (f *facts) ints(key string) (out []int) {
-	for _, v := range f.floats(key) {
+func (f *facts) ints(key string) []int { return whole(f.floats(key)) }
+
+// places reads a list of places in another list, where -1 is none.
+func (f *facts) places(key string) []int { return whole(f.floatsFrom(key, -1)) }
+
+func whole(list []float64) (out []int) {
+	for _, v := range list {
 		out = append(out, int(v))
 	}
 	return out
@@ -171,10 +193,10 @@
 		Gateways:     f.int("balancers", 1),
 		Zone:         f.int("zone", 0),
 		ZoneGates:    f.ints("extra.zone-balancers"),
-		ZoneHub:      f.ints("extra.hub-by-zone"),
+		ZoneHub:      f.places("extra.hub-by-zone"),
 		ZoneLink:     f.floats("extra.inlet-kb-per-s"),
-		ParentKind:   f.int("extra.upper-kind", -1),
-		OriginKind:   f.int("extra.store-kind", -1),
+		ParentKind:   f.place("extra.upper-kind"),
+		OriginKind:   f.place("extra.store-kind"),
 		Flow:         f.float("extra.flow-kb-per-s", 0),
 		Weights:      rules.Weights(f.word("weights", "off", "nominal", "rough", "live")),
 		OnRequest:    f.word("discovery", "pushed", "on_request") == 1,
@@ -195,13 +217,13 @@
 		DrainGrace:   f.micros("rules.drain-grace-us", 0),
 		FallMultiple: f.float("rules.fall-multiple", 1),
 		FallTime:     f.micros("rules.fall-us", 0),
-		ColdFrom:     f.float("rules.cold-from", 0),
+		ColdFrom:     f.share("rules.cold-from", 0),
 		WarmUp:       f.micros("rules.warm-up-us", 0),
 		AnswerGrace:  f.micros("rules.grace-to-answer-us", 0),
 		PurgeGrace:   f.micros("extra.obey-after-us", 0),
 		PurgeSettle:  f.micros("extra.purge-settles-us", 0),
 
-		ParentColdFrom:     f.float("extra.parent-cold-from", 0),
+		ParentColdFrom:     f.share("extra.parent-cold-from", 0),
 		ParentWarmUp:       f.micros("extra.upper-cold-us", 0),
 		ParentFallMultiple: f.float("extra.parent-limit-factor", 1),
 		OriginFallMultiple: f.float("extra.origin-limit-factor", 0),
@@ -225,6 +247,11 @@
 	writes, parts := f.bools("extra.class-write"), f.bools("extra.in-parts")
 	fresh, grace := f.floats("extra.max-age-us"), f.floats("extra.usable-after-us")
 	old := f.floats("extra.old-copy-worth")
+	for _, x := range old {
+		if x > 1 {
+			f.fail("extra.old-copy-worth", "not a list of numbers from 0 to 1")
+		}
+	}
 	n := f.int("grades.count", 0)
 	if n < 0 || n > 256 {
 		f.fail("grades.count", "out of range")
@@ -242,7 +269,7 @@
 			AimStretch: f.float(p+"aim-stretch", 0),
 			GiveUp:     f.micros(p+"give-up-us", 0),
 			Worth:      f.float(p+"importance", 1),
-			LateWorth:  f.float(p+"late-value", 0),
+			LateWorth:  f.share(p+"late-value", 0),
 			Stream:     f.bool(p + "stream"),
 			Write:      at(writes, i, false),
 			Parts:      at(parts, i, false),
--- a/internal/program/serve.go
+++ b/internal/program/serve.go
@@ -44,6 +44,7 @@
 	signedShare  = 0.1       // part of them for the clients of the signed front, where it is on
 	poolShare    = 0.25      // part of them for cache nodes
 	inputShare   = 0.125     // part of the memory limit that answers on one connection may fill unseen
+	nodesLeast   = 4         // descriptors for cache nodes at the least
 	poolMost     = 8         // connections to one node at most
 	idleShare    = 0.8       // part of the nodes' idle time after which we close first
 	drainAfter   = 750_000   // us after SIGTERM until which clients may still come
@@ -162,6 +163,7 @@
 	to := towards(cfg, cfg.Settings.Classes)
 	to.Input = min(to.Streams*upstream.AnswerMost, int(inputShare*float64(cfg.MemoryMB)*(1<<20)))
 	to.Connections = max(1, min(poolMost, int(poolShare*float64(cfg.Sockets))/nodes))
+	to.Total = nodesRoom(cfg, operator)
 	p.pools = upstream.New(to, tcp, p.loop, p.gate, log)
 	p.gate.Use(p.pools)
 	if p.held != nil {
@@ -257,7 +259,18 @@
 	if c != nil && c.Held > 0 {
 		return c.Held
 	}
-	return int(clientShare * float64(cfg.Sockets))
+	return max(1, min(int(clientShare*float64(cfg.Sockets)), cfg.Sockets-spareFiles-nodesLeast))
+}
+
+// nodesRoom is the descriptors for cache nodes: those that neither clients may hold nor the
+// program itself needs, for the notice board before all. Whatever clients do while the board is
+// down, it is found again, and nodes are reached.
+func nodesRoom(cfg *config.Config, o *config.Operator) int {
+	clients := held(cfg, o.Clients)
+	if o.Signed != nil {
+		clients += int(signedShare * float64(cfg.Sockets))
+	}
+	return max(nodesLeast, cfg.Sockets-spareFiles-clients)
 }
 
 // bound takes over what the operator's file says of the connections of both fronts.
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -36,6 +36,7 @@
 	Alone       []bool         // of the classes: those that share no connection, and get a fresh one, where there is room
 	Streams     int            // attempts that a connection carries together
 	Connections int            // connections to one server
+	Total       int            // connections to all servers; 0: any number
 	ConnectTime gateway.Micros // a connection not up by then has failed
 	IdleTime    gateway.Micros // an idle connection is closed after it
 	Input       int            // bytes of answers that may come on a connection before the loop looks; see AnswerMost
@@ -61,6 +62,7 @@
 	gate  Clearer
 	log   *slog.Logger
 	pools map[rules.ServerID]*pool
+	held  int                        // connections, with those that are being dialled
 	where map[*gateway.Attempt]*conn // attempts that were given to a connection
 	buf   []byte
 }
@@ -74,19 +76,31 @@
 }
 
 // Renew takes a further configuration. Its lanes must keep those known so far in
-// their places. Connections that are up stay; the number to one server, and what may
-// come on one unseen, are those given at the start.
+// their places. Connections that are up stay; their numbers, and what may come on one
+// unseen, are those given at the start.
 func (p *Pools) Renew(cfg Config) {
-	cfg.Connections, cfg.Input = p.cfg.Connections, p.cfg.Input
+	cfg.Connections, cfg.Total, cfg.Input = p.cfg.Connections, p.cfg.Total, p.cfg.Input
 	p.cfg = cfg
 }
 
-// Held counts the connections to all servers.
-func (p *Pools) Held() (n int) {
+// Held counts the connections to all servers, with those that are being dialled.
+func (p *Pools) Held() int { return p.held }
+
+// yield has the connection that has stood idle for longest make room for one to another
+// server.
+func (p *Pools) yield(other *pool) {
+	var oldest *conn
 	for _, x := range p.pools {
-		n += len(x.conns) + x.dialing
+		for _, c := range x.conns {
+			if x != other && !c.retired && len(c.open) == 0 && (oldest == nil || c.since < oldest.since ||
+				c.since == oldest.since && c.pool.name < oldest.pool.name) {
+				oldest = c
+			}
+		}
+	}
+	if oldest != nil {
+		oldest.retire()
 	}
-	return n
 }
 
 // pool is one server's connections and what waits for them.
@@ -263,10 +277,22 @@
 	}
 	streams := max(1, x.all.cfg.Streams)
 	if (len(x.waiting) > x.dialing*streams || more > x.dialing) && x.room() {
+		if x.all.full() {
+			x.all.yield(x)
+			if len(x.conns)+x.dialing == 0 { // nothing would come to take them; the server is not to blame
+				for _, a := range x.take(func(*gateway.Attempt) bool { return true }) {
+					x.all.gate.End(a, gateway.End{Code: rules.Moot})
+				}
+			}
+			return
+		}
 		x.dial()
 	}
 }
 
+// full tells whether there are as many connections as there may be to all servers.
+func (p *Pools) full() bool { return p.cfg.Total > 0 && p.held >= p.cfg.Total }
+
 // barred tells whether there are connections that would take an attempt, but for its id
 // having been on them.
 func (x *pool) barred(a *gateway.Attempt) bool {
@@ -387,11 +413,15 @@
 func (x *pool) dial() {
 	x.dialing++
 	p := x.all
+	p.held++
 	c := &conn{pool: x, open: map[string]*gateway.Attempt{}, past: map[string]past{}}
 	addr, born := x.addr, x.born
 	p.net.Dial(addr, max(p.cfg.Input, inputLeast*AnswerMost), c, p.loop.Now()+p.cfg.ConnectTime,
 		func(tc Conn, err error) {
 			x.dialing--
+			if err != nil {
+				p.held--
+			}
 			if x.denied = err != nil; err == nil {
 				c.tc = tc
 				x.conns = append(x.conns, c)
@@ -528,6 +558,7 @@
 func (c *conn) Closed() {
 	x := c.pool
 	c.retired = true
+	x.all.held--
 	x.all.loop.Stop(c.idle)
 	x.conns = slices.DeleteFunc(x.conns, func(o *conn) bool { return o == c })
 	first := rules.Reset
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -540,3 +540,46 @@
 		}
 	}
 }
+
+// Guards against descriptors that run out on connections to nodes, so that the notice board
+// can't be reached: all together are bounded. An attempt at one node more is ended as never sent, and
+// the connection that was idle for longest makes room for the next.
+func TestConnectionsToAllNodesAreBounded(t *testing.T) {
+	r := newRig(t, 1)
+	r.on(func() { r.pools.cfg.Total = 2 })
+	var first net.Conn
+	for i := range 2 {
+		if i > 0 {
+			r.on(func() {
+				r.srv = &gateway.Server{ID: rules.ServerID(i + 1), Name: fmt.Sprint("s-", i+1), Addr: r.srv.Addr, State: rules.Ready}
+				r.pools.Follow(r.srv)
+			})
+		}
+		a := r.start(10)
+		c := r.accept()
+		if i == 0 {
+			first = c
+		}
+		_, _ = fmt.Fprintf(c, "%s ok - 0\r\n\r\n", a.Call.ID)
+		r.await(a.Call.ID)
+	}
+	r.on(func() {
+		r.srv = &gateway.Server{ID: 3, Name: "s-3", Addr: r.srv.Addr, State: rules.Ready}
+		r.pools.Follow(r.srv)
+	})
+	a := r.start(10)
+	if e := r.await(a.Call.ID); e.Code != rules.Moot {
+		t.Errorf("ended as %+v", e)
+	}
+	if _, err := io.Copy(io.Discard, first); os.IsTimeout(err) {
+		t.Error("the oldest idle connection stays open")
+	}
+	for held := 2; held == 2; time.Sleep(time.Millisecond) {
+		r.on(func() { held = r.pools.Held() })
+	}
+	b := r.start(10)
+	_, _ = fmt.Fprintf(r.accept(), "%s ok - 0\r\n\r\n", b.Call.ID)
+	if e := r.await(b.Call.ID); e.Code != rules.OK {
+		t.Errorf("ended as %+v", e)
+	}
+}
--- a/rules/guards_test.go
+++ b/rules/guards_test.go
@@ -62,7 +62,9 @@
 		scope Scope
 		late  Micros
 		ok    bool // a refusal is allowed
-	}{{ScopeAll, 0, true}, {ScopeAll, 5 * second, false}, {ScopeZone, 0, false}, {ScopeCell, 0, false}} {
+	}{{ScopeAll, 0, true}, {ScopeAll, 5 * second, false},
+		{ScopeAll, 2900 * milli, true}, {ScopeAll, 3500 * milli, false}, // it comes back up to 1 s later
+		{ScopeZone, 0, false}, {ScopeCell, 0, false}} {
 		g := newRig(t, func(s *Settings) {
 			s.Classes[0].Effect, s.Classes[0].Scope, s.Classes[0].MemorySpan = Keyed, tt.scope, 4*second
 		})
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -712,7 +712,7 @@
 
 func (r *Router) mayRefuse(q *request) bool {
 	return q.mayRepeat() || q.class.Effect == Keyed && q.class.Scope == ScopeAll &&
-		r.now-q.ranAt < q.class.MemorySpan
+		r.now+r.cfg.MaxAway-q.ranAt < q.class.MemorySpan // also when the client is back
 }
 
 // mayRepeat: a keyed request that may have run stays within its group, which is left to the client.
