--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -329,6 +329,8 @@
 		if err != nil || on == 0 {
 			t.Errorf("dialled %v: TCP_NODELAY is %d, %v", c.dialed, on, err)
 		}
+	}
+	for _, c := range both { // only now: the end of one is the end of the other
 		c.Close()
 	}
 }
