Two constants follow the settings; one turn, one end; starts without a board

heardWithin (300 ms, copies of our own) is the settings' time to heed a purge, and a connection counts as silent from half the longest aim on, 300 ms at least (so it stays on the platform): both held for one deployment alone. Tests: an answer, its deadline and its client's end in one turn in any order; a front that starts and ends while the board is down.

--- a/cmd/cherryramp/end_test.go
+++ b/cmd/cherryramp/end_test.go
@@ -142,3 +142,35 @@
 		}
 	}
 }
+
+// Guards against a front that is not ready because discovery is down: it starts, serves from what
+// its configuration knows, and follows the board once that is up. SIGTERM in that state ends it cleanly.
+func TestStartAndEndWhileTheBoardIsDown(t *testing.T) {
+	free := freeAddress(t)
+	s := newSiteChanged(t, 1, "", func(config string) string {
+		at := strings.Index(config, `"board":"`) + len(`"board":"`)
+		return config[:at] + free + config[at+strings.Index(config[at:], `"`):]
+	})
+	s.boxes[0].serveAll()
+	c := dial(t, s.addr)
+	c.send("GET /ping HTTP/1.1\r\nHost: x\r\n\r\n")
+	if r, _ := c.answer("GET"); r.StatusCode != 200 {
+		t.Errorf("not ready: %d", r.StatusCode)
+	}
+	c.send(get("guide-video", "9f3a", 5000))
+	if r, _ := c.answer("GET"); r.StatusCode != 200 {
+		t.Errorf("got %d", r.StatusCode)
+	}
+	s.log.await(t, "notice board can't be reached")
+	s.board.stop()
+	s.board.addr = free
+	s.board.add(s.draining())
+	s.board.resume(t)
+	s.log.await(t, "state=draining")
+	s.board.stop()
+	s.signal(syscall.SIGTERM)
+	if !c.closed() {
+		t.Error("a resting connection stays open")
+	}
+	s.ends()
+}
--- a/internal/gateway/copies.go
+++ b/internal/gateway/copies.go
@@ -1,13 +1,15 @@
 package gateway
 
 import (
+	"cmp"
 	"container/list"
 
 	"cherryramp/rules"
 )
 
-// heardWithin is how lately the notice board must have answered for copies of
-// our own to be served: a purge that it holds counts as told, heard or not.
+// heardWithin is how lately the notice board must have answered for copies of our own
+// to be served, where the settings give no time to heed a purge: one that the board holds
+// counts as told, heard or not.
 const heardWithin = 300_000 // us
 
 // linkWait is how long an answer may stand behind others on the own link.
@@ -18,6 +20,7 @@
 	Bytes int     // held at most
 	Flow  float64 // bytes a second of one transfer
 	Link  float64 // bytes a second of all together
+	Heed  Micros  // time to heed a purge; 0: heardWithin
 }
 
 // copyKey names a part of an object.
@@ -68,7 +71,7 @@
 // fresh, in a moment when the link is all but free and no purge can have been missed.
 func (s *copies) find(c *Call, class *rules.Class, now Micros) *ownCopy {
 	e := s.byKey[copyKey{c.Object, c.Part}]
-	if e == nil || s.limit.Bytes == 0 || class.Write || now-s.heard > heardWithin || s.freeAt > now+linkWait {
+	if e == nil || s.limit.Bytes == 0 || class.Write || now-s.heard > cmp.Or(s.limit.Heed, heardWithin) || s.freeAt > now+linkWait {
 		return nil
 	}
 	x := e.Value.(*ownCopy)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"log/slog"
+	"slices"
 	"testing"
 
 	"cherryramp/internal/loop"
@@ -153,6 +154,8 @@
 		{"object purged", 0, func(g *Gateway) { g.Purge(Purge{Object: "a", At: g.loop.Now()}) }, false},
 		{"group purged", 0, func(g *Gateway) { g.Purge(Purge{Group: 17, At: g.loop.Now()}) }, false},
 		{"other group purged", 0, func(g *Gateway) { g.Purge(Purge{Group: 18, At: g.loop.Now()}) }, true},
+		{"purges must be heeded sooner", 0, func(g *Gateway) { g.copies.limit.Heed = second / 10; g.copies.heard -= second / 5 }, false},
+		{"purges may be heeded later", 0, func(g *Gateway) { g.copies.limit.Heed = 2 * second; g.copies.heard -= second }, true},
 		{"board silent", 0, func(g *Gateway) { g.copies.heard -= second }, false},
 		{"link busy", 0, func(g *Gateway) { g.copies.freeAt = g.loop.Now() + second }, false},
 		{"fresh", 1, func(*Gateway) {}, true},
@@ -247,3 +250,44 @@
 		})
 	}
 }
+
+// Guards against two answers, or none, where an answer and its deadline, or the client's end,
+// fall into one turn of the loop: whichever comes first counts, and the other changes nothing.
+func TestOneTurnOneEnd(t *testing.T) {
+	answer := func(g *Gateway, a *Attempt) { g.End(a, End{Code: rules.OK, Answer: Answer{Body: []byte("abc")}}) }
+	late := func(g *Gateway, a *Attempt) { a.Deadline = a.Call.Deadline; g.expire(a) }
+	gone := func(g *Gateway, a *Attempt) { g.Leave(a.Call) }
+	for name, x := range map[string]struct {
+		first, second func(*Gateway, *Attempt)
+		class         int
+		want          []Kind
+	}{
+		"answer, deadline":        {answer, late, 0, []Kind{Served}},
+		"deadline, answer":        {late, answer, 2, []Kind{Failed}},
+		"answer, client gone":     {answer, gone, 0, []Kind{Served}},
+		"client gone, answer":     {gone, answer, 0, nil},
+		"client gone, deadline":   {gone, late, 0, nil},
+		"deadline, client gone":   {late, gone, 2, nil},
+		"answer, answer":          {answer, answer, 0, []Kind{Served}},
+		"client gone, then again": {gone, gone, 0, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g, n := newGateway(t)
+			_, got := submit(g, x.class, "a")
+			a := n.started[0]
+			x.first(g, a)
+			x.second(g, a)
+			g.Settle()
+			var kinds []Kind
+			for _, k := range got.got {
+				kinds = append(kinds, k.Kind)
+			}
+			if !slices.Equal(kinds, x.want) || g.Open() != 0 {
+				t.Errorf("answers %v, want %v; %d open", kinds, x.want, g.Open())
+			}
+			if len(n.started) != 1 {
+				t.Errorf("%d attempts", len(n.started))
+			}
+		})
+	}
+}
--- a/internal/program/serve.go
+++ b/internal/program/serve.go
@@ -315,7 +315,7 @@
 		return gateway.Copies{}
 	}
 	return gateway.Copies{Bytes: int(copyShare * float64(cfg.MemoryMB) * (1 << 20)), Flow: cfg.Flow,
-		Link: cfg.Link}
+		Link: cfg.Link, Heed: cfg.Settings.PurgeGrace}
 }
 
 // signedPolicy is what the operator's file says of signed links.
--- a/internal/program/settings.go
+++ b/internal/program/settings.go
@@ -58,6 +58,9 @@
 func towards(cfg *config.Config, classes []rules.Class) upstream.Config {
 	c := upstream.Config{Lanes: lanes(classes), Streams: cfg.Streams, ConnectTime: cfg.ConnectTime,
 		IdleTime: int64(idleShare * float64(cfg.ConnIdle)), Cancel: cfg.Settings.Cancel, Hedges: cfg.Settings.Hedges}
+	for _, x := range classes {
+		c.Silent = max(c.Silent, x.Aim/2) // long work says nothing for long
+	}
 	for _, x := range classes { // what must not run twice does not suffer from others' answers
 		c.Alone = append(c.Alone, x.Effect == rules.Unsafe)
 		c.Repeat = append(c.Repeat, x.Effect == rules.Safe)
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -22,7 +22,7 @@
 	inputLeast = 4       // answers that may come on a connection before the loop looks, at the least
 	pastLimit  = 512     // ids that a connection remembers before it is retired
 	muteLimit  = 2       // attempts that run out on a silent connection before it is retired
-	muteSpan   = 300_000 // us without a word, with something open, from which it is taken for silent
+	muteLeast  = 300_000 // us without a word, with something open, from which it is taken for silent, at the least
 	wholeMost  = 500_000 // us from an answer's first byte to its last
 	shareMost  = 2       // attempts on a connection from which another one is opened beside it
 	muteCost   = 1000    // in pick, of a silent connection: above any number of open attempts
@@ -39,6 +39,7 @@
 	Total       int            // connections to all servers; 0: any number
 	ConnectTime gateway.Micros // a connection not up by then has failed
 	IdleTime    gateway.Micros // an idle connection is closed after it
+	Silent      gateway.Micros // without a word, with something open, a connection is taken for silent; muteLeast at least
 	Input       int            // bytes of answers that may come on a connection before the loop looks; see AnswerMost
 	Cancel      bool           // nodes may be told that a request is given up
 	Hedges      bool           // two attempts of one request may be out together
@@ -71,6 +72,7 @@
 
 // New makes pools without connections.
 func New(cfg Config, n Network, l *loop.Loop, gate Clearer, log *slog.Logger) *Pools {
+	cfg.Silent = max(cfg.Silent, muteLeast)
 	return &Pools{cfg: cfg, net: n, loop: l, gate: gate, log: log, pools: map[rules.ServerID]*pool{},
 		where: map[*gateway.Attempt]*conn{}}
 }
@@ -79,6 +81,7 @@
 // their places. Connections that are up stay; their numbers, and what may come on one
 // unseen, are those given at the start.
 func (p *Pools) Renew(cfg Config) {
+	cfg.Silent = max(cfg.Silent, muteLeast)
 	cfg.Connections, cfg.Total, cfg.Input = p.cfg.Connections, p.cfg.Total, p.cfg.Input
 	p.cfg = cfg
 }
@@ -211,7 +214,7 @@
 	}
 	c.forget(a)
 	c.remember(a, false)
-	if c.pool.all.loop.Now()-c.since > muteSpan {
+	if c.pool.all.loop.Now()-c.since > c.pool.all.cfg.Silent {
 		c.mute++
 	}
 	if c.mute >= muteLimit || c.mute > 0 && len(c.open) == 0 {
@@ -359,7 +362,7 @@
 		if c.alone > 0 || x.all.alone(a) && (cost > 0 || c.stale()) {
 			cost += busyCost
 		}
-		if len(c.open) > 0 && c.pool.all.loop.Now()-c.since > muteSpan {
+		if len(c.open) > 0 && c.pool.all.loop.Now()-c.since > c.pool.all.cfg.Silent {
 			cost += muteCost
 		}
 		if best == nil || cost < least {
