--- a/cmd/cherryramp/members_test.go
+++ b/cmd/cherryramp/members_test.go
@@ -4,14 +4,14 @@
 	"fmt"
 	"testing"
 
-	"cherryramp/internal/ephemeral/keeper"
+	"cherryramp/internal/ephemeral/keepertest"
 )
 
 // Members come from ephemeral nodes in place of the board's list: a box serves
 // once its node is there, and gets nothing more once the node has vanished.
 func TestMembersFromEphemeralNodes(t *testing.T) {
-	k := keeper.New(t)
-	s := newSite(t, 2, fmt.Sprintf(`{"ephemeral":{"servers":["%s"],"path":"%s"}}`, k.Addr(), keeper.Root))
+	k := keepertest.New(t)
+	s := newSite(t, 2, fmt.Sprintf(`{"ephemeral":{"servers":["%s"],"path":"%s"}}`, k.Addr(), keepertest.Root))
 	add := func(name, place, kind string, n *node) {
 		k.Set(name, fmt.Sprintf(`{"host_port":"%s","locality":"%s","flavor":"%s","phase":"SERVING","size":100}`,
 			n.ln.Addr(), place, kind))
--- a/internal/board/board_test.go
+++ b/internal/board/board_test.go
@@ -17,7 +17,7 @@
 
 	"cherryramp/internal/gateway"
 	"cherryramp/internal/loop"
-	"cherryramp/internal/seeded"
+	"cherryramp/internal/seededtest"
 	"cherryramp/internal/transport"
 )
 
@@ -26,7 +26,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
-	seeded.Main(m)
+	seededtest.Main(m)
 }
 
 var quiet = slog.New(slog.NewTextHandler(io.Discard, nil))
--- a/internal/config/settings_test.go
+++ b/internal/config/settings_test.go
@@ -6,11 +6,11 @@
 
 	"pgregory.net/rapid"
 
-	"cherryramp/internal/seeded"
+	"cherryramp/internal/seededtest"
 	"cherryramp/rules"
 )
 
-func TestMain(m *testing.M) { seeded.Main(m) }
+func TestMain(m *testing.M) { seededtest.Main(m) }
 
 func TestParseSettings(t *testing.T) {
 	s, err := ParseSettings("grades.count=1\n" +
--- a/internal/decide/admission/admission_test.go
+++ b/internal/decide/admission/admission_test.go
@@ -9,10 +9,10 @@
 
 	"pgregory.net/rapid"
 
-	"cherryramp/internal/seeded"
+	"cherryramp/internal/seededtest"
 )
 
-func TestMain(m *testing.M) { seeded.Main(m) }
+func TestMain(m *testing.M) { seededtest.Main(m) }
 
 func prefix(i int) netip.Prefix {
 	return netip.PrefixFrom(netip.AddrFrom4([4]byte{10, byte(i >> 8), byte(i), 0}), 24)
--- a/internal/decide/audit/audit_test.go
+++ b/internal/decide/audit/audit_test.go
@@ -8,10 +8,10 @@
 
 	"pgregory.net/rapid"
 
-	"cherryramp/internal/seeded"
+	"cherryramp/internal/seededtest"
 )
 
-func TestMain(m *testing.M) { seeded.Main(m) }
+func TestMain(m *testing.M) { seededtest.Main(m) }
 
 // story is a chain of what happened, as records on a disk, and under which version
 // each request was decided.
--- a/internal/decide/compact/compact_test.go
+++ b/internal/decide/compact/compact_test.go
@@ -8,10 +8,10 @@
 
 	"pgregory.net/rapid"
 
-	"cherryramp/internal/seeded"
+	"cherryramp/internal/seededtest"
 )
 
-func TestMain(m *testing.M) { seeded.Main(m) }
+func TestMain(m *testing.M) { seededtest.Main(m) }
 
 func name(i int) (n Name) {
 	if i == 0 {
--- a/internal/decide/content/content_test.go
+++ b/internal/decide/content/content_test.go
@@ -11,10 +11,10 @@
 	"pgregory.net/rapid"
 
 	"cherryramp/internal/httpwire"
-	"cherryramp/internal/seeded"
+	"cherryramp/internal/seededtest"
 )
 
-func TestMain(m *testing.M) { seeded.Main(m) }
+func TestMain(m *testing.M) { seededtest.Main(m) }
 
 func header(fields ...string) (h httpwire.Header) {
 	for _, f := range fields {
--- a/internal/decide/figures/figures_test.go
+++ b/internal/decide/figures/figures_test.go
@@ -6,10 +6,10 @@
 
 	"pgregory.net/rapid"
 
-	"cherryramp/internal/seeded"
+	"cherryramp/internal/seededtest"
 )
 
-func TestMain(m *testing.M) { seeded.Main(m) }
+func TestMain(m *testing.M) { seededtest.Main(m) }
 
 // Whatever is counted in whatever order, the report reads back as the sum of it,
 // class by class.
--- a/internal/decide/grants/grants_test.go
+++ b/internal/decide/grants/grants_test.go
@@ -24,10 +24,10 @@
 
 	"cherryramp/internal/decide/keyring"
 	"cherryramp/internal/httpwire"
-	"cherryramp/internal/seeded"
+	"cherryramp/internal/seededtest"
 )
 
-func TestMain(m *testing.M) { seeded.Main(m) }
+func TestMain(m *testing.M) { seededtest.Main(m) }
 
 const (
 	at      = int64(1_800_000_000)
--- a/internal/decide/ledger/ledger_test.go
+++ b/internal/decide/ledger/ledger_test.go
@@ -8,10 +8,10 @@
 
 	"pgregory.net/rapid"
 
-	"cherryramp/internal/seeded"
+	"cherryramp/internal/seededtest"
 )
 
-func TestMain(m *testing.M) { seeded.Main(m) }
+func TestMain(m *testing.M) { seededtest.Main(m) }
 
 var small = Config{Most: 20, Bytes: 50, Keep: 1000, Delay: 100}
 
--- a/internal/decide/pace/pace_test.go
+++ b/internal/decide/pace/pace_test.go
@@ -6,10 +6,10 @@
 
 	"pgregory.net/rapid"
 
-	"cherryramp/internal/seeded"
+	"cherryramp/internal/seededtest"
 )
 
-func TestMain(m *testing.M) { seeded.Main(m) }
+func TestMain(m *testing.M) { seededtest.Main(m) }
 
 const second = 1_000_000
 
--- a/internal/decide/quota/quota_test.go
+++ b/internal/decide/quota/quota_test.go
@@ -7,10 +7,10 @@
 
 	"pgregory.net/rapid"
 
-	"cherryramp/internal/seeded"
+	"cherryramp/internal/seededtest"
 )
 
-func TestMain(m *testing.M) { seeded.Main(m) }
+func TestMain(m *testing.M) { seededtest.Main(m) }
 
 // Whatever comes, no span holds more than its rate and burst allow, and a
 // client that stays away as told is let in.
--- a/internal/decide/readiness/readiness_test.go
+++ b/internal/decide/readiness/readiness_test.go
@@ -5,10 +5,10 @@
 
 	"pgregory.net/rapid"
 
-	"cherryramp/internal/seeded"
+	"cherryramp/internal/seededtest"
 )
 
-func TestMain(m *testing.M) { seeded.Main(m) }
+func TestMain(m *testing.M) { seededtest.Main(m) }
 
 // Whatever operators and signals do in whatever order, the front is ready just
 // where no end came, it is no lame duck, and its start is over; a lame duck
--- a/internal/decide/replica/replica_test.go
+++ b/internal/decide/replica/replica_test.go
@@ -9,10 +9,10 @@
 
 	"cherryramp/internal/decide/council"
 	"cherryramp/internal/decide/work"
-	"cherryramp/internal/seeded"
+	"cherryramp/internal/seededtest"
 )
 
-func TestMain(m *testing.M) { seeded.Main(m) }
+func TestMain(m *testing.M) { seededtest.Main(m) }
 
 func drawCommand(t *rapid.T) Command {
 	name := rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "front")
--- a/internal/decide/resources/resources_test.go
+++ b/internal/decide/resources/resources_test.go
@@ -6,10 +6,10 @@
 
 	"pgregory.net/rapid"
 
-	"cherryramp/internal/seeded"
+	"cherryramp/internal/seededtest"
 )
 
-func TestMain(m *testing.M) { seeded.Main(m) }
+func TestMain(m *testing.M) { seededtest.Main(m) }
 
 // The account adds up, the bounds hold, and the table holds nobody who left.
 func TestAccount(t *testing.T) {
--- a/internal/decide/streams/streams_test.go
+++ b/internal/decide/streams/streams_test.go
@@ -6,10 +6,10 @@
 
 	"pgregory.net/rapid"
 
-	"cherryramp/internal/seeded"
+	"cherryramp/internal/seededtest"
 )
 
-func TestMain(m *testing.M) { seeded.Main(m) }
+func TestMain(m *testing.M) { seededtest.Main(m) }
 
 var config = Config{Weights: []int{1, 3}, Window: 1000, Total: 4000, Most: 8, Quantum: 100}
 
--- a/internal/decide/transit/transit_test.go
+++ b/internal/decide/transit/transit_test.go
@@ -5,10 +5,10 @@
 
 	"pgregory.net/rapid"
 
-	"cherryramp/internal/seeded"
+	"cherryramp/internal/seededtest"
 )
 
-func TestMain(m *testing.M) { seeded.Main(m) }
+func TestMain(m *testing.M) { seededtest.Main(m) }
 
 // Whatever the clocks' difference and drift, a frame that was held for long is never
 // said to have been held for much less, and on a steady link none is said to be held
--- a/internal/decide/versions/versions_test.go
+++ b/internal/decide/versions/versions_test.go
@@ -8,10 +8,10 @@
 
 	"pgregory.net/rapid"
 
-	"cherryramp/internal/seeded"
+	"cherryramp/internal/seededtest"
 )
 
-func TestMain(m *testing.M) { seeded.Main(m) }
+func TestMain(m *testing.M) { seededtest.Main(m) }
 
 func proposed(t *rapid.T, s *State, text string, v Version, r Rules) uint64 {
 	h, err := s.Keep([]byte(text), 0)
--- a/internal/decide/work/work_test.go
+++ b/internal/decide/work/work_test.go
@@ -6,10 +6,10 @@
 
 	"pgregory.net/rapid"
 
-	"cherryramp/internal/seeded"
+	"cherryramp/internal/seededtest"
 )
 
-func TestMain(m *testing.M) { seeded.Main(m) }
+func TestMain(m *testing.M) { seededtest.Main(m) }
 
 // Whatever boxes are asked for, those under way in a hub never have more of its pace
 // than the rules let, but for one that has more by itself; and all go in the end.
--- a/internal/ephemeral/ephemeral_test.go
+++ b/internal/ephemeral/ephemeral_test.go
@@ -9,7 +9,7 @@
 	"testing"
 	"time"
 
-	"cherryramp/internal/ephemeral/keeper"
+	"cherryramp/internal/ephemeral/keepertest"
 	"cherryramp/internal/gateway"
 	"cherryramp/internal/loop"
 	"cherryramp/rules"
@@ -46,14 +46,14 @@
 	}
 }
 
-func start(t *testing.T, k *keeper.Keeper) *sink {
+func start(t *testing.T, k *keepertest.Keeper) *sink {
 	t.Helper()
 	l := loop.New(func() {})
 	done := make(chan struct{})
 	go func() { l.Run(); close(done) }()
 	t.Cleanup(func() { l.Post(l.Quit); <-done })
 	s := &sink{lists: make(chan string, 100)}
-	err := Start(Config{Servers: []string{k.Addr()}, Path: keeper.Root, Session: 2 * time.Second}, l, s,
+	err := Start(Config{Servers: []string{k.Addr()}, Path: keepertest.Root, Session: 2 * time.Second}, l, s,
 		slog.New(slog.NewTextHandler(io.Discard, nil)))
 	if err != nil {
 		t.Fatal(err)
@@ -62,7 +62,7 @@
 }
 
 func TestFollowsNodes(t *testing.T) {
-	k := keeper.New(t)
+	k := keepertest.New(t)
 	k.Set("s-1", box("SERVING"))
 	s := start(t, k)
 	s.await(t, "true s-1+")
@@ -81,7 +81,7 @@
 // Guards against a lost connection emptying the list, and against changes made
 // meanwhile that are never heard of.
 func TestLostConnectionKeepsTheList(t *testing.T) {
-	k := keeper.New(t)
+	k := keepertest.New(t)
 	k.Set("s-1", box("SERVING"))
 	s := start(t, k)
 	s.await(t, "true s-1+")
@@ -98,7 +98,7 @@
 // Guards against watches that die with their session: the new one must read
 // all again and hear of what comes later.
 func TestNewSessionReadsAllAgain(t *testing.T) {
-	k := keeper.New(t)
+	k := keepertest.New(t)
 	k.Set("s-1", box("SERVING"))
 	k.Set("s-2", box("SERVING"))
 	s := start(t, k)
--- a/internal/front/session/states_test.go
+++ b/internal/front/session/states_test.go
@@ -9,10 +9,10 @@
 	"pgregory.net/rapid"
 
 	"cherryramp/internal/loop"
-	"cherryramp/internal/seeded"
+	"cherryramp/internal/seededtest"
 )
 
-func TestMain(m *testing.M) { seeded.Main(m) }
+func TestMain(m *testing.M) { seededtest.Main(m) }
 
 // fixture is a server without sockets; its connections are records alone.
 func fixture() *Server {
--- a/internal/front/signed/encoding/encoding_test.go
+++ b/internal/front/signed/encoding/encoding_test.go
@@ -11,10 +11,10 @@
 	"github.com/klauspost/compress/zstd"
 	"pgregory.net/rapid"
 
-	"cherryramp/internal/seeded"
+	"cherryramp/internal/seededtest"
 )
 
-func TestMain(m *testing.M) { seeded.Main(m) }
+func TestMain(m *testing.M) { seededtest.Main(m) }
 
 // What is encoded reads back by each format's own decoder.
 func TestRoundTrip(t *testing.T) {
--- a/internal/httpwire/httpwire_test.go
+++ b/internal/httpwire/httpwire_test.go
@@ -9,10 +9,10 @@
 
 	"pgregory.net/rapid"
 
-	"cherryramp/internal/seeded"
+	"cherryramp/internal/seededtest"
 )
 
-func TestMain(m *testing.M) { seeded.Main(m) }
+func TestMain(m *testing.M) { seededtest.Main(m) }
 
 var limits = Limits{Head: 512, Body: 256}
 
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -16,10 +16,10 @@
 	"pgregory.net/rapid"
 
 	"cherryramp/internal/decide/ledger"
-	"cherryramp/internal/seeded"
+	"cherryramp/internal/seededtest"
 )
 
-func TestMain(m *testing.M) { seeded.Main(m) }
+func TestMain(m *testing.M) { seededtest.Main(m) }
 
 func now(f func()) { f() }
 
--- a/internal/link/frame/frame_test.go
+++ b/internal/link/frame/frame_test.go
@@ -8,10 +8,10 @@
 
 	"pgregory.net/rapid"
 
-	"cherryramp/internal/seeded"
+	"cherryramp/internal/seededtest"
 )
 
-func TestMain(m *testing.M) { seeded.Main(m) }
+func TestMain(m *testing.M) { seededtest.Main(m) }
 
 // A frame is read as it was written, wherever it is cut, and nothing behind it is
 // touched.
--- a/internal/loop/wheel_test.go
+++ b/internal/loop/wheel_test.go
@@ -10,10 +10,10 @@
 	"github.com/google/btree"
 	"pgregory.net/rapid"
 
-	"cherryramp/internal/seeded"
+	"cherryramp/internal/seededtest"
 )
 
-func TestMain(m *testing.M) { seeded.Main(m) }
+func TestMain(m *testing.M) { seededtest.Main(m) }
 
 // The wheel does what a sorted list does: each set deadline comes once, in
 // order, not before its time and not after the wheel has gone past it, and none
--- a/internal/seeded/seeded.go
+++ b/internal/seededtest/seededtest.go
@@ -1,6 +1,6 @@
-// Package seeded runs a package's tests with a fixed seed for rapid, so that
+// Package seededtest runs a package's tests with a fixed seed for rapid, so that
 // every run tries the same cases and leaves no files behind.
-package seeded
+package seededtest
 
 import (
 	"flag"
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -14,10 +14,10 @@
 	"pgregory.net/rapid"
 
 	"cherryramp/internal/loop"
-	"cherryramp/internal/seeded"
+	"cherryramp/internal/seededtest"
 )
 
-func TestMain(m *testing.M) { seeded.Main(m) }
+func TestMain(m *testing.M) { seededtest.Main(m) }
 
 const patience = 10 * time.Second
 
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -13,7 +13,7 @@
 
 	"cherryramp/internal/gateway"
 	"cherryramp/internal/loop"
-	"cherryramp/internal/seeded"
+	"cherryramp/internal/seededtest"
 	"cherryramp/internal/transport"
 	"cherryramp/rules"
 )
@@ -23,7 +23,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
-	seeded.Main(m)
+	seededtest.Main(m)
 }
 
 const patience = 10 * time.Second
--- a/lab/fleet/processes_test.go
+++ b/lab/fleet/processes_test.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"cherryramp/internal/fleet"
-	"cherryramp/internal/seeded"
+	"cherryramp/internal/seededtest"
 )
 
 var program string
@@ -27,7 +27,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
-	code := seeded.Run(m)
+	code := seededtest.Run(m)
 	_ = os.RemoveAll(dir)
 	os.Exit(code)
 }
--- a/lab/scenario/scenario_test.go
+++ b/lab/scenario/scenario_test.go
@@ -9,11 +9,11 @@
 
 	"pgregory.net/rapid"
 
-	"cherryramp/internal/seeded"
+	"cherryramp/internal/seededtest"
 	"cherryramp/lab/world"
 )
 
-func TestMain(m *testing.M) { seeded.Main(m) }
+func TestMain(m *testing.M) { seededtest.Main(m) }
 
 // Every scenario of the library can be read; all promises hold in it, and what it
 // expects is met.
--- a/lab/world/sockets.go
+++ b/lab/world/sockets.go
@@ -19,7 +19,7 @@
 	"syscall"
 	"time"
 
-	"cherryramp/internal/ephemeral/keeper"
+	"cherryramp/internal/ephemeral/keepertest"
 	"cherryramp/internal/gateway"
 	"cherryramp/internal/loop"
 	"cherryramp/lab/process"
@@ -213,7 +213,7 @@
 	dir     string
 	listen  string
 	signed  string
-	keeper  *keeper.Keeper // with ephemeral nodes
+	keeper  *keepertest.Keeper // with ephemeral nodes
 	board   *http.Server
 	client  *http.Client
 	rev     int64
@@ -387,13 +387,13 @@
 		}
 	}
 	if o.Ephemeral {
-		if x.keeper, err = keeper.Open(f.ip + ":0"); err != nil {
+		if x.keeper, err = keepertest.Open(f.ip + ":0"); err != nil {
 			return nil, err
 		}
 		for _, m := range known {
 			x.node(m)
 		}
-		file["ephemeral"] = fmt.Appendf(nil, `{"servers":[%q],"path":%q}`, x.keeper.Addr(), keeper.Root)
+		file["ephemeral"] = fmt.Appendf(nil, `{"servers":[%q],"path":%q}`, x.keeper.Addr(), keepertest.Root)
 	}
 	return file, nil
 }
--- a/lab/world/world_test.go
+++ b/lab/world/world_test.go
@@ -8,7 +8,7 @@
 
 	"pgregory.net/rapid"
 
-	"cherryramp/internal/seeded"
+	"cherryramp/internal/seededtest"
 	"cherryramp/rules"
 )
 
@@ -18,7 +18,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
-	code := seeded.Run(m)
+	code := seededtest.Run(m)
 	_ = os.RemoveAll(dir)
 	os.Exit(code)
 }
