A payout's rest that has just left is no proof that it has not run

Read in upstream: an attempt that a full socket had not taken whole counts as never sent when it is given up (Stop) or its connection is spoilt. The poller may have sent the rest a moment before, with Drained still on its way to the loop; and in spoilt, between the verdict and the close. The payout then counted as not run and could be sent again: it runs twice. At fault: Pools.Stop, conn.spoilt. transport.Conn.Cut ends a connection under the lock of the poller's write, and tells whether bytes still wait: only then they never leave. Closed was looked at and is right: Drained comes before it. Tests: both moments fail without it (502, "never ran", of what had left whole).

--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -67,6 +67,7 @@
 	dialed   bool
 	told     bool // the loop is about to look at what came
 	flushing bool // out waits
+	lost     bool // it ended while out waited
 	parked   bool // netpoll knows nothing of it any more
 	closed   bool // the poller has said its last word; the descriptor may be another's
 	shut     bool // told to end
@@ -289,6 +290,7 @@
 	c.closed = true
 	if first {
 		c.gauge.Out.Add(int64(-len(c.out)))
+		c.lost = c.flushing
 		c.out, c.flushing = nil, false
 		watched.w.set(c, 0)
 	}
@@ -468,6 +470,19 @@
 	_ = syscall.Shutdown(c.fd, syscall.SHUT_RDWR)
 }
 
+// Cut ends a connection now if bytes still wait for its full socket, and tells whether
+// they do: then they never leave. The poller may have sent the rest a moment ago, before the
+// loop has heard of it (Drained); then nothing is done.
+func (c *Conn) Cut() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed || !c.flushing {
+		return c.lost
+	}
+	c.close()
+	return true
+}
+
 // Abort ends a connection now and has the kernel drop what it holds for it, so that
 // the other side sees a reset and not a whole end.
 func (c *Conn) Abort() {
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -334,3 +334,38 @@
 		c.Close()
 	}
 }
+
+// Guards against bytes that leave although whoever sent them was told that they never will, and
+// against the contrary: a cut counts only while they wait, whatever the loop has heard.
+func TestCut(t *testing.T) {
+	w := newWorld(t)
+	for _, drained := range []bool{false, true} {
+		client, e := w.dial(t)
+		big := make([]byte, 16<<20)
+		whole, err := e.c.Send(big)
+		if whole || err != nil {
+			t.Fatalf("sent whole: %v, %v", whole, err)
+		}
+		read := make(chan int64, 1)
+		go func() {
+			n, _ := io.Copy(io.Discard, client)
+			read <- n
+		}()
+		if drained {
+			<-e.drained
+			if e.c.Cut() {
+				t.Error("all had left")
+			}
+			e.c.Close()
+			if n := <-read; n != int64(len(big)) {
+				t.Errorf("%d of %d bytes came", n, len(big))
+			}
+		} else if cut := e.c.Cut(); cut != (<-read < int64(len(big))) {
+			t.Errorf("cut: %v", cut)
+		} else if !cut {
+			e.c.Close()
+		}
+		_ = client.Close()
+		<-e.closed
+	}
+}
--- a/internal/upstream/network.go
+++ b/internal/upstream/network.go
@@ -15,6 +15,7 @@
 	Consume(parse func(b []byte) (used int))
 	Flooded() bool // more came than may wait, and the rest was dropped
 	Blocked() bool // bytes wait for a full socket
+	Cut() bool     // if they do, ends the connection, so that they never leave
 	Close()        // Closed follows
 }
 
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -206,10 +206,9 @@
 		}
 		return false
 	}
-	if c.partial == a && len(c.open) == 1 { // the rest of it must not leave
+	if c.partial == a && len(c.open) == 1 && c.cut() { // the rest of it must not leave
 		c.forget(a)
 		c.retired = true
-		c.tc.Close()
 		return false
 	}
 	c.forget(a)
@@ -230,6 +229,15 @@
 	return true
 }
 
+// cut ends a connection on which an attempt has not left whole, so that it never does, and
+// tells whether there is one. The socket may have taken the rest, of which Drained is about to tell.
+func (c *conn) cut() bool {
+	if c.partial != nil && !c.tc.Cut() {
+		c.partial = nil
+	}
+	return c.partial != nil
+}
+
 // remember keeps an id that has ended on a connection for as long as its call may go
 // out again. One that has to remember too many takes nothing new.
 func (c *conn) remember(a *gateway.Attempt, answered bool) {
@@ -545,6 +553,7 @@
 func (c *conn) spoilt(err error) {
 	c.pool.all.log.Warn("answer can't be read", "server", c.pool.name, "error", err, "open", len(c.open))
 	c.retired = true
+	c.cut()
 	c.drop(rules.Spoilt, rules.Spoilt)
 	c.tc.Close()
 }
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -458,21 +458,66 @@
 	}
 }
 
-// held is a network on which a connection comes up when the test says so.
+// held is a network on which a connection comes up when the test says so, takes nothing
+// whole if the test wants, and has what came from the test.
 type held struct {
-	made   chan func()
-	closed bool
+	made    chan func()
+	partial bool // takes nothing whole
+	full    bool // has been sent something since
+	waits   bool // what it did not take still waits
+	closed  bool
+	came    string
 }
 
 func (n *held) Dial(_ string, _ int, _ Handler, _ gateway.Micros, ready func(Conn, error)) {
 	n.made <- func() { ready(n, nil) }
 }
 
-func (n *held) Send([]byte) (bool, error)  { return true, nil }
-func (n *held) Consume(func(b []byte) int) {}
-func (n *held) Flooded() bool              { return false }
-func (n *held) Blocked() bool              { return false }
-func (n *held) Close()                     { n.closed = true }
+func (n *held) Send([]byte) (bool, error) { n.full = n.partial; return !n.partial, nil }
+func (n *held) Consume(f func(b []byte) int) {
+	n.came = n.came[f([]byte(n.came)):]
+}
+func (n *held) Flooded() bool { return false }
+func (n *held) Blocked() bool { return n.full }
+func (n *held) Cut() bool     { n.closed = n.closed || n.waits; return n.waits }
+func (n *held) Close()        { n.closed = true }
+
+// Guards against a payout that runs twice because its socket took the rest of it in the very
+// moment in which it was given up, or in which its connection was spoilt: only bytes that surely never
+// leave prove that it has not run.
+func TestRestThatHasJustLeftIsNoProof(t *testing.T) {
+	for _, waits := range []bool{true, false} {
+		for _, spoilt := range []bool{true, false} {
+			r := newRig(t, 1)
+			net := &held{made: make(chan func(), 1), partial: true}
+			r.on(func() { r.pools.net = net })
+			a := r.start(10)
+			r.on(<-net.made)
+			r.on(func() {
+				net.waits = waits
+				if spoilt {
+					net.came = "noise\n"
+					r.pools.pools[1].conns[0].Readable()
+				} else if sent := r.pools.Stop(a); sent == waits {
+					t.Errorf("the rest waits %v: sent whole %v", waits, sent)
+				}
+				if waits && !net.closed {
+					t.Error("the rest may still leave")
+				}
+			})
+			if !spoilt {
+				continue
+			}
+			want := rules.Spoilt
+			if waits {
+				want = rules.ConnectFailed
+			}
+			if e := r.await(a.Call.ID); e.Code != want {
+				t.Errorf("the rest waits %v: ended as %d", waits, e.Code)
+			}
+		}
+	}
+}
 
 // Guards against a word that the settings do not allow: what is given up is let go.
 func TestNothingIsCancelledWhereThatIsNotAllowed(t *testing.T) {
--- a/lab/world/inside.go
+++ b/lab/world/inside.go
@@ -159,6 +159,8 @@
 // Blocked is part of upstream.Conn: a link takes all that it is given.
 func (p *pipe) Blocked() bool { return false }
 
+func (p *pipe) Cut() bool { return false }
+
 // Close is part of upstream.Conn.
 func (p *pipe) Close() {
 	if !p.wire.closed {
