--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -83,9 +83,9 @@
 // over: its events come again under their numbers.
 type link struct {
 	board *Board
-	conn  *transport.Conn
-	good  bool        // it has brought an answer
-	asked loop.Micros // when the last poll went out
+	conn  *transport.Conn // nil where another came up first
+	good  bool            // it has brought an answer
+	asked loop.Micros     // when the last poll went out
 	dead  *loop.Deadline
 }
 
@@ -195,7 +195,9 @@
 // end leaves a connection.
 func (k *link) end() {
 	k.board.loop.Stop(k.dead)
-	k.conn.Close()
+	if k.conn != nil {
+		k.conn.Close()
+	}
 }
 
 // fail leaves a connection that is of no more use and connects anew: at once if
--- a/internal/board/board_test.go
+++ b/internal/board/board_test.go
@@ -207,6 +207,34 @@
 			t.Fatalf("%d connects at a time", most)
 		}
 	}
+	// It is back: whichever comes up first is asked, and those that come up behind it are closed.
+	asked, closed := make(chan int, 100), make(chan int, 100)
+	go func() {
+		for {
+			c, _, err := syscall.Accept(fd)
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = syscall.Close(c) }()
+				buf := make([]byte, 1000)
+				if n, _ := syscall.Read(c, buf); n > 0 {
+					asked <- c
+					_, _ = syscall.Read(c, buf) // until it is left
+				}
+				closed <- c
+			}()
+		}
+	}()
+	defer func() { _ = syscall.Shutdown(fd, syscall.SHUT_RDWR) }()
+	for range 3 { // silent ones are left, and others come up, beside connects that still hang
+		select {
+		case <-asked:
+		case <-time.After(patience):
+			t.Fatal("the board is not asked")
+		}
+	}
+	on(func() {}) // the loop lives
 }
 
 // Whatever grace the settings give: a watch that falls silent right after its poll is
@@ -229,3 +257,41 @@
 		}
 	}
 }
+
+// Guards against a front that ends because two connects, one begun beside the other, both come up:
+// one is asked, the other is closed.
+func TestBothConnectsComeUp(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = ln.Close() }()
+	b, sink, on := follow(t, ln.Addr().String())
+	on(func() { b.seek(); b.dial(b.search); b.dial(b.search) })
+	ended, asked := make(chan bool, 100), make(chan *watch, 100)
+	for range 4 { // with the first search's
+		w := accept(t, ln)
+		go func() {
+			if _, err := w.r.Peek(1); err != nil {
+				ended <- true
+			} else {
+				asked <- w
+			}
+		}()
+	}
+	for range 3 {
+		select {
+		case <-ended:
+		case <-time.After(patience):
+			t.Fatal("a connection that is not used stays open")
+		}
+	}
+	w := <-asked
+	w.poll()
+	w.send(whole(event))
+	select {
+	case <-sink.members:
+	case <-time.After(patience):
+		t.Fatal("not told")
+	}
+}
