--- a/internal/front/ops/ops.go
+++ b/internal/front/ops/ops.go
@@ -191,7 +191,7 @@
 		c.tc.Close()
 		return
 	}
-	c.tc.Finish(c.door.loop.Now() + linger)
+	c.tc.HalfClose(c.door.loop.Now() + linger)
 }
 
 // answer appends the answer to a call.
--- a/internal/front/session/crossings_test.go
+++ b/internal/front/session/crossings_test.go
@@ -151,7 +151,7 @@
 	for name, end := range map[string]func(h *hall, c *conn){
 		"drain":     func(h *hall, _ *conn) { h.server.Drain() },
 		"idle time": func(_ *hall, c *conn) { c.quit() },
-		"room":      func(h *hall, c *conn) { c.since -= yieldIdle + 1; h.server.makeRoom() },
+		"room":      func(h *hall, c *conn) { c.since -= yieldIdle + 1; h.server.evictIdle() },
 	} {
 		t.Run(name, func(t *testing.T) {
 			h := newHall(t, Config{})
--- a/internal/front/session/session.go
+++ b/internal/front/session/session.go
@@ -221,7 +221,7 @@
 	if held > places {
 		s.held.Add(-1)
 		s.turnAway("client turned away: too many connections", "limit", places)
-		s.loop.Post(s.makeRoom)
+		s.loop.Post(s.evictIdle)
 		return nil
 	}
 	c := &conn{server: s, tc: tc}
@@ -237,7 +237,7 @@
 			c.prefix = netip.Prefix{}
 			c.enter(ending)
 			c.last = true
-			tc.Finish(s.loop.Now() + lingerShort)
+			tc.HalfClose(s.loop.Now() + lingerShort)
 			return
 		}
 		c.counted = true
@@ -248,7 +248,7 @@
 		}
 	})
 	if float64(held) > crowdShare*float64(places) {
-		s.loop.Post(s.makeRoom)
+		s.loop.Post(s.evictIdle)
 	}
 	return c
 }
@@ -262,10 +262,10 @@
 	}
 }
 
-// makeRoom ends the connection that is least missed: of those that have brought
+// evictIdle ends the connection that is least missed: of those that have brought
 // no whole request for a while the oldest, else the one idle for longest. One
 // that has just come is left alone, since its first request may be under way.
-func (s *Server) makeRoom() {
+func (s *Server) evictIdle() {
 	now := s.loop.Now()
 	for _, x := range []struct {
 		state state
@@ -469,7 +469,7 @@
 		c.quit()
 	}
 	for range min(records, mostShed) {
-		s.makeRoom()
+		s.evictIdle()
 	}
 	if ended > 0 {
 		s.log.Warn("memory runs short: slow transfers are ended", "ended", ended)
@@ -533,7 +533,7 @@
 func (s *Server) trim() {
 	over := s.account.Held() - s.lists[ending].count - s.cfg.Connections
 	for range min(over, trimMost) {
-		s.makeRoom()
+		s.evictIdle()
 	}
 	if over > 0 {
 		s.loop.At(s.loop.Now()+trimEvery, s.trim)
@@ -566,7 +566,7 @@
 	}
 	c.last = true
 	c.enter(ending)
-	c.tc.Finish(by)
+	c.tc.HalfClose(by)
 }
 
 func (c *conn) take(r *httpwire.Request) {
@@ -667,7 +667,7 @@
 func (c *conn) finish() {
 	now := c.server.loop.Now()
 	c.enter(ending)
-	c.tc.Finish(now + lateOut)
+	c.tc.HalfClose(now + lateOut)
 	c.server.loop.At(now+linger, func() {
 		if _, left := c.tc.Taken(); left == 0 {
 			c.tc.Close()
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -494,10 +494,10 @@
 	c.close()
 }
 
-// Finish ends a connection once all is out and the other side has seen it, or at a
+// HalfClose ends a connection once all is out and the other side has seen it, or at a
 // moment: what
 // still comes in is dropped, so that no reset overtakes the last answer.
-func (c *Conn) Finish(by loop.Micros) {
+func (c *Conn) HalfClose(by loop.Micros) {
 	c.mu.Lock()
 	if c.closed || c.shut || c.ending {
 		c.mu.Unlock()
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -19,15 +19,15 @@
 const AnswerMost = maxLine + maxBody + 2
 
 const (
-	inputLeast = 4       // answers that may come on a connection before the loop looks, at the least
-	pastLimit  = 512     // ids that a connection remembers before it is retired
-	muteLimit  = 2       // attempts that run out on a silent connection before it is retired
-	muteLeast  = 300_000 // us without a word, with something open, from which it is taken for silent, at the least
-	wholeMost  = 500_000 // us from an answer's first byte to its last
-	shareMost  = 2       // attempts on a connection from which another one is opened beside it
-	muteCost   = 1000    // in pick, of a silent connection: above any number of open attempts
-	busyCost   = 2000    // in pick, where an attempt should be alone
-	freshSpan  = 50_000  // us idle from which a used connection may be reset under what comes next
+	inputLeast  = 4       // answers that may come on a connection before the loop looks, at the least
+	pastLimit   = 512     // ids that a connection remembers before it is drained
+	silentLimit = 2       // attempts that run out on a silent connection before it is drained
+	silentLeast = 300_000 // us without a word, with something open, from which it is taken for silent, at the least
+	wholeMost   = 500_000 // us from an answer's first byte to its last
+	shareMost   = 2       // attempts on a connection from which another one is opened beside it
+	silentCost  = 1000    // in pick, of a silent connection: above any number of open attempts
+	busyCost    = 2000    // in pick, where an attempt should be alone
+	freshSpan   = 50_000  // us idle from which a used connection may be reset under what comes next
 )
 
 // Config bounds the connections.
@@ -39,7 +39,7 @@
 	Total       int            // connections to all servers; 0: any number
 	ConnectTime gateway.Micros // a connection not up by then has failed
 	IdleTime    gateway.Micros // an idle connection is closed after it
-	Silent      gateway.Micros // without a word, with something open, a connection is taken for silent; muteLeast at least
+	Silent      gateway.Micros // without a word, with something open, a connection is taken for silent; silentLeast at least
 	Input       int            // bytes of answers that may come on a connection before the loop looks; see AnswerMost
 	Cancel      bool           // nodes may be told that a request is given up
 	Hedges      bool           // two attempts of one request may be out together
@@ -72,7 +72,7 @@
 
 // New makes pools without connections.
 func New(cfg Config, n Network, l *loop.Loop, gate Clearer, log *slog.Logger) *Pools {
-	cfg.Silent = max(cfg.Silent, muteLeast)
+	cfg.Silent = max(cfg.Silent, silentLeast)
 	return &Pools{cfg: cfg, net: n, loop: l, gate: gate, log: log, pools: map[rules.ServerID]*pool{},
 		where: map[*gateway.Attempt]*conn{}}
 }
@@ -81,7 +81,7 @@
 // their places. Connections that are up stay; their numbers, and what may come on one
 // unseen, are those given at the start.
 func (p *Pools) Renew(cfg Config) {
-	cfg.Silent = max(cfg.Silent, muteLeast)
+	cfg.Silent = max(cfg.Silent, silentLeast)
 	cfg.Connections, cfg.Total, cfg.Input = p.cfg.Connections, p.cfg.Total, p.cfg.Input
 	p.cfg = cfg
 }
@@ -89,34 +89,34 @@
 // Held counts the connections to all servers, with those that are being dialled.
 func (p *Pools) Held() int { return p.held }
 
-// yield has the connection that has stood idle for longest make room for one to another
+// evictIdle has the connection that has stood idle for longest make room for one to another
 // server.
-func (p *Pools) yield(other *pool) {
+func (p *Pools) evictIdle(other *pool) {
 	var oldest *conn
 	for _, x := range p.pools {
 		for _, c := range x.conns {
-			if x != other && !c.retired && len(c.open) == 0 && (oldest == nil || c.since < oldest.since ||
+			if x != other && !c.draining && len(c.open) == 0 && (oldest == nil || c.since < oldest.since ||
 				c.since == oldest.since && c.pool.name < oldest.pool.name) {
 				oldest = c
 			}
 		}
 	}
 	if oldest != nil {
-		oldest.retire()
+		oldest.drain()
 	}
 }
 
 // pool is one server's connections and what waits for them.
 type pool struct {
-	all     *Pools
-	name    string
-	addr    string
-	born    gateway.Micros
-	conns   []*conn
-	dialing int
-	denied  bool // the last connection did not come up
-	gone    bool // the server has left the list
-	waiting []*gateway.Attempt
+	all        *Pools
+	name       string
+	addr       string
+	born       gateway.Micros
+	conns      []*conn
+	dialing    int
+	dialFailed bool // the last connection did not come up
+	gone       bool // the server has left the list
+	waiting    []*gateway.Attempt
 }
 
 // past is what is kept of an id that has ended on a connection. Answers name nothing but
@@ -128,18 +128,18 @@
 
 // conn is one connection to a cache node.
 type conn struct {
-	pool    *pool
-	tc      Conn
-	open    map[string]*gateway.Attempt
-	past    map[string]past  // ids that have ended on it, to which answers may still come
-	partial *gateway.Attempt // what a full socket has not taken whole
-	alone   int              // open attempts of classes that share no connection
-	used    bool
-	retired bool           // takes nothing new; closed when nothing is open
-	mute    int            // attempts that ran out since it last said anything
-	since   gateway.Micros // when it last said anything or, if later, took something on with nothing open
-	idle    *loop.Deadline
-	whole   *loop.Deadline // of an answer that has begun to come
+	pool     *pool
+	tc       Conn
+	open     map[string]*gateway.Attempt
+	past     map[string]past  // ids that have ended on it, to which answers may still come
+	partial  *gateway.Attempt // what a full socket has not taken whole
+	alone    int              // open attempts of classes that share no connection
+	used     bool
+	draining bool           // takes nothing new; closed when nothing is open
+	unheard  int            // attempts that ran out since it last said anything
+	since    gateway.Micros // when it last said anything or, if later, took something on with nothing open
+	idle     *loop.Deadline
+	whole    *loop.Deadline // of an answer that has begun to come
 }
 
 // Follow tells of a server's state. What was connected before its last start
@@ -155,7 +155,7 @@
 	}
 	if x.addr != s.Addr || x.born != s.Born || s.State == rules.Gone {
 		for _, c := range slices.Clone(x.conns) {
-			c.retire()
+			c.drain()
 		}
 	}
 	x.addr, x.born, x.gone = s.Addr, s.Born, s.State == rules.Gone
@@ -208,17 +208,17 @@
 	}
 	if c.partial == a && len(c.open) == 1 && c.cut() { // the rest of it must not leave
 		c.forget(a)
-		c.retired = true
+		c.draining = true
 		return false
 	}
 	c.forget(a)
 	c.remember(a, false)
 	if c.pool.all.loop.Now()-c.since > c.pool.all.cfg.Silent {
-		c.mute++
+		c.unheard++
 	}
-	if c.mute >= muteLimit || c.mute > 0 && len(c.open) == 0 {
-		p.log.Info("connection retired", "server", c.pool.name, "silent", c.mute, "ended_ids", len(c.past))
-		c.retired = true
+	if c.unheard >= silentLimit || c.unheard > 0 && len(c.open) == 0 {
+		p.log.Info("connection drained", "server", c.pool.name, "silent", c.unheard, "ended_ids", len(c.past))
+		c.draining = true
 	}
 	if p.cfg.Cancel {
 		if _, err := c.tc.Send(appendCancel(p.buf[:0], a.Call.ID)); err != nil {
@@ -245,9 +245,9 @@
 		now := c.pool.all.loop.Now()
 		maps.DeleteFunc(c.past, func(_ string, p past) bool { return p.until <= now })
 	}
-	if c.past[a.Call.ID] = (past{until: a.Call.Deadline, answered: answered}); len(c.past) > pastLimit && !c.retired {
-		c.pool.all.log.Info("connection retired", "server", c.pool.name, "ended_ids", len(c.past))
-		c.retired = true
+	if c.past[a.Call.ID] = (past{until: a.Call.Deadline, answered: answered}); len(c.past) > pastLimit && !c.draining {
+		c.pool.all.log.Info("connection drained", "server", c.pool.name, "ended_ids", len(c.past))
+		c.draining = true
 	}
 }
 
@@ -263,8 +263,8 @@
 			break // nor would any of the rest find one
 		}
 		if c == nil || cost >= busyCost {
-			x.makeRoom(a, c == nil)
-			if c != nil && c.retired { // it made room itself
+			x.evict(a, c == nil)
+			if c != nil && c.draining { // it made room itself
 				continue
 			}
 		}
@@ -277,8 +277,8 @@
 			more++
 			i++
 			continue
-		case cost >= shareMost && x.room() && !x.denied:
-			if more++; cost >= muteCost { // it waits for a connection of its own
+		case cost >= shareMost && x.room() && !x.dialFailed:
+			if more++; cost >= silentCost { // it waits for a connection of its own
 				i++
 				continue
 			}
@@ -289,7 +289,7 @@
 	streams := max(1, x.all.cfg.Streams)
 	if (len(x.waiting) > x.dialing*streams || more > x.dialing) && x.room() {
 		if x.all.full() {
-			x.all.yield(x)
+			x.all.evictIdle(x)
 			if len(x.conns)+x.dialing == 0 { // nothing would come to take them; the server is not to blame
 				for _, a := range x.take(func(*gateway.Attempt) bool { return true }) {
 					x.all.gate.End(a, gateway.End{Code: rules.Moot})
@@ -307,7 +307,7 @@
 // barred tells whether there are connections that would take an attempt, but for its id
 // having been on them.
 func (x *pool) barred(a *gateway.Attempt) bool {
-	return slices.ContainsFunc(x.conns, func(c *conn) bool { return !c.retired && c.knows(a) })
+	return slices.ContainsFunc(x.conns, func(c *conn) bool { return !c.draining && c.knows(a) })
 }
 
 // knows tells whether an attempt may not go on a connection because of what its id did
@@ -323,13 +323,13 @@
 	return known && (!p.answered || !cfg.Hedges || a.Call.Class >= len(cfg.Repeat) || !cfg.Repeat[a.Call.Class])
 }
 
-// room tells whether one more connection may be opened. Retired ones, which may
+// room tells whether one more connection may be opened. Draining ones, which may
 // stay open for as long as their last attempt, take no place of the new; all
 // together are bounded too.
 func (x *pool) room() bool {
 	live := x.dialing
 	for _, c := range x.conns {
-		if !c.retired {
+		if !c.draining {
 			live++
 		}
 	}
@@ -337,20 +337,20 @@
 	return live < most && len(x.conns)+x.dialing < 2*most
 }
 
-// makeRoom has a connection take nothing new, if no other may be opened: one with
+// evict has a connection take nothing new, if no other may be opened: one with
 // nothing open or, for an attempt that can go on none, the least busy that bars it.
-func (x *pool) makeRoom(a *gateway.Attempt, barred bool) {
+func (x *pool) evict(a *gateway.Attempt, barred bool) {
 	if x.room() {
 		return
 	}
 	var least *conn
 	for _, c := range x.conns {
-		if !c.retired && (len(c.open) == 0 || barred && c.knows(a)) && (least == nil || len(c.open) < len(least.open)) {
+		if !c.draining && (len(c.open) == 0 || barred && c.knows(a)) && (least == nil || len(c.open) < len(least.open)) {
 			least = c
 		}
 	}
 	if least != nil {
-		least.retire()
+		least.drain()
 	}
 }
 
@@ -360,7 +360,7 @@
 // Two attempts of one call never share one, since their answers would be alike.
 func (x *pool) pick(a *gateway.Attempt) (best *conn, least int) {
 	for _, c := range x.conns {
-		if c.retired || c.knows(a) || len(c.open) >= max(1, x.all.cfg.Streams) || c.tc.Blocked() {
+		if c.draining || c.knows(a) || len(c.open) >= max(1, x.all.cfg.Streams) || c.tc.Blocked() {
 			continue
 		}
 		cost := len(c.open)
@@ -371,7 +371,7 @@
 			cost += busyCost
 		}
 		if len(c.open) > 0 && c.pool.all.loop.Now()-c.since > c.pool.all.cfg.Silent {
-			cost += muteCost
+			cost += silentCost
 		}
 		if best == nil || cost < least {
 			best, least = c, cost
@@ -401,7 +401,7 @@
 	p.buf = appendServe(p.buf[:0], a, p.cfg.Lanes[a.Call.Class], p.loop.Now(), maxAge)
 	whole, err := c.tc.Send(p.buf)
 	if err != nil { // nothing of it can have come whole
-		c.retired = true
+		c.draining = true
 		c.tc.Close()
 		p.gate.End(a, gateway.End{Code: rules.ConnectFailed})
 		return
@@ -433,10 +433,10 @@
 			if err != nil {
 				p.held--
 			}
-			if x.denied = err != nil; err == nil {
+			if x.dialFailed = err != nil; err == nil {
 				c.tc = tc
 				x.conns = append(x.conns, c)
-				c.retired = x.gone || addr != x.addr || born != x.born
+				c.draining = x.gone || addr != x.addr || born != x.born
 				c.rest()
 			} else if x.dialing == 0 {
 				p.log.Warn("connect failed", "server", x.name, "error", err)
@@ -449,7 +449,7 @@
 // fail ends what waits and no connection is left to take.
 func (x *pool) fail() {
 	for _, c := range x.conns {
-		if !c.retired {
+		if !c.draining {
 			return
 		}
 	}
@@ -471,25 +471,25 @@
 	}
 }
 
-func (c *conn) retire() {
-	c.retired = true
+func (c *conn) drain() {
+	c.draining = true
 	c.rest()
 }
 
-// rest looks after a connection with nothing open: a retired one is closed, any
+// rest looks after a connection with nothing open: a draining one is closed, any
 // other after its idle time.
 func (c *conn) rest() {
 	if len(c.open) > 0 {
 		return
 	}
-	if c.retired {
+	if c.draining {
 		c.tc.Close()
 		return
 	}
 	l := c.pool.all.loop
 	l.Stop(c.idle)
 	c.idle = l.At(l.Now()+c.pool.all.cfg.IdleTime, func() {
-		c.retired = true
+		c.draining = true
 		c.tc.Close()
 	})
 }
@@ -497,7 +497,7 @@
 // Readable takes the answers that have come. Those under ids that are not open
 // (a second copy, one that was given up) are passed over.
 func (c *conn) Readable() {
-	c.mute, c.since = 0, c.pool.all.loop.Now()
+	c.unheard, c.since = 0, c.pool.all.loop.Now()
 	for {
 		var ans answer
 		var used, have int
@@ -552,7 +552,7 @@
 // tells little.
 func (c *conn) spoilt(err error) {
 	c.pool.all.log.Warn("answer can't be read", "server", c.pool.name, "error", err, "open", len(c.open))
-	c.retired = true
+	c.draining = true
 	c.cut()
 	c.drop(rules.Spoilt, rules.Spoilt)
 	c.tc.Close()
@@ -569,7 +569,7 @@
 // broke off.
 func (c *conn) Closed() {
 	x := c.pool
-	c.retired = true
+	c.draining = true
 	x.all.held--
 	x.all.loop.Stop(c.idle)
 	x.conns = slices.DeleteFunc(x.conns, func(o *conn) bool { return o == c })
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -332,7 +332,7 @@
 	}
 	r.on(func() {
 		for _, c := range r.pools.pools[1].conns {
-			c.since -= muteLeast + 1
+			c.since -= silentLeast + 1
 		}
 	})
 	b := r.start(10)
