Where a site allows neither cancel nor second copies, no attempt runs out early

At fault: rules.go, send: trials and requests where answers get lost got a time-out before their client's. What runs out is given up by a cancel; where none may be sent it is still out at its server beside the next attempt. Ruled out: second looks (they need second copies), resets and spoilt answers (their connection ends, and gives up all on it).

--- a/rules/large_test.go
+++ b/rules/large_test.go
@@ -267,3 +267,30 @@
 		g.answer(get, 0, OK, NoteOriginAsked)
 	}
 }
+
+// Guards against two attempts of one request out together where a site allows neither that nor a
+// cancel: one that ran out early would still be out at its server. It has until its client leaves.
+func TestNothingRunsOutEarlyWhereItCannotBeGivenUp(t *testing.T) {
+	for _, x := range []struct{ cancel, hedges, early bool }{{false, false, false}, {true, false, true},
+		{false, true, true}, {true, true, true}} {
+		g := newRig(t, func(s *Settings) { s.Cancel, s.Hedges = x.cancel, x.hedges })
+		home, _ := g.ask(Request{Object: 9, Size: 1000})
+		for i := range 60 { // answers get lost
+			get, _ := g.ask(Request{Object: 9, Size: 1000, Expires: 5 * second})
+			code, note := OK, NoteHit
+			if i%3 == 0 {
+				code, note = Timeout, NoteNone
+			}
+			g.step(Outcome{ID: get.ID, Server: get.Server, Code: code, Note: note, Spent: 100 * milli, Closed: true})
+		}
+		if get, _ := g.ask(Request{Object: 9, Size: 1000, Expires: 5 * second}); (get.Within > 0) != x.early {
+			t.Errorf("%+v: time-out %d where answers get lost", x, get.Within)
+		}
+		m := g.r.members[home.Server]
+		m.ejected, m.backoff, m.trial, g.r.lost = 1, second, false, 0 // it comes back
+		if get, _ := g.ask(Request{Object: 9, Size: 1000, Expires: 5 * second}); (get.Within > 0) != x.early ||
+			get.Server != m.ID {
+			t.Errorf("%+v: time-out %d of a trial at %d", x, get.Within, get.Server)
+		}
+	}
+}
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -407,9 +407,10 @@
 	}
 	r.hold(server, 1)
 	g.Server, g.Source = server.ID, cmp.Or(source, server).ID
-	if t.trial || t.srcTry { // a trial must not cost the request its life
+	ends := r.cfg.Cancel || r.cfg.Hedges // else what runs out is still out beside the next attempt
+	if ends && (t.trial || t.srcTry) {   // a trial must not cost the request its life
 		g.Within = max(left/2, r.cfg.Tick)
-	} else if server.tier == tierCache && r.lost > lostLeast && r.retries >= 1 {
+	} else if ends && server.tier == tierCache && r.lost > lostLeast && r.retries >= 1 {
 		g.Within, t.early = r.patience(q, &t, lostSlack, 1), true
 	} else if in := r.patience(q, &t, 1, secondRoom); !again && server.tier == tierCache && r.cfg.Hedges &&
 		q.class.Effect == Safe && r.spoilt > 0 && r.now-r.spoilt < spoiltSpan &&
