Room is made by the next idle connection where the first has just brought something

Since an end looks at what has come, a connection chosen to make room could be left, and then nobody made room. At fault: session.go, evictIdle. in_progress counts no connection that is only being ended; a drain waits for them apart (Ending).

--- a/internal/front/session/crossings_test.go
+++ b/internal/front/session/crossings_test.go
@@ -230,7 +230,7 @@
 	var busy atomic.Int64
 	h.on(func() {
 		call.Caller.Answer(gateway.Answer{})
-		busy.Store(int64(h.server.Busy()))
+		busy.Store(int64(h.server.Busy() + h.server.Ending()))
 	})
 	if busy.Load() == 0 {
 		t.Error("the program could end with the last answer on its way")
@@ -242,7 +242,7 @@
 	_ = g.c.Close()
 	// The other one rests for ever and is ended all the same.
 	for until := time.Now().Add(patience); ; time.Sleep(time.Millisecond) {
-		if h.on(func() { busy.Store(int64(h.server.Busy())) }); busy.Load() == 0 {
+		if h.on(func() { busy.Store(int64(h.server.Busy() + h.server.Ending())) }); busy.Load() == 0 {
 			break
 		}
 		if time.Now().After(until) {
@@ -282,3 +282,42 @@
 		})
 	}
 }
+
+// Guards against newcomers turned away because the connection that was to make room for them
+// has just brought something: the next one does.
+func TestRoomIsMadeByTheNext(t *testing.T) {
+	h := newHall(t, Config{})
+	var guests []*guest
+	for range 3 {
+		g := h.enter()
+		g.send(request)
+		h.serve()
+		if _, _, err := g.answer(); err != nil {
+			t.Fatal(err)
+		}
+		guests = append(guests, g)
+	}
+	h.on(func() { // all of this is one turn of the loop
+		oldest := h.server.lists[idle].head.next
+		before := oldest.tc.Came()
+		guests[0].send(request)
+		for until := time.Now().Add(patience); oldest.tc.Came() == before; time.Sleep(time.Millisecond) {
+			if time.Now().After(until) {
+				t.Error("the bytes did not come")
+				return
+			}
+		}
+		h.server.lists[idle].each(func(c *conn) { c.since -= yieldIdle + 1 })
+		h.server.evictIdle()
+		if n := h.server.Ending(); n != 1 {
+			t.Errorf("%d connections made room", n)
+		}
+	})
+	h.serve()
+	if body, _, err := guests[0].answer(); err != nil || body != "whole" {
+		t.Errorf("the one that had just brought something got %q, %v", body, err)
+	}
+	if _, err := guests[1].r.ReadByte(); err != io.EOF {
+		t.Errorf("the next one was not ended: %v", err)
+	}
+}
--- a/internal/front/session/session.go
+++ b/internal/front/session/session.go
@@ -271,9 +271,14 @@
 		state state
 		limit loop.Micros
 	}{{silent, s.account.Patience(yieldSilent, s.lists[silent].count)}, {parked, yieldIdle}, {idle, yieldIdle}, {reading, yieldIdle}} {
-		if c := s.lists[x.state].least(now - x.limit); c != nil {
-			c.quitBy(now + lingerShort)
-			return
+		for range mostPassed {
+			c := s.lists[x.state].least(now - x.limit)
+			if c == nil {
+				break
+			}
+			if c.quitBy(now + lingerShort) {
+				return
+			}
 		}
 	}
 }
@@ -307,13 +312,16 @@
 // Rejoin takes back a Drain: answers keep their connections again.
 func (s *Server) Rejoin() { s.closing = false }
 
-// Busy counts connections whose answer is open or not all out, and those that are being
-// ended: their last answer may be on its way, and the program's end would reset it away
-// where anything more has come from the client. All are bounded in time.
+// Ending counts connections that are being ended: their last answer may be on its way,
+// and the program's end would reset it away where anything more has come from the client.
+// All are bounded in time.
+func (s *Server) Ending() int { return s.lists[ending].count }
+
+// Busy counts connections whose answer is open or not all out.
 func (s *Server) Busy() (n int) {
 	for i := range s.lists {
 		s.lists[i].each(func(c *conn) {
-			if c.x != nil || c.state == ending || c.tc.Blocked() {
+			if c.x != nil || c.tc.Blocked() {
 				n++
 			}
 		})
@@ -553,20 +561,22 @@
 func (c *conn) quit() { c.quitBy(c.server.loop.Now() + linger) }
 
 // quitBy is quit for one whose place is wanted, and whose client may never end its
-// side. One on which something has just come is left: its request is looked at next.
-func (c *conn) quitBy(by loop.Micros) {
+// side. One on which something has just come is left, since its request is looked at next;
+// it tells whether the connection was ended.
+func (c *conn) quitBy(by loop.Micros) bool {
 	if c.begun {
 		c.write(&httpwire.Response{Status: 408, Close: true})
-		return
+		return true
 	}
 	if c.tc.Pending() {
 		c.began = c.server.loop.Now()
 		c.enter(reading)
-		return
+		return false
 	}
 	c.last = true
 	c.enter(ending)
 	c.tc.HalfClose(by)
+	return true
 }
 
 func (c *conn) take(r *httpwire.Request) {
--- a/internal/program/serve.go
+++ b/internal/program/serve.go
@@ -441,7 +441,7 @@
 	busy := p.gate.Open()
 	for _, f := range p.fronts {
 		f.Drain() // those that have said nothing since end too
-		busy += f.Busy() + f.Coming()
+		busy += f.Busy() + f.Coming() + f.Ending()
 	}
 	if busy == 0 {
 		p.loop.Quit()
