A client whose end stands behind its request has gone: nothing is begun for it

A front that is held up (stopped, or short of its core) finds requests and the ends of their clients together. netpoll tells of an end only once nothing is left to read, a turn later, and the loop takes answers before ends: an attempt, first or further, could begin however long after its client had closed. Looked at in netpoll's poller (reads first, ends after the batch) and in session.Readable. Now the socket itself is asked (POLLRDHUP): before a request is taken, and before attempts that are further ones or have waited. Connections that are ended for room do not wait for the request of such a client either. TestClientGoneBehindItsRequest and TestNothingBeginsForAClientThatHasGone fail without it.

--- a/internal/front/session/crossings_test.go
+++ b/internal/front/session/crossings_test.go
@@ -266,23 +266,55 @@
 				}
 				_ = g.c.Close()
 			}
+			last := h.enter() // whoever came before it has been let in when it is
+			last.send(request)
 			for until := time.Now().Add(patience); ; time.Sleep(time.Millisecond) {
 				var held int
 				h.on(func() { held = int(h.server.held.Load()) })
-				if came := len(h.desk.came); held == 0 && came == len(h.desk.left) && (reset || came > 0) {
+				if held == 1 && len(h.desk.came) == len(h.desk.left)+1 {
 					break
 				}
 				if time.Now().After(until) {
 					t.Fatalf("%d connections held, %d came, %d left", held, len(h.desk.came), len(h.desk.left))
 				}
 			}
-			if came := len(h.desk.came); came > 20 {
-				t.Errorf("%d of 20 were submitted", came)
+			if came := len(h.desk.came); came > 21 {
+				t.Errorf("%d of 20 were submitted", came-1)
 			}
 		})
 	}
 }
 
+// Guards against an attempt that begins long after its client has gone: the front was held up,
+// and the request and the end behind it are looked at together.
+func TestClientGoneBehindItsRequest(t *testing.T) {
+	h := newHall(t, Config{})
+	g := h.enter()
+	c := h.only(silent)
+	h.on(func() { // all of this is one turn of the loop
+		g.send(request)
+		_ = g.c.Close()
+		for until := time.Now().Add(patience); c.tc.Came() == 0 || !c.tc.Gone(); time.Sleep(time.Millisecond) {
+			if time.Now().After(until) {
+				t.Error("the request and the end did not come")
+				return
+			}
+		}
+	})
+	for until := time.Now().Add(patience); ; time.Sleep(time.Millisecond) {
+		var held int
+		if h.on(func() { held = int(h.server.held.Load()) }); held == 0 {
+			break
+		}
+		if time.Now().After(until) {
+			t.Fatal("its connection stays")
+		}
+	}
+	if len(h.desk.came) > 0 {
+		t.Error("it was submitted")
+	}
+}
+
 // Guards against newcomers turned away because the connection that was to make room for them
 // has just brought something: the next one does.
 func TestRoomIsMadeByTheNext(t *testing.T) {
--- a/internal/front/session/session.go
+++ b/internal/front/session/session.go
@@ -568,7 +568,7 @@
 		c.write(&httpwire.Response{Status: 408, Close: true})
 		return true
 	}
-	if c.tc.Pending() {
+	if c.tc.Pending() && !c.Gone() {
 		c.began = c.server.loop.Now()
 		c.enter(reading)
 		return false
@@ -580,6 +580,12 @@
 }
 
 func (c *conn) take(r *httpwire.Request) {
+	if c.Gone() { // its end stands behind the request: nobody waits for an answer
+		c.last = true
+		c.enter(ending)
+		c.tc.Close()
+		return
+	}
 	c.head, c.last = r.Method == "HEAD", r.Close || c.tc.Flooded()
 	c.began = 0
 	c.enter(busy)
@@ -608,6 +614,9 @@
 	c.server.desk.Submit(call)
 }
 
+// Gone tells whether the client has ended its side, heard of or not.
+func (c *conn) Gone() bool { return c.over || c.tc.Gone() }
+
 // Answer words and writes the final answer of the open call.
 func (c *conn) Answer(a gateway.Answer) {
 	if c.ticket != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -43,7 +43,9 @@
 	Late  bool   // with Failed: time ran out
 }
 
-// Caller gets the answer to a call, once, on the loop.
+// Caller gets the answer to a call, once, on the loop. One that also has a method
+// Gone() bool is asked before further attempts, and before those that waited, whether it has
+// gone: its end may stand behind events that the loop takes first.
 type Caller interface {
 	Answer(a Answer)
 }
@@ -534,9 +536,17 @@
 			return false
 		}
 	}
+	if a.number > 0 || g.loop.Now()-a.started > waitedFrom {
+		if c, ok := a.Call.Caller.(interface{ Gone() bool }); ok && c.Gone() {
+			return false
+		}
+	}
 	return true
 }
 
+// waitedFrom is how long after its choice an attempt counts as one that waited, in us.
+const waitedFrom = 1000
+
 // Clear tells, just before an attempt's first byte leaves, whether it still may (see
 // May), and the oldest copy that will do, by what was purged meanwhile (0: the
 // class's default). An attempt that may not leave must be ended as never sent.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -291,3 +291,40 @@
 		})
 	}
 }
+
+// leaver is a caller whose end the loop has not heard of yet.
+type leaver struct {
+	caller
+	gone bool
+}
+
+func (l *leaver) Gone() bool { return l.gone }
+
+// Guards against an attempt, further or held up, that begins for a client whose end stands
+// behind what the loop takes first, as when the front was stopped for a while.
+func TestNothingBeginsForAClientThatHasGone(t *testing.T) {
+	for name, wait := range map[string]func(g *Gateway, n *nodes) *Attempt{
+		"a further attempt": func(g *Gateway, n *nodes) *Attempt {
+			g.End(n.started[0], End{Code: rules.Reset})
+			g.Settle()
+			return n.started[1]
+		},
+		"one that waited": func(_ *Gateway, n *nodes) *Attempt {
+			n.started[0].started -= waitedFrom + 1
+			return n.started[0]
+		},
+	} {
+		g, n := newGateway(t)
+		l := &leaver{}
+		g.Submit(&Call{ID: "1", Object: "a", Group: 17, Deadline: g.loop.Now() + 4*second, Caller: l})
+		g.Settle()
+		a := wait(g, n)
+		if _, ok := g.Clear(a); !ok {
+			t.Errorf("%s: not cleared while its client waits", name)
+		}
+		l.gone = true
+		if _, ok := g.Clear(a); ok {
+			t.Errorf("%s: cleared for a client that has gone", name)
+		}
+	}
+}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -470,6 +470,19 @@
 	_ = syscall.Shutdown(c.fd, syscall.SHUT_RDWR)
 }
 
+// Gone tells whether the other side has ended its side. Its last bytes may still stand
+// before the end, unread by the poller or by the loop, where either was held up.
+func (c *Conn) Gone() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed || c.shut {
+		return true
+	}
+	fds := []unix.PollFd{{Fd: int32(c.fd), Events: unix.POLLRDHUP}}
+	n, err := unix.Poll(fds, 0)
+	return err == nil && n > 0 && fds[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+}
+
 // Cut ends a connection now if bytes still wait for its full socket, and tells whether
 // they do: then they never leave. The poller may have sent the rest a moment ago, before the
 // loop has heard of it (Drained); then nothing is done.
