Whoever comes where no place is left gets a refusal, not a reset

Up to 8 connections more than there are places are held to refuse their one request, with a time to come back where the settings allow; nothing of it is submitted. Their descriptors come out of those for nodes. At fault: session.go, admit. TestWithoutAPlaceThereIsARefusal gets resets without it.

--- a/internal/front/session/crossings_test.go
+++ b/internal/front/session/crossings_test.go
@@ -26,13 +26,18 @@
 	came chan *gateway.Call
 	left chan *gateway.Call
 	body string
+
+	refused atomic.Int64 // answers that refuse
 }
 
 func (d *desk) Take(*httpwire.Request, *Exchange) (*gateway.Call, *httpwire.Response) {
 	return &gateway.Call{}, nil
 }
 
-func (d *desk) Reply(*Exchange, gateway.Answer) *httpwire.Response {
+func (d *desk) Reply(_ *Exchange, a gateway.Answer) *httpwire.Response {
+	if a.Kind == gateway.Refused {
+		d.refused.Add(1)
+	}
 	return &httpwire.Response{Status: 200, Body: []byte(d.body)}
 }
 
@@ -353,3 +358,37 @@
 		t.Errorf("the next one was not ended: %v", err)
 	}
 }
+
+// Guards against newcomers that are reset where all places are held by clients whose requests
+// are open: a few more get a refusal, and the request of none of them is submitted.
+func TestWithoutAPlaceThereIsARefusal(t *testing.T) {
+	h := newHall(t, Config{Connections: 16})
+	for range 16 {
+		h.enter().send(request)
+	}
+	for range 16 {
+		select {
+		case <-h.desk.came:
+		case <-time.After(patience):
+			t.Fatal("a request did not come")
+		}
+	}
+	more := []*guest{h.enter(), h.enter()}
+	for _, g := range more {
+		g.send(request)
+		if _, last, err := g.answer(); err != nil || !last {
+			t.Errorf("last answer %v, %v", last, err)
+		}
+	}
+	if len(h.desk.came) > 0 || int(h.desk.refused.Load()) != len(more) {
+		t.Errorf("%d were submitted, %d refused", len(h.desk.came), h.desk.refused.Load())
+	}
+	for _, g := range more { // the places that they took for it are free again
+		_ = g.c.Close()
+	}
+	for until := time.Now().Add(patience); h.server.held.Load() > 16; time.Sleep(time.Millisecond) {
+		if time.Now().After(until) {
+			t.Fatal("their connections stay")
+		}
+	}
+}
--- a/internal/front/session/session.go
+++ b/internal/front/session/session.go
@@ -51,6 +51,8 @@
 	yieldSilent  = 400_000   // us after which one that has said nothing whole yet may have to make room
 	yieldIdle    = 50_000    // us after which an idle one may
 	refusalEvery = 1_000_000 // us between log lines about clients turned away
+	refuseMost   = 8         // connections beyond the places that are only refused, at most
+	refusePart   = 8         // and at most such a part of the places
 	crowdShare   = 0.9       // part of the places from which new clients have others make room
 )
 
@@ -71,6 +73,7 @@
 	Limits      httpwire.Limits
 	Buffer      int               // bytes that may wait, of requests sent behind each other; 0: as one request
 	Connections int               // held at most
+	Away        loop.Micros       // that a client refused for want of a place is told to stay away; 0: no advice
 	Prefix      int               // held of one prefix of addresses at most; 0: any number
 	Idle        loop.Micros       // that a connection may have no open request; 0: 4.5 s
 	Request     loop.Micros       // that a whole request may take to come; 0: 2.3 s
@@ -169,6 +172,7 @@
 	begun   bool              // a request has come in part
 	over    bool
 	counted bool         // in the account
+	refuse  bool         // it has no place: its request is refused, and ends it
 	prefix  netip.Prefix // where prefixes are bounded
 
 	state      state
@@ -223,16 +227,22 @@
 		return nil
 	}
 	if held > places {
-		s.held.Add(-1)
 		s.turnAway("client turned away: too many connections", "limit", places)
 		s.loop.Post(s.evictIdle)
-		return nil
+		if held > places+refusing(places) {
+			s.held.Add(-1)
+			return nil
+		}
 	}
-	c := &conn{server: s, tc: tc}
+	c := &conn{server: s, tc: tc, refuse: held > places}
 	s.loop.Post(func() {
 		if c.over || c.state != outside {
 			return
 		}
+		if c.refuse {
+			c.enter(silent)
+			return
+		}
 		if s.account.PerPrefix() {
 			c.prefix = suspects.Prefix(c.address())
 		}
@@ -257,6 +267,10 @@
 	return c
 }
 
+// refusing is how many more connections are held than there are places for, so that whoever
+// comes on one is told so by a refusal and not by a reset.
+func refusing(places int64) int64 { return min(refuseMost, places/refusePart) }
+
 // turnAway says now and then that clients are turned away. It may be called from
 // anywhere.
 func (s *Server) turnAway(text string, args ...any) {
@@ -590,7 +604,7 @@
 		c.tc.Close()
 		return
 	}
-	c.head, c.last = r.Method == "HEAD", r.Close || c.tc.Flooded()
+	c.head, c.last = r.Method == "HEAD", r.Close || c.refuse || c.tc.Flooded()
 	c.began = 0
 	c.enter(busy)
 	x := &Exchange{conn: c, open: true}
@@ -611,6 +625,10 @@
 		call.Peer = c.address()
 		a.Came(call)
 	}
+	if c.refuse {
+		c.answer(gateway.Answer{Kind: gateway.Refused, Await: c.server.cfg.Away})
+		return
+	}
 	if q := c.server.cfg.Admission; q != nil {
 		q.ask(c)
 		return
--- a/internal/program/serve.go
+++ b/internal/program/serve.go
@@ -44,6 +44,7 @@
 	signedShare  = 0.1       // part of them for the clients of the signed front, where it is on
 	poolShare    = 0.25      // part of them for cache nodes
 	inputShare   = 0.125     // part of the memory limit that answers on one connection may fill unseen
+	refusedRoom  = 16        // descriptors for clients of both fronts that only get a refusal
 	nodesLeast   = 4         // descriptors for cache nodes at the least
 	poolMost     = 8         // connections to one node at most
 	idleShare    = 0.8       // part of the nodes' idle time after which we close first
@@ -186,7 +187,7 @@
 	p.news = board.New(p.loop, log, cfg.Board, board.Within(grace(cfg)), cfg.Known, sink)
 	limits := session.Config{Name: "platform", Listen: cfg.Listen, Limits: platform.Limits}
 	bound(&limits, operator.Clients)
-	limits.Connections = held(cfg, operator.Clients)
+	limits.Connections, limits.Away = held(cfg, operator.Clients), away(cfg)
 	p.held.apply(&limits, cfg.Sockets)
 	p.queue = limiter(p.loop, cfg, operator.Clients)
 	limits.Admission, limits.Figures = p.queue, p.figures
@@ -211,7 +212,7 @@
 			p.signed.Share(p.shared)
 		}
 		links := session.Config{Name: "signed", Listen: operator.Signed.Listen, Limits: signed.Limits,
-			Buffer: signed.Buffer, Connections: int(signedShare * float64(cfg.Sockets)), Admission: limits.Admission,
+			Buffer: signed.Buffer, Connections: int(signedShare * float64(cfg.Sockets)), Away: limits.Away, Admission: limits.Admission,
 			Figures: p.figures, Audit: limits.Audit}
 		bound(&links, operator.Clients)
 		p.held.apply(&links, cfg.Sockets)
@@ -254,6 +255,15 @@
 	return min(drain, purge)
 }
 
+// away is how long a client that finds no place is told to stay away, where the settings
+// allow that: half of what it heeds.
+func away(cfg *config.Config) loop.Micros {
+	if !cfg.Settings.RetryAfter {
+		return 0
+	}
+	return cfg.Settings.MaxAway / 2
+}
+
 // held is the connections of the platform's front.
 func held(cfg *config.Config, c *config.Clients) int {
 	if c != nil && c.Held > 0 {
@@ -266,7 +276,7 @@
 // program itself needs, for the notice board before all. Whatever clients do while the board is
 // down, it is found again, and nodes are reached.
 func nodesRoom(cfg *config.Config, o *config.Operator) int {
-	clients := held(cfg, o.Clients)
+	clients := held(cfg, o.Clients) + refusedRoom
 	if o.Signed != nil {
 		clients += int(signedShare * float64(cfg.Sockets))
 	}
