--- a/rules/large_test.go
+++ b/rules/large_test.go
@@ -281,15 +281,16 @@
 			if i%3 == 0 {
 				code, note = Timeout, NoteNone
 			}
-			g.step(Outcome{ID: get.ID, Server: get.Server, Code: code, Note: note, Spent: 100 * milli, Closed: true})
+			g.step(Outcome{ID: get.ID, Server: get.Server, Code: code, Note: note, Spent: 100 * milli,
+				Closed: true})
 		}
 		if get, _ := g.ask(Request{Object: 9, Size: 1000, Expires: 5 * second}); (get.Within > 0) != x.early {
 			t.Errorf("%+v: time-out %d where answers get lost", x, get.Within)
 		}
 		m := g.r.members[home.Server]
 		m.ejected, m.backoff, m.trial, g.r.lost = 1, second, false, 0 // it comes back
-		if get, _ := g.ask(Request{Object: 9, Size: 1000, Expires: 5 * second}); (get.Within > 0) != x.early ||
-			get.Server != m.ID {
+		get, _ := g.ask(Request{Object: 9, Size: 1000, Expires: 5 * second})
+		if (get.Within > 0) != x.early || get.Server != m.ID {
 			t.Errorf("%+v: time-out %d of a trial at %d", x, get.Within, get.Server)
 		}
 	}
