--- a/internal/front/session/crossings_test.go
+++ b/internal/front/session/crossings_test.go
@@ -116,6 +116,19 @@
 	}
 }
 
+// crosses sends a request and waits until the poller has read it from the guest's
+// connection, while the loop is held: it stands there unlooked at.
+func (g *guest) crosses(c *conn) {
+	before := c.tc.Came()
+	g.send(request)
+	for until := time.Now().Add(patience); c.tc.Came() == before; time.Sleep(time.Millisecond) {
+		if time.Now().After(until) {
+			g.t.Error("the bytes did not come")
+			return
+		}
+	}
+}
+
 // answer reads one whole answer.
 func (g *guest) answer() (body string, last bool, err error) {
 	r, err := http.ReadResponse(g.r, nil)
@@ -168,14 +181,7 @@
 			}
 			c := h.only(idle)
 			h.on(func() { // all of this is one turn of the loop
-				before := c.tc.Came()
-				g.send(request)
-				for until := time.Now().Add(patience); c.tc.Came() == before; time.Sleep(time.Millisecond) {
-					if time.Now().After(until) {
-						t.Error("the bytes did not come")
-						return
-					}
-				}
+				g.crosses(c)
 				end(h, c)
 			})
 			h.serve()
@@ -336,14 +342,7 @@
 	}
 	h.on(func() { // all of this is one turn of the loop
 		oldest := h.server.lists[idle].head.next
-		before := oldest.tc.Came()
-		guests[0].send(request)
-		for until := time.Now().Add(patience); oldest.tc.Came() == before; time.Sleep(time.Millisecond) {
-			if time.Now().After(until) {
-				t.Error("the bytes did not come")
-				return
-			}
-		}
+		guests[0].crosses(oldest)
 		h.server.lists[idle].each(func(c *conn) { c.since -= yieldIdle + 1 })
 		h.server.evictIdle()
 		if n := h.server.Ending(); n != 1 {
