Test servers listen at addresses of their own process

Played under load (8 plays beside each other), 'address already in use' came twice in 140 plays: a port that a test frees to use it later, or that a stopped server leaves, is given by the system to other tests and processes, whose clients then reach the wrong server. Change: internal/loopbacktest gives each process its own 127/8 address and ports that are not given twice; every test server, the laboratory's site, lines and boxes use it. The stand-in node tells what a line that is no command said instead of crashing. Measured: cmd/cherryramp under the race detector passes; go vet and gofmt are clean.

--- a/cmd/cherryramp/standin_test.go
+++ b/cmd/cherryramp/standin_test.go
@@ -17,6 +17,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"cherryramp/internal/loopbacktest"
 )
 
 // patience is how long a test waits for what must come. Nothing sleeps for it.
@@ -61,17 +63,25 @@
 type node struct {
 	ln    net.Listener
 	came  chan command
+	wrong chan string // a line that is no command
 	taken atomic.Int64 // commands that came to serveAll
 }
 
 func newNode(t *testing.T) *node {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	ln, err := loopbacktest.Listen()
 	if err != nil {
 		t.Fatal(err)
 	}
-	n := &node{ln: ln, came: make(chan command, 1000)}
-	t.Cleanup(func() { _ = ln.Close() })
+	n := &node{ln: ln, came: make(chan command, 1000), wrong: make(chan string, 1)}
+	t.Cleanup(func() {
+		_ = ln.Close()
+		select {
+		case line := <-n.wrong:
+			t.Errorf("a node was told %q", line)
+		default:
+		}
+	})
 	go func() {
 		for {
 			c, err := ln.Accept()
@@ -93,6 +103,13 @@
 			return
 		}
 		words := strings.Fields(line)
+		if len(words) != 4 && (len(words) != 2 || words[0] == "serve") {
+			select {
+			case n.wrong <- line:
+			default:
+			}
+			return
+		}
 		x := command{word: words[0], id: words[1], conn: c, fields: map[string]string{}}
 		if x.word == "serve" {
 			for _, f := range strings.Split(words[2], ",") {
@@ -152,7 +169,7 @@
 
 func newBoard(t *testing.T) *board {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	ln, err := loopbacktest.Listen()
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -303,12 +320,11 @@
 
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	free, err := loopbacktest.Free()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = ln.Close() }()
-	return ln.Addr().String()
+	return free
 }
 
 // lines is a log that can be waited on.
--- a/internal/board/board_test.go
+++ b/internal/board/board_test.go
@@ -17,6 +17,7 @@
 
 	"cherryramp/internal/gateway"
 	"cherryramp/internal/loop"
+	"cherryramp/internal/loopbacktest"
 	"cherryramp/internal/seededtest"
 	"cherryramp/internal/transport"
 )
@@ -108,7 +109,7 @@
 // told of it fell silent: silent from the first moment on, after a whole answer, or in the middle of
 // an event. Each time the board is asked on another connection, from the last whole event on.
 func TestSilentWatches(t *testing.T) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	ln, err := loopbacktest.Listen()
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -144,7 +145,7 @@
 // Guards against an answer that is taken for silence because it is long: it comes in parts,
 // all of them together slower than the board may be silent.
 func TestLongAnswerIsNotSilence(t *testing.T) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	ln, err := loopbacktest.Listen()
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -261,7 +262,7 @@
 // Guards against a front that ends because two connects, one begun beside the other, both come up:
 // one is asked, the other is closed.
 func TestBothConnectsComeUp(t *testing.T) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	ln, err := loopbacktest.Listen()
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/ephemeral/keepertest/keepertest.go
+++ b/internal/ephemeral/keepertest/keepertest.go
@@ -11,6 +11,8 @@
 	"strings"
 	"sync"
 	"testing"
+
+	"cherryramp/internal/loopbacktest"
 )
 
 // Keeper is a stand-in that speaks the part of ZooKeeper's published protocol
@@ -33,7 +35,7 @@
 // New starts a keeper without nodes, which ends with the test.
 func New(t testing.TB) *Keeper {
 	t.Helper()
-	k, err := Open("127.0.0.1:0")
+	k, err := Open("")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -41,9 +43,10 @@
 	return k
 }
 
-// Open starts a keeper without nodes. It must be closed.
+// Open starts a keeper without nodes at an address, or at one of this process's own if it
+// is empty. It must be closed.
 func Open(address string) (*Keeper, error) {
-	ln, err := net.Listen("tcp", address)
+	ln, err := loopbacktest.ListenAt(address)
 	if err != nil {
 		return nil, fmt.Errorf("keeper: %w", err)
 	}
--- a/internal/front/session/crossings_test.go
+++ b/internal/front/session/crossings_test.go
@@ -15,6 +15,7 @@
 	"cherryramp/internal/gateway"
 	"cherryramp/internal/httpwire"
 	"cherryramp/internal/loop"
+	"cherryramp/internal/loopbacktest"
 	"cherryramp/internal/transport"
 )
 
@@ -60,12 +61,11 @@
 	if err := transport.Setup(log); err != nil {
 		t.Fatal(err)
 	}
-	free, err := net.Listen("tcp", "127.0.0.1:0")
+	free, err := loopbacktest.Free()
 	if err != nil {
 		t.Fatal(err)
 	}
-	cfg.Listen = free.Addr().String()
-	_ = free.Close()
+	cfg.Listen = free
 	if cfg.Connections == 0 {
 		cfg.Connections = 100
 	}
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -15,6 +15,7 @@
 	"cherryramp/internal/decide/streams"
 	"cherryramp/internal/link/frame"
 	"cherryramp/internal/loop"
+	"cherryramp/internal/loopbacktest"
 	"cherryramp/lab/line"
 )
 
@@ -70,13 +71,13 @@
 // joinOver has both sides speak TLS where there is a configuration.
 func joinOver(t testing.TB, from, to *end, secure *tls.Config) *joined {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	ln, err := loopbacktest.Listen()
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer func() { _ = ln.Close() }()
 	j := &joined{l: loop.New(func() {}), from: from, to: to}
-	if j.line, err = line.Open("127.0.0.1:0", ln.Addr().String(), 1); err != nil {
+	if j.line, err = line.Open("", ln.Addr().String(), 1); err != nil {
 		t.Fatal(err)
 	}
 	x, err := net.Dial("tcp", j.line.Addr())
--- a/internal/link/peers/peers_test.go
+++ b/internal/link/peers/peers_test.go
@@ -18,6 +18,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"cherryramp/internal/loopbacktest"
 )
 
 var begin = time.Date(2026, 12, 1, 0, 0, 0, 0, time.UTC)
@@ -83,7 +85,7 @@
 
 // connect shakes hands; each side sends a byte.
 func connect(server, client *Keys) (s, c *tls.Conn, err error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	ln, err := loopbacktest.Listen()
 	if err != nil {
 		return nil, nil, err
 	}
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -14,6 +14,7 @@
 	"pgregory.net/rapid"
 
 	"cherryramp/internal/loop"
+	"cherryramp/internal/loopbacktest"
 	"cherryramp/internal/seededtest"
 )
 
@@ -66,7 +67,7 @@
 	if err := Setup(slog.New(slog.NewTextHandler(io.Discard, nil))); err != nil {
 		t.Fatal(err)
 	}
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	ln, err := loopbacktest.Listen()
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -13,6 +13,7 @@
 
 	"cherryramp/internal/gateway"
 	"cherryramp/internal/loop"
+	"cherryramp/internal/loopbacktest"
 	"cherryramp/internal/seededtest"
 	"cherryramp/internal/transport"
 	"cherryramp/rules"
@@ -56,7 +57,7 @@
 
 func newRig(t *testing.T, connections int) *rig {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	ln, err := loopbacktest.Listen()
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/lab/fleet/boxes.go
+++ b/lab/fleet/boxes.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"cherryramp/internal/loopbacktest"
 	"cherryramp/lab/history"
 	"cherryramp/lab/process"
 )
@@ -65,7 +66,7 @@
 	if s.Store, err = s.box("store", zones[0], "origin"); err != nil {
 		return s, err
 	}
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	ln, err := loopbacktest.Listen()
 	if err != nil {
 		return s, err
 	}
@@ -82,7 +83,7 @@
 }
 
 func (s *Stand) box(name, zone, kind string) (*Box, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	ln, err := loopbacktest.Listen()
 	if err != nil {
 		return nil, err
 	}
--- a/lab/fleet/processes.go
+++ b/lab/fleet/processes.go
@@ -118,7 +118,7 @@
 			if i == j || !o.Lines {
 				continue
 			}
-			l, err := line.Open("127.0.0.1:0", q.Fleet, o.Seed+uint64(i*len(f.List)+j))
+			l, err := line.Open("", q.Fleet, o.Seed+uint64(i*len(f.List)+j))
 			if err != nil {
 				return f, err
 			}
--- a/lab/line/line.go
+++ b/lab/line/line.go
@@ -12,6 +12,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"cherryramp/internal/loopbacktest"
 )
 
 // Direction is a way, as those who connect see it.
@@ -55,9 +57,10 @@
 	mute [2]bool     // nothing of that direction is passed on any more, unheard
 }
 
-// Open listens at an address and passes connections on to another.
+// Open listens at an address, or at one of this process's own if it is empty, and passes
+// connections on to another.
 func Open(listen, to string, seed uint64) (*Line, error) {
-	ln, err := net.Listen("tcp", listen)
+	ln, err := loopbacktest.ListenAt(listen)
 	if err != nil {
 		return nil, fmt.Errorf("line: %w", err)
 	}
--- a/lab/line/line_test.go
+++ b/lab/line/line_test.go
@@ -8,12 +8,14 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"cherryramp/internal/loopbacktest"
 )
 
 // echo answers each byte, and ends when its client does.
 func echo(t *testing.T) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	ln, err := loopbacktest.Listen()
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -35,7 +37,7 @@
 
 func open(t *testing.T) (*Line, *net.TCPConn) {
 	t.Helper()
-	l, err := Open("127.0.0.1:0", echo(t), 1)
+	l, err := Open("", echo(t), 1)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/lab/load/load_test.go
+++ b/lab/load/load_test.go
@@ -5,7 +5,6 @@
 	"io"
 	"log/slog"
 	"math"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -16,6 +15,7 @@
 
 	"cherryramp/internal/httpwire"
 	"cherryramp/internal/loop"
+	"cherryramp/internal/loopbacktest"
 	"cherryramp/internal/transport"
 	"cherryramp/lab/world"
 )
@@ -89,7 +89,7 @@
 		r.Kinds[0].Ends["200"] <= r.Kinds[1].Ends["200"] {
 		t.Errorf("%d due, %d odd, %v", r.Due, odd.Load(), ends)
 	}
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	ln, err := loopbacktest.Listen()
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -123,7 +123,7 @@
 	if slow < 60 { // of 400 a second, for 0.3 s
 		t.Errorf("%.0f were slow", slow)
 	}
-	ln, err := net.Listen("tcp", "127.0.0.1:0") // accepts in its queue, and says nothing
+	ln, err := loopbacktest.Listen() // accepts in its queue, and says nothing
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -212,7 +212,7 @@
 func BenchmarkCeiling(b *testing.B) {
 	l := loop.New(func() {})
 	var held transport.Gauge
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	ln, err := loopbacktest.Listen()
 	if err != nil {
 		b.Fatal(err)
 	}
--- a/lab/site/site.go
+++ b/lab/site/site.go
@@ -21,6 +21,7 @@
 	"sync/atomic"
 	"time"
 
+	"cherryramp/internal/loopbacktest"
 	"cherryramp/lab/process"
 )
 
@@ -58,7 +59,7 @@
 func (n *Node) Addr() string { return n.ln.Addr().String() }
 
 func newNode() (*Node, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	ln, err := loopbacktest.Listen()
 	if err != nil {
 		return nil, err
 	}
@@ -157,7 +158,7 @@
 			return s, err
 		}
 	}
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	ln, err := loopbacktest.Listen()
 	if err != nil {
 		return s, err
 	}
@@ -197,7 +198,7 @@
 			err = errors.Join(fmt.Errorf("site: %w", err), s.Stop())
 		}
 	}()
-	if s.Listen, err = Free(); err != nil {
+	if s.Listen, err = loopbacktest.Free(); err != nil {
 		return s, err
 	}
 	config := s.Config("lab", s.Listen, o.MemoryMB, o.Sockets)
@@ -207,7 +208,7 @@
 	}
 	env := append([]string{"ROUTER_CONFIG=" + path}, o.Env...)
 	if o.Operator != nil {
-		if s.Signed, err = Free(); err != nil {
+		if s.Signed, err = loopbacktest.Free(); err != nil {
 			return s, err
 		}
 		s.Operator = filepath.Join(s.dir, "operator.json")
@@ -253,14 +254,5 @@
 	_, _ = io.WriteString(w, `{"rev":1,"notices":[]}`)
 }
 
-// Free gives an address on loopback that nobody listens at now.
-func Free() (string, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	return ln.Addr().String(), ln.Close()
-}
-
 // Settings is the settings of the site's fronts, as JSON.
 func Settings() string { return settings }
