--- a/internal/ephemeral/ephemeral.go
+++ b/internal/ephemeral/ephemeral.go
@@ -176,8 +176,10 @@
 		return
 	}
 	f.told = list
-	f.log.Info("member nodes read", "members", len(list))
-	f.loop.Post(func() { f.sink.Members(true, list) })
+	f.loop.Post(func() {
+		f.sink.Members(true, list)
+		f.log.Info("member nodes read", "members", len(list)) // whoever reads it finds them in use
+	})
 }
 
 // wait returns when a watch was spent or a session came up, and after a while
