--- a/internal/decide/purges/purges_test.go
+++ b/internal/decide/purges/purges_test.go
@@ -204,6 +204,26 @@
 	t.Fatal("complete by those heard alone was not found")
 }
 
+// Guards the mutation: it leaves out who is late whether or not a word of it from before the
+// purge is known, of a front or of a site, and the rule as built waits for both.
+func TestLeftOutRuleHeedsNoOldWord(t *testing.T) {
+	origin := Origin{Site: "west", Keeper: 3}
+	here := Marks{{Origin: origin, N: 1}}
+	v := &tree.View{Index: 9, Fronts: []tree.Front{
+		{Name: "a", Site: "west", Start: 1, Keep: 1}, {Name: "b", Site: "east/hub", Start: 1, Keep: 1, Lost: true}, {Name: "c", Site: "west", Start: 1, Keep: 1, Lost: true}}}
+	for rule, want := range map[Rule]uint64{"": 0, NoAck: 1} {
+		for _, late := range []tree.Role{{Site: "east", Keeper: 5}, {Site: "east/hub", Front: "b", Start: 1}, {Site: "west", Front: "c", Start: 1}} {
+			g := NewGather("")
+			g.Without(rule)
+			g.Heard(late, 1, Summary{Index: 9, Count: 1}, 0)
+			g.Heard(tree.Role{Site: "west", Front: "a", Start: 1}, 1, Summary{Index: 9, Done: here, Count: 1}, 100)
+			if got := g.Sum(v, 9, here, 50, 100).Done.Of(origin); got != want {
+				t.Errorf("without %q, %+v late: acknowledged up to %d, want %d", rule, late, got, want)
+			}
+		}
+	}
+}
+
 // plain is an index that only remembers.
 type plain []struct {
 	s  Scope
--- a/internal/decide/purges/summary.go
+++ b/internal/decide/purges/summary.go
@@ -35,7 +35,8 @@
 // Rule is a rule that a mutation leaves out, for the checkers' own test.
 type Rule string
 
-// NoAck has a purge be complete by those heard alone.
+// NoAck has a purge be complete by those heard alone: whoever is late is left out, also
+// where its last word, from before the purge, is known.
 const NoAck Rule = "ack"
 
 // Gather is a keeper's view of who keeps and obeys what.
@@ -96,7 +97,7 @@
 		if x.role.Front != "" || site == g.site || !tree.Within(site, g.site) || x.s.Index < changed {
 			continue
 		}
-		if now-x.at > stale && g.without != NoAck {
+		if now-x.at > stale {
 			continue // its fronts speak for themselves, or are late
 		}
 		if within(site, inside) {
@@ -124,7 +125,7 @@
 		}
 		switch {
 		case speaks && x == nil: // by its site
-		case !speaks && g.without == NoAck:
+		case g.without == NoAck && (!speaks || now-x.at > stale):
 		case x == nil:
 			late(Late{Front: f.Name, Why: cmp.Or(map[bool]string{true: "lost, and may serve on"}[f.Lost], "not heard")})
 		case x.role.Start != f.Start:
--- a/lab/fleet/processes.go
+++ b/lab/fleet/processes.go
@@ -256,12 +256,21 @@
 			p.Killed.Add(1) // what clients have there may take its time until both have come
 		}
 		p.running.Signal(s)
+		// Pid waits for the lock, so that whoever reads the count in between finds it stopped.
+		for end := time.Now().Add(stopTime); s == syscall.SIGSTOP && !stopped(p.running.Pid()) && time.Now().Before(end); {
+			time.Sleep(time.Millisecond)
+		}
 	}
 }
 
+// stopTime bounds the wait for a process to have stopped.
+const stopTime = time.Second
+
 // Stopped tells whether a front's process was stopped and has not gone on yet.
-func (p *Process) Stopped() bool {
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.Pid()))
+func (p *Process) Stopped() bool { return stopped(p.Pid()) }
+
+func stopped(pid int) bool {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
 	if err != nil {
 		return false
 	}
