--- a/cmd/cherryramp/standin_test.go
+++ b/cmd/cherryramp/standin_test.go
@@ -63,7 +63,7 @@
 type node struct {
 	ln    net.Listener
 	came  chan command
-	wrong chan string // a line that is no command
+	wrong chan string  // a line that is no command
 	taken atomic.Int64 // commands that came to serveAll
 }
 
