--- a/internal/front/session/crossings_test.go
+++ b/internal/front/session/crossings_test.go
@@ -24,9 +24,10 @@
 // desk is a front and a gateway in one: it takes every request as a call, and the test
 // answers. What it is told stands in channels.
 type desk struct {
-	came chan *gateway.Call
-	left chan *gateway.Call
-	body string
+	came   chan *gateway.Call
+	left   chan *gateway.Call
+	body   string
+	atOnce bool // calls are answered as they come
 
 	refused atomic.Int64 // answers that refuse
 }
@@ -42,20 +43,26 @@
 	return &httpwire.Response{Status: 200, Body: []byte(d.body)}
 }
 
-func (d *desk) Left(*Exchange)         {}
-func (d *desk) Submit(c *gateway.Call) { d.came <- c }
-func (d *desk) Leave(c *gateway.Call)  { d.left <- c }
+func (d *desk) Left(*Exchange) {}
+func (d *desk) Submit(c *gateway.Call) {
+	if d.atOnce {
+		c.Caller.Answer(gateway.Answer{Kind: gateway.Served})
+		return
+	}
+	d.came <- c
+}
+func (d *desk) Leave(c *gateway.Call) { d.left <- c }
 
 // hall is a server on sockets and a running loop.
 type hall struct {
-	t      *testing.T
+	t      testing.TB
 	loop   *loop.Loop
 	server *Server
 	desk   *desk
 	addr   string
 }
 
-func newHall(t *testing.T, cfg Config) *hall {
+func newHall(t testing.TB, cfg Config) *hall {
 	t.Helper()
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	if err := transport.Setup(log); err != nil {
@@ -91,7 +98,7 @@
 
 // guest is a client's connection.
 type guest struct {
-	t *testing.T
+	t testing.TB
 	c *net.TCPConn
 	r *bufio.Reader
 }
