What becomes of a connection that comes when places run short is one decision

Change: resources.Arrive, pure, gives let in, refuse, dropped or left, and whether another has to make room; session acts on it. Room is made before the newcomer asks for its place, not after.

--- /dev/null
+++ b/internal/decide/resources/arrival.go
@@ -0,0 +1,36 @@
+package resources
+
+// Arrival is what becomes of a connection that has just come.
+type Arrival int
+
+// The arrivals.
+const (
+	LetIn   Arrival = iota // it takes a place
+	Refuse                 // it has none, and is held for the refusal of its request alone
+	Dropped                // not even that: it is closed
+	Left                   // it came while the front was held up, and has gone: it is owed nothing
+)
+
+// Where places run out.
+const (
+	crowdedFrom = 0.9 // part of the places from which whoever comes has another make room
+	refuseMost  = 8   // connections beyond the places that are only refused, at most
+	refusePart  = 8   // and at most one for so many places
+)
+
+// Arrive decides over a connection that is the held-th for so many places, and whether
+// another has to make room for it. Whether its client has gone is asked where it matters
+// alone: who has left is owed no place, but finding it out costs a system call.
+func Arrive(held, places int64, gone func() bool) (a Arrival, room bool) {
+	crowded := float64(held) > crowdedFrom*float64(places)
+	switch {
+	case crowded && gone():
+		return Left, false
+	case held <= places:
+		return LetIn, crowded
+	case held <= places+min(refuseMost, places/refusePart):
+		return Refuse, true
+	default:
+		return Dropped, true
+	}
+}
--- a/internal/front/session/session.go
+++ b/internal/front/session/session.go
@@ -51,9 +51,6 @@
 	yieldSilent  = 400_000   // us after which one that has said nothing whole yet may have to make room
 	yieldIdle    = 50_000    // us after which an idle one may
 	refusalEvery = 1_000_000 // us between log lines about clients turned away
-	refuseMost   = 8         // connections beyond the places that are only refused, at most
-	refusePart   = 8         // and at most such a part of the places
-	crowdShare   = 0.9       // part of the places from which new clients have others make room
 )
 
 // Audit follows calls from where they came to their one answer.
@@ -220,21 +217,19 @@
 // admit runs on the poller. Where few places are left, one of the connections
 // that stand idle has to make room.
 func (s *Server) admit(tc *transport.Conn) transport.Handler {
-	held := s.held.Add(1)
 	places := s.places.Load()
-	if float64(held) > crowdShare*float64(places) && tc.Gone() {
-		s.held.Add(-1) // it came while the front was held up, and has left: no place is owed to it
-		return nil
-	}
-	if held > places {
+	arrival, room := resources.Arrive(s.held.Add(1), places, tc.Gone)
+	if arrival == resources.Refuse || arrival == resources.Dropped {
 		s.turnAway("client turned away: too many connections", "limit", places)
+	}
+	if room {
 		s.loop.Post(s.evictIdle)
-		if held > places+refusing(places) {
-			s.held.Add(-1)
-			return nil
-		}
 	}
-	c := &conn{server: s, tc: tc, refuse: held > places}
+	if arrival == resources.Left || arrival == resources.Dropped {
+		s.held.Add(-1)
+		return nil
+	}
+	c := &conn{server: s, tc: tc, refuse: arrival == resources.Refuse}
 	s.loop.Post(func() {
 		if c.over || c.state != outside {
 			return
@@ -261,16 +256,9 @@
 			s.lists[parked].watch()
 		}
 	})
-	if float64(held) > crowdShare*float64(places) {
-		s.loop.Post(s.evictIdle)
-	}
 	return c
 }
 
-// refusing is how many more connections are held than there are places for, so that whoever
-// comes on one is told so by a refusal and not by a reset.
-func refusing(places int64) int64 { return min(refuseMost, places/refusePart) }
-
 // turnAway says now and then that clients are turned away. It may be called from
 // anywhere.
 func (s *Server) turnAway(text string, args ...any) {
