Refused payouts count as the origin's want where fills are refused as well

So the origin is pushed to its edge when nothing of the 500 payouts that it refuses a second holds fills back. At fault: rules.go, learn: every refused write was put down to a limit of writes alone. TestRefusedWritesCountWhereFillsAreRefused fails without it (86 and 86 held).

--- a/rules/large_test.go
+++ b/rules/large_test.go
@@ -295,3 +295,32 @@
 		}
 	}
 }
+
+// Guards against an origin that is asked on until it stops: where it refuses fills too, the
+// writes that it refuses tell of the same want.
+func TestRefusedWritesCountWhereFillsAreRefused(t *testing.T) {
+	held := func(code Code) (n int) {
+		g := newRig(t, nil)
+		for i := range 20 {
+			if i < 2 {
+				get, _ := g.ask(Request{Object: mix(uint64(g.id)), Size: 100})
+				g.answer(get, 0, Full, NoteOriginFailed)
+				g.now += 110 * milli
+			}
+			get, _ := g.ask(Request{Class: 2, Object: mix(uint64(g.id))})
+			g.answer(get, 0, code, NoteNone)
+			g.now += 110 * milli
+		}
+		for range 200 {
+			get, _ := g.ask(Request{Object: mix(uint64(g.id)), Size: 100})
+			if get.Held {
+				n++
+			}
+			g.answer(get, 0, Miss, NoteSourceLacks)
+		}
+		return n
+	}
+	if served, refused := held(OK), held(Full); refused <= served {
+		t.Errorf("%d of 200 fills are held where writes are refused, %d where they run", refused, served)
+	}
+}
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -816,7 +816,8 @@
 	case e.Code == OK:
 		r.judge(t.server, t.trial, 0)
 	case e.Code == Moot || e.Code == Cancelled || e.Code == Spoilt:
-	case e.Code == Full && q.class.Write && t.server == r.origin: // by a limit that fills do not meet
+	case e.Code == Full && q.class.Write && t.server == r.origin && r.shareOf(r.origin) > shareCut:
+		// A limit that fills do not meet: where they do, both tell of the same want.
 	case e.Note < NoteSourceRefused && e.Code == Full: // not sick, but with all that it can hold
 		r.gauge(t.server, t.server.wait, fullSlow, 1)
 		r.cut(t.server)
