--- a/rules/guards_test.go
+++ b/rules/guards_test.go
@@ -575,8 +575,8 @@
 		}
 		g.answer(get, 1, OK, NoteHit)
 		g.answer(get, 0, Cancelled, NoteNone)
-		if m := g.r.members[get.Server]; m.out != 0 {
-			t.Errorf("%d attempts are still booked", m.out)
+		if m := g.r.members[get.Server]; m.inFlight != 0 {
+			t.Errorf("%d attempts are still booked", m.inFlight)
 		}
 	}
 }
--- a/rules/random_test.go
+++ b/rules/random_test.go
@@ -31,7 +31,7 @@
 	Request
 	deadline Micros
 	tries    []seenSend
-	out      int
+	inFlight int
 	ranAt    Micros
 	ran      bool
 }
@@ -125,7 +125,7 @@
 	case Fail:
 		final(a.ID)
 	case Refuse:
-		if q := w.open[a.ID]; q != nil && (q.ran || q.out > 0) {
+		if q := w.open[a.ID]; q != nil && (q.ran || q.inFlight > 0) {
 			c := w.cfg.Classes[q.Class]
 			if c.Effect == Unsafe ||
 				c.Effect == Keyed && (c.Scope != ScopeAll || w.now-q.ranAt > c.MemorySpan) {
@@ -142,8 +142,8 @@
 		w.complain("send for a request not held")
 		return
 	}
-	if q.out > 0 && (!w.cfg.Hedges || w.cfg.Classes[q.Class].Effect != Safe || q.out > 1) {
-		w.complain("%d attempts out at a time", q.out+1)
+	if q.inFlight > 0 && (!w.cfg.Hedges || w.cfg.Classes[q.Class].Effect != Safe || q.inFlight > 1) {
+		w.complain("%d attempts out at a time", q.inFlight+1)
 	}
 	if len(q.tries) >= w.cfg.MaxAttempts {
 		w.complain("attempt %d", len(q.tries)+1)
@@ -172,7 +172,7 @@
 		}
 	}
 	q.tries = append(q.tries, seenSend{at: w.now, server: a.Server})
-	q.out++
+	q.inFlight++
 }
 
 // finish ends one attempt in some legal way.
@@ -183,7 +183,7 @@
 		}
 		t := &q.tries[i]
 		t.done = true
-		q.out--
+		q.inFlight--
 		codes := []Code{OK, OK, OK, Miss, Moot, Cancelled, ServerError, ConnectFailed, Full, Timeout, Reset}
 		o := Outcome{ID: id, Attempt: i, Server: t.server, Code: codes[w.rnd.IntN(len(codes))],
 			Note: Note(w.rnd.IntN(11)), Spent: w.now - t.at, Waited: Micros(w.rnd.IntN(1 << w.rnd.IntN(32)))}
@@ -206,7 +206,7 @@
 	w.now += Micros(w.rnd.IntN(1 << (1 + w.rnd.IntN(21))))
 	for id := RequestID(1); id <= w.next; id++ { // the client's time is up
 		if q := w.open[id]; q != nil && w.now >= q.deadline {
-			if q.out == 0 {
+			if q.inFlight == 0 {
 				w.complain("request %d is held with nothing out until its deadline", id)
 			}
 			delete(w.open, id)
@@ -221,7 +221,7 @@
 			Size: float64(w.rnd.IntN(1 << w.rnd.IntN(20)))})
 	case n < 88:
 		for id := max(1, w.next-30); id <= w.next; id++ {
-			if q := w.open[id]; q != nil && q.out > 0 && w.rnd.IntN(3) == 0 {
+			if q := w.open[id]; q != nil && q.inFlight > 0 && w.rnd.IntN(3) == 0 {
 				w.finish(q, id)
 				break
 			}
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -68,19 +68,19 @@
 // member is a listed server and what this gateway has seen of it.
 type member struct {
 	Member
-	tier    tier
-	listed  bool
-	out     int     // attempts out
-	heard   Micros  // when an answer of its last came
-	errs    float64 // recent share of failures
-	samples int
-	ejected Micros // no ordinary work until then; 0 when healthy
-	backoff Micros
-	trial   bool // a trial is out
-	passed  int  // trials that succeeded in a row
-	shareAt Micros
-	grown   float64 // the origin: what good straight fills added to their allowance, in parts of it
-	share   float64 // part of its objects sent to it as a source; below 1 after refusals
+	tier     tier
+	listed   bool
+	inFlight int     // attempts
+	heard    Micros  // when an answer of its last came
+	errs     float64 // recent share of failures
+	samples  int
+	ejected  Micros // no ordinary work until then; 0 when healthy
+	backoff  Micros
+	trial    bool // a trial is out
+	passed   int  // trials that succeeded in a row
+	shareAt  Micros
+	grown    float64 // the origin: what good straight fills added to their allowance, in parts of it
+	share    float64 // part of its objects sent to it as a source; below 1 after refusals
 	pace
 	draw   float64 // by which a part of a call is rounded, where ranks are untold
 	tokens float64
@@ -116,7 +116,7 @@
 	part     uint64 // key of (object, part)
 	most     int    // attempts, as the settings were when it came
 	tries    []attempt
-	out      int
+	inFlight int
 	over     bool
 	ran      bool    // an attempt may have run
 	ranAt    Micros  // when it was sent
@@ -146,7 +146,7 @@
 	cfg     Settings
 	now     Micros
 	rng     uint64
-	out     []Action
+	actions []Action
 	members map[ServerID]*member
 	caches  []*member // of the own zone, listed
 	parents []*member // listed, everywhere
@@ -212,7 +212,7 @@
 // order. The slice is good until the next Step.
 func (r *Router) Step(now Micros, events []Event) []Action {
 	r.now = now
-	r.out = r.out[:0]
+	r.actions = r.actions[:0]
 	for _, e := range events {
 		switch e := e.(type) {
 		case Members:
@@ -235,10 +235,10 @@
 			}
 		}
 	}
-	return r.out
+	return r.actions
 }
 
-func (r *Router) do(a Action) { r.out = append(r.out, a) }
+func (r *Router) do(a Action) { r.actions = append(r.actions, a) }
 
 // onMembers follows the list. Order of lists is by id, so that every gateway
 // and every run sees the same.
@@ -259,7 +259,7 @@
 			m = cmp.Or(m, &member{})
 			r.members[x.ID] = m
 			u := unit(r.rng+uint64(r.now), x.ID, 3) // started together, they do not ask together
-			*m = member{out: m.out, share: 1, tokens: -u, draw: u, filled: r.now}
+			*m = member{inFlight: m.inFlight, share: 1, tokens: -u, draw: u, filled: r.now}
 		}
 		m.Member = x
 		m.listed = x.State != Gone
@@ -272,7 +272,7 @@
 	r.caches, r.parents, r.room = r.caches[:0], r.parents[:0], 0
 	for _, m := range r.members {
 		if !m.listed {
-			if m.out == 0 && m != r.origin {
+			if m.inFlight == 0 && m != r.origin {
 				delete(r.members, m.ID)
 			}
 			continue
@@ -418,7 +418,7 @@
 		r.do(Wake{Tag: uint32(q.ID), In: in})
 	}
 	q.tries = append(q.tries, t)
-	q.out++
+	q.inFlight++
 	r.do(g)
 }
 
@@ -428,7 +428,7 @@
 // without a fill: a slow fill that it doubled would cost the origin its bytes once more.
 func (r *Router) onTimer(e Timer) {
 	q := r.reqs[RequestID(e.Tag)]
-	if q == nil || q.over || q.out != 1 || !r.cfg.Hedges || q.class.Effect != Safe || r.retries < 1 ||
+	if q == nil || q.over || q.inFlight != 1 || !r.cfg.Hedges || q.class.Effect != Safe || r.retries < 1 ||
 		len(q.tries) >= q.most || r.now >= q.deadline {
 		return
 	}
@@ -441,7 +441,7 @@
 	r.take(m, q)
 	r.hold(m, 1)
 	q.tries = append(q.tries, attempt{server: m, sent: r.now, expect: t.expect, bucket: len(r.hitBy) - 1})
-	q.out++
+	q.inFlight++
 	r.do(Get{ID: q.ID, Attempt: len(q.tries) - 1, Server: m.ID, Source: m.ID,
 		MaxAge: r.ageBound(q, q.class.Fresh+q.class.Grace)})
 }
@@ -529,7 +529,7 @@
 	o := r.object(q.Object)
 	if len(r.caches) > 1 && o.bytes > hotPart*r.bytes/float64(len(r.caches)) && r.bytes > 0 {
 		second := r.best(r.caches, q.part, q, first)
-		if second != nil && float64(second.out)/second.size() < float64(first.out)/first.size() {
+		if second != nil && float64(second.inFlight)/second.size() < float64(first.inFlight)/first.size() {
 			return second
 		}
 	}
@@ -560,17 +560,17 @@
 	if r.cfg.Weights == WeightsOff || r.cfg.Weights == WeightsLive {
 		return q.work
 	}
-	own, each := float64(m.out+1), float64(m.out+1) // each: what any other gateway is taken to have there
+	own, each := float64(m.inFlight+1), float64(m.inFlight+1) // each: what any other gateway may have there
 	if m.tier == tierCache {
 		mean := r.load * m.size()
 		each *= mean / (mean + 1)
 	}
-	return q.work * max(1, (own+(r.gates(m)-1)*each)/(m.size()*r.warmth(m)))
+	return q.work * max(1, (own+(r.gates(m)-1)*each)/(m.size()*r.slowStart(m)))
 }
 
 // hold counts attempts out at caches of the location, and their mean over time.
 func (r *Router) hold(m *member, by int) {
-	m.out += by
+	m.inFlight += by
 	if m.tier != tierCache {
 		return
 	}
@@ -672,7 +672,7 @@
 	if m.State != Ready || !m.listed || m.ejected > 0 && (r.now < m.ejected || m.trial) {
 		return false
 	}
-	most := min(r.shareOf(m), warmTrust*r.warmth(m))
+	most := min(r.shareOf(m), warmTrust*r.slowStart(m))
 	if t := &r.tiers[tierCache]; m.tier == tierCache {
 		own := fade(r.now-m.pace.at, slowHalf)
 		most = min(most, slowSlack*(1+max(0, t.slow))/(1+own*m.slow+(1-own)*max(0, t.slow)))
@@ -716,7 +716,7 @@
 // end forgets a request; one with attempts out is kept for their outcomes.
 func (r *Router) end(q *request) {
 	q.over = true
-	if q.out == 0 {
+	if q.inFlight == 0 {
 		delete(r.reqs, q.ID)
 	}
 }
@@ -729,7 +729,7 @@
 		return
 	}
 	t := &q.tries[e.Attempt]
-	t.done, q.out = true, q.out-1
+	t.done, q.inFlight = true, q.inFlight-1
 	if e.Code == Spoilt {
 		r.spoilt = r.now
 	} else if !slices.Contains([]Code{Timeout, Cancelled, ConnectFailed, Moot}, e.Code) {
@@ -750,7 +750,7 @@
 	switch {
 	case e.Closed || q.over:
 		r.end(q)
-	case q.out > 0:
+	case q.inFlight > 0:
 	case q.mayRepeat() && (e.Code != Timeout || r.now < q.deadline-r.cfg.Tick):
 		r.send(q)
 	default:
@@ -910,8 +910,8 @@
 
 // Cold members.
 
-// warmth is the share of its capacity that a member has at the least.
-func (r *Router) warmth(m *member) float64 {
+// slowStart is the share of its capacity that a member has at the least.
+func (r *Router) slowStart(m *member) float64 {
 	from, span := r.cfg.ColdFrom, r.cfg.WarmUp
 	if m.tier == tierParent {
 		from, span = r.cfg.ParentColdFrom, r.cfg.ParentWarmUp
@@ -929,7 +929,7 @@
 // been told. N = 37 and 300 gateways: 0.05 calls each, so that 15 of them may send one within a second,
 // whoever is asked; drawn, 15 and a deviation of 4. Fills and further attempts count alike.
 func (r *Router) budget(m *member, q *request) bool {
-	w, span, usual := r.warmth(m), max(r.cfg.FallTime, milli), r.usual(q)
+	w, span, usual := r.slowStart(m), max(r.cfg.FallTime, milli), r.usual(q)
 	multiple := [...]float64{r.cfg.FallMultiple, r.cfg.ParentFallMultiple, 0}[m.tier]
 	able := w * m.size() * multiple * float64(span)
 	if w >= 1 || able == 0 { // without a multiple it bears anything
