The refusal of whoever finds no place is worded at the start of listening

Change: Start words it. Measured: front's packages and the woken-front tests pass under the race detector.

--- a/internal/front/session/session.go
+++ b/internal/front/session/session.go
@@ -185,9 +185,6 @@
 func New(cfg Config, l *loop.Loop, app App, desk Desk, log *slog.Logger) *Server {
 	cfg.Idle, cfg.Request = cmp.Or(cfg.Idle, idleMost), cmp.Or(cfg.Request, requestMost)
 	s := &Server{cfg: cfg, loop: l, app: app, desk: desk, log: log.With("front", cfg.Name)}
-	full := app.Full(cfg.Away)
-	full.Close = true
-	s.full = httpwire.AppendResponse(nil, full, false)
 	s.account = resources.New(s.limits(), cfg.Bytes)
 	s.places.Store(int64(cfg.Connections))
 	for i := range s.lists {
@@ -199,6 +196,9 @@
 
 // Start begins to accept clients.
 func (s *Server) Start() (err error) {
+	full := s.app.Full(s.cfg.Away)
+	full.Close = true
+	s.full = httpwire.AppendResponse(nil, full, false)
 	s.listener, err = transport.Listen(s.loop, s.cfg.Listen, max(s.cfg.Buffer, s.cfg.Limits.Head+s.cfg.Limits.Body),
 		&s.gauge, s.admit)
 	return err
