A write that the origin turned away goes through a parent

WIRE says that a write gets to the origin straight or through a parent; send() only ever went straight, so that every further attempt met the same limit of straight calls. PROTOCOL: 'nothing' and 'refused' never ran, 'error' may have; what may have run is not sent on, as before. Change: the first attempt goes straight, further ones through the object's parent where one is fit. Tests: TestRefusedWriteGoesThroughAParent fails without it; TestRefusedWriteWithoutAParent.

--- a/rules/large_test.go
+++ b/rules/large_test.go
@@ -324,3 +324,42 @@
 		t.Errorf("%d of 200 fills are held where writes are refused, %d where they run", refused, served)
 	}
 }
+
+// Guards against writes that ask the origin straight again and again where it turns such calls
+// away by a limit: it takes what a parent passes on. Nothing is sent on after one that may have run.
+func TestRefusedWriteGoesThroughAParent(t *testing.T) {
+	g := newRig(t, nil)
+	for code, want := range map[Code]bool{Full: true, Miss: true, ConnectFailed: true, ServerError: false} {
+		first, _ := g.ask(Request{Class: 2, Object: mix(uint64(g.id))})
+		if first.Server != 200 || first.Source != 200 {
+			t.Fatalf("a write went to %+v first", first)
+		}
+		again := gets(g.answer(first, 0, code, NoteNone))
+		if len(again) > 0 != want {
+			t.Fatalf("after %v: %+v", code, again)
+		}
+		for _, x := range again {
+			if m := g.r.members[x.Server]; m.tier != tierParent || x.Source != 200 {
+				t.Errorf("after %v it went to %+v", code, x)
+			}
+		}
+		g.now += 2 * second
+	}
+}
+
+// Guards deployments whose origin has no parent before it, or none that is fit.
+func TestRefusedWriteWithoutAParent(t *testing.T) {
+	g := newRig(t, nil)
+	for id, m := range g.r.members {
+		if m.tier == tierParent {
+			m.State = Draining
+			g.r.members[id] = m
+		}
+	}
+	first, _ := g.ask(Request{Class: 2, Object: mix(uint64(g.id))})
+	for _, x := range gets(g.answer(first, 0, Full, NoteNone)) {
+		if x.Server != 200 {
+			t.Errorf("it went to %+v", x)
+		}
+	}
+}
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -390,8 +390,11 @@
 	case !q.class.Write:
 		server, source = r.readWay(q, &g)
 	case r.origin == nil || !r.origin.listed: // a write runs nowhere else
-	case r.cfg.Direct:
+	case r.cfg.Direct: // and again through a parent: fills don't meet the limit of straight calls
 		server, source = r.origin, r.origin
+		if p := r.source(q); again && p != nil && p.tier == tierParent {
+			server = p
+		}
 	default:
 		server, source = r.edge(q), r.origin
 	}
@@ -924,10 +927,9 @@
 
 // budget tells whether a cold member can take the request. It bears N calls within FallTime from all
 // gateways, which share nothing. Each has its part of coldPart x N for any such span, as whole calls. A
-// floor of one call for each would add up, so the fraction is rounded by the gateway's rank, evenly over
-// all and alike after a restart, and where ranks are untold by a draw. Nothing is saved by who has just
-// been told. N = 37 and 300 gateways: 0.05 calls each, so that 15 of them may send one within a second,
-// whoever is asked; drawn, 15 and a deviation of 4. Fills and further attempts count alike.
+// floor of one for each would add up, so the fraction is rounded by rank, evenly and alike after a restart,
+// or by a draw where ranks are untold. Nothing is saved by who has just been told. N = 37 and 300 gateways:
+// 15 may send one in a second, whoever is asked; drawn, 15 +- 4. Fills and further attempts count alike.
 func (r *Router) budget(m *member, q *request) bool {
 	w, span, usual := r.slowStart(m), max(r.cfg.FallTime, milli), r.usual(q)
 	multiple := [...]float64{r.cfg.FallMultiple, r.cfg.ParentFallMultiple, 0}[m.tier]
