The test of payouts that are turned away follows them through the parent

Cause: the test command failed on: TestPayoutRunsOnce, 'turned away, then done', waited for the further attempts at the origin. Change: the sub-test wants the second attempt at the parent, under the same id, with the origin as its source, and is four now: then refused for good (503 with a time), then an error, a reset (502, nothing sent once more), then served.

--- a/cmd/cherryramp/front_test.go
+++ b/cmd/cherryramp/front_test.go
@@ -239,19 +239,50 @@
 			}
 		})
 	}
-	t.Run("turned away, then done", func(t *testing.T) {
-		c := dial(t, s.addr)
-		c.send(put(2000, "pay 100"))
-		go func() {
-			for y := range s.origin.came {
-				y.reply("refused", "-", "")
+	// Turned away by the origin it goes through the parent, and on as long as it surely did not run.
+	for _, x := range []struct {
+		name, word string
+		status     int
+		more       bool // attempts may follow
+	}{{"turned away, then done", "refused", 503, true}, {"turned away, then an error", "error", 502, false},
+		{"turned away, then a reset", "", 502, false}, {"turned away, then served", "ok", 200, false}} {
+		t.Run(x.name, func(t *testing.T) {
+			c := dial(t, s.addr)
+			c.send(put(2000, "pay 100"))
+			y := s.origin.next(t)
+			y.reply("refused", "-", "")
+			z := s.parent.next(t)
+			if z.body != "pay 100" || z.id != y.id || z.fields["next"] != "s-origin" {
+				t.Errorf("the parent was told %+v", z)
 			}
-		}()
-		r, _ := c.answer("PUT")
-		if r.StatusCode != 503 || r.Header.Get("Srv-Wait-Ms") == "" {
-			t.Errorf("got %d %v", r.StatusCode, r.Header)
-		}
-	})
+			if x.word == "" {
+				_ = z.conn.Close()
+			} else {
+				z.reply(x.word, "sum=t1,t0=1", "")
+			}
+			if x.more {
+				stop := make(chan struct{})
+				defer close(stop)
+				go func() {
+					for {
+						select {
+						case z := <-s.parent.came:
+							z.reply(x.word, "-", "")
+						case <-stop:
+							return
+						}
+					}
+				}()
+			}
+			r, _ := c.answer("PUT")
+			if r.StatusCode != x.status || x.status == 503 && r.Header.Get("Srv-Wait-Ms") == "" {
+				t.Errorf("got %d %v", r.StatusCode, r.Header)
+			}
+			if len(s.origin.came) > 0 || !x.more && len(s.parent.came) > 0 {
+				t.Error("it was sent once more")
+			}
+		})
+	}
 }
 
 // Guards against sends to a server that is known to drain.
