--- a/cmd/ramplab/sim.go
+++ b/cmd/ramplab/sim.go
@@ -18,6 +18,7 @@
 
 type simCommand struct {
 	Files  []string `arg:"" type:"existingfile" help:"Scenarios, as those in lab/scenarios."`
+	Site   string   `default:"branches" enum:"branches,campus" help:"The deployment that they are for: ${enum}."`
 	Seeds  int      `default:"1" help:"Seeds to play each with, from the scenario's own on."`
 	JSON   string   `help:"A file for all results."`
 	Second bool     `help:"Print the worth asked for and earned, second by second."`
@@ -49,7 +50,7 @@
 			return err
 		}
 		for i := range c.Seeds {
-			s, err := scenario.Parse(path, string(text))
+			s, err := scenario.ParseFor(world.Sites[c.Site](), path, string(text))
 			if err != nil {
 				return err
 			}
--- a/lab/scenario/scenario.go
+++ b/lab/scenario/scenario.go
@@ -234,12 +234,15 @@
 	participle.Elide("Comment", "Space"), participle.Unquote("String"), participle.UseLookahead(3))
 
 // Parse reads a scenario; file stands in errors.
-func Parse(name, text string) (*Scenario, error) {
+func Parse(name, text string) (*Scenario, error) { return ParseFor(world.Default(), name, text) }
+
+// ParseFor is Parse for another deployment than the default one.
+func ParseFor(spec world.Spec, name, text string) (*Scenario, error) {
 	f, err := grammar.ParseString(name, text)
 	if err != nil {
 		return nil, fmt.Errorf("scenario: %w", err)
 	}
-	s := &Scenario{Name: name, Spec: world.Default(), Plan: world.Plan{Warm: 30 * 1_000_000, For: 60 * 1_000_000}}
+	s := &Scenario{Name: name, Spec: spec, Plan: world.Plan{Warm: 30 * 1_000_000, For: 60 * 1_000_000}}
 	s.Spec.Classes = slices.Clone(s.Spec.Classes)
 	var where []lexer.Position
 	for _, x := range f.Statements {
--- a/lab/world/check.go
+++ b/lab/world/check.go
@@ -39,6 +39,7 @@
 	WarmStart    Mutation = "cold servers are taken for warm"
 	WrongBody    Mutation = "bodies are mixed up"
 	Hoards       Mutation = "calls are held without a bound"
+	OtherKeys    Mutation = "repeats go under another key" // seen on a site with keyed classes alone
 )
 
 // Mutations tells which promise each mutation breaks.
--- a/lab/world/document.go
+++ b/lab/world/document.go
@@ -15,8 +15,14 @@
 		if c.Effect == rules.Unsafe {
 			effect = "non_idempotent"
 		}
+		if c.Effect == rules.Keyed {
+			effect = "idempotency_key"
+		}
 		grades = append(grades, object{"name": c.Name, "effect": effect, "goal-time-us": c.Aim, "aim-stretch": c.AimStretch,
 			"give-up-us": c.GiveUp, "importance": c.Worth, "late-value": c.LateWorth})
+		if c.Effect == rules.Keyed {
+			grades[len(grades)-1].(object)["memory-span-us"] = c.MemorySpan
+		}
 	}
 	return object{
 		"balancers": x.Gateways, "zone": x.Zone, "zones": s.zones(), "machine-types": kinds, "weights": "nominal", "discovery": "pushed",
--- a/lab/world/inside.go
+++ b/lab/world/inside.go
@@ -65,9 +65,13 @@
 func (x *inside) submit(a *ask) {
 	o, object := a.op, &a.w.catalog.objects[a.op.object]
 	a.call = &gateway.Call{ID: a.id, Class: o.class, Object: name(o.object), Part: o.part, HasPart: object.parts > 1, Group: int(object.group),
-		Repeat: o.tries > 1, Deadline: a.until, Caller: a}
+		Repeat: o.tries > 1, Deadline: a.until, Caller: a, Size: a.w.told(object)}
 	if a.w.spec.Classes[o.class].Write {
 		a.call.Body = []byte(payment)
+		a.call.Token = o.key
+		if a.w.Mutation == OtherKeys && o.key != "" {
+			a.call.Token += "x"
+		}
 	}
 	x.gate.Submit(a.call)
 }
--- a/lab/world/sockets.go
+++ b/lab/world/sockets.go
@@ -552,6 +552,12 @@
 	r.Header["Req-Id"] = []string{a.id}
 	r.Header["Req-Wait-Ms"] = []string{strconv.FormatInt(max(1, (a.until-w.loop.Now())/milli), 10)}
 	r.Header["X-Bucket"] = []string{strconv.Itoa(int(object.group))}
+	if o.key != "" {
+		r.Header["Req-Token"] = []string{o.key}
+	}
+	if size := w.told(object); size > 0 {
+		r.Header["Req-Kb"] = []string{strconv.FormatFloat(size, 'f', 3, 64)}
+	}
 	if o.tries > 1 {
 		r.Header["Req-Retry"] = []string{"1"}
 	}
--- a/lab/world/spec.go
+++ b/lab/world/spec.go
@@ -21,6 +21,7 @@
 	Name      string
 	Share     float64 // of the requests
 	Write     bool    // runs at the origin, must never run twice, is not kept
+	Window    Micros  // of a write: in which the store drops a repeat of the same key; 0: there are no keys
 	Send      Micros  // mean time to send one at a client's pace
 	Sigma     float64 // of the logarithm of sizes
 	Objects   int     // that are asked for again and again
@@ -100,6 +101,8 @@
 	Slack       Micros // by which limits of time grow, as on sockets
 	MaxAway     Micros
 	Held        int // calls that a front may hold
+
+	Sized bool // clients tell how large a part is
 }
 
 // Default is a site as the operators have it.
@@ -132,6 +135,30 @@
 	}
 }
 
+// Campus is another deployment: campuses round one hub that show recorded lectures, whose
+// copies are good until they are purged, and save where a student stopped under a key.
+func Campus() Spec {
+	s := Default()
+	s.Hubs = []string{"central"}
+	s.Branches = []Branch{{"north-campus", "central", 4, 2}, {"south-campus", "central", 3, 1}, {"city-campus", "central", 2, 1}}
+	s.Classes = []Class{
+		{Name: "video-part", Share: 0.52, Send: 360 * milli, Sigma: 0.8, Objects: 80, Zipf: 1.1, Once: 0.02, Local: 0.14, Drift: 20 * second,
+			Parts: [2]int{9, 19}, Gap: [2]Micros{300 * milli, 860 * milli}, Aim: 500 * milli, Stretch: 2, GiveUp: 6 * second, Worth: 2, LateWorth: 0.1},
+		{Name: "small-file", Share: 0.44, Send: 60 * milli, Sigma: 0.8, Objects: 500, Zipf: 1.1, Once: 0.02, Local: 0.18, Drift: 20 * second,
+			Parts: [2]int{1, 1}, Aim: 250 * milli, Stretch: 2, GiveUp: 2500 * milli, Worth: 1, LateWorth: 0.1},
+		{Name: "progress-save", Share: 0.032, Write: true, Window: 2 * second, Send: 20 * milli, Sigma: 0.2, Aim: 600 * milli, GiveUp: 3 * second,
+			Worth: 3, LateWorth: 0.1},
+	}
+	s.Rate, s.Sized = 130, true
+	s.Near, s.Far = [2]Micros{2 * milli, 4 * milli}, [2]Micros{2 * milli, 4 * milli}
+	s.BoxCold, s.BoxWarm, s.ParentCold, s.FallTime = 0.22, 17*second, 0.083, 1500*milli
+	s.TellMembers, s.TellPurges, s.PurgeGrace, s.DrainGrace = [2]Micros{1500 * milli, 4800 * milli}, [2]Micros{30 * milli, 800 * milli}, second, 2*second
+	return s
+}
+
+// Sites are the deployments that a day may be played for, by name.
+var Sites = map[string]func() Spec{"branches": Default, "campus": Campus}
+
 // Fleet gives a spec so many cache nodes and fronts in branches of four, with
 // district caches and a rate in proportion; for measurements of scale.
 func (s *Spec) Fleet(nodes, fronts int) {
@@ -182,6 +209,8 @@
 		switch {
 		case c.Share < 0 || c.Send <= 0 || c.GiveUp <= 0 || c.Worth < 0:
 			return fmt.Errorf("class %q: share, send, give up and worth must not be negative", c.Name)
+		case !c.Write && c.Window > 0:
+			return fmt.Errorf("class %q: a window, and it writes nothing", c.Name)
 		case !c.Write && (c.Objects < 1 || c.Parts[0] < 1 || c.Parts[1] < c.Parts[0]):
 			return fmt.Errorf("class %q: %d objects of %v parts", c.Name, c.Objects, c.Parts)
 		}
@@ -242,7 +271,10 @@
 		if c.Write {
 			effect = rules.Unsafe
 		}
-		out.Classes = append(out.Classes, rules.Class{Name: c.Name, Effect: effect, Aim: c.Aim, AimStretch: c.Stretch, GiveUp: c.GiveUp,
+		if c.Window > 0 {
+			effect = rules.Keyed
+		}
+		out.Classes = append(out.Classes, rules.Class{Name: c.Name, Effect: effect, MemorySpan: c.Window, Aim: c.Aim, AimStretch: c.Stretch, GiveUp: c.GiveUp,
 			Worth: c.Worth, LateWorth: c.LateWorth, Write: c.Write, Parts: c.Parts[1] > 1, Fresh: c.Fresh, Grace: c.Grace, OldWorth: c.OldWorth})
 	}
 	return out
--- a/lab/world/wire.go
+++ b/lab/world/wire.go
@@ -148,7 +148,7 @@
 func (c *wire) serve(id, fields string) {
 	w := c.front.w
 	j := &job{w: w, wire: c, server: c.to, id: id, came: w.loop.Now()}
-	called := ""
+	called, dedupe := "", ""
 	for f := range strings.SplitSeq(fields, ",") {
 		key, value, _ := strings.Cut(f, "=")
 		n, err := strconv.ParseInt(value, 10, 64)
@@ -163,6 +163,8 @@
 			called, err = value, nil
 		case "piece":
 			j.item.part = uint16(n)
+		case "dedupe":
+			dedupe, err = value, nil
 		case "ttl":
 			j.until = j.came + n*milli
 		case "next":
@@ -200,6 +202,10 @@
 	}
 	o := &w.catalog.objects[j.item.object]
 	j.object, j.bytes = o, w.catalog.bytes(o)
+	if a := w.asks[id]; a != nil && a.op.key != dedupe {
+		c.void("%s: its key is %q", fields, a.op.key)
+		return
+	}
 	if spec := &w.spec.Classes[j.class]; spec.Fresh > 0 && j.age == 0 {
 		j.age = spec.Fresh
 	}
--- a/lab/world/world_test.go
+++ b/lab/world/world_test.go
@@ -84,6 +84,50 @@
 	}
 }
 
+// The campuses' days keep every promise, and their saves go under one key with all repeats.
+func TestCampusKeepsItsPromises(t *testing.T) {
+	plan := Plan{Warm: 20 * second, For: 40 * second, Troubles: []Trouble{
+		{Kind: LoseBranch, At: 3 * second, For: 8 * second, Target: "city-campus"},
+		{Kind: OriginSlow, At: 8 * second, For: 8 * second, X: 3},
+		{Kind: PurgeGroups, At: 10 * second, X: 0.4},
+		{Kind: Storm, At: 12 * second, For: 10 * second},
+		{Kind: LostAnswers, At: 14 * second, For: 10 * second, X: 0.05},
+		{Kind: KillFront, At: 30 * second, For: 2 * second, Target: "north-campus.front-1"}}}
+	r := play(t, Campus(), None, plan)
+	for _, v := range r.Violations {
+		t.Error(v)
+	}
+	if r.Service < 0.8 {
+		t.Errorf("service %.3f\n%s", r.Service, r)
+	}
+	if r := play(t, Campus(), OtherKeys, plan); r.Broken[Form] == 0 {
+		t.Errorf("another key is not seen; broken: %v", r.Broken)
+	}
+}
+
+// The store drops a repeat of a key within its window, and runs it again past that, which
+// is seen.
+func TestKeyedRunsOnceInItsWindow(t *testing.T) {
+	w, err := New(Campus())
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.stats.Broken = map[Promise]int{}
+	o := &op{class: 2}
+	w.asks["x"] = &ask{w: w, op: o, front: w.fronts[0], id: "x"}
+	j := &job{id: "x"}
+	w.ran(j)
+	w.ran(j)
+	if o.ran != 1 || w.stats.Broken[Once] > 0 {
+		t.Errorf("within the window: ran %d times, broken %v", o.ran, w.stats.Broken)
+	}
+	o.ranAt -= w.spec.Classes[2].Window
+	w.ran(j)
+	if o.ran != 2 || w.stats.Broken[Once] != 1 {
+		t.Errorf("past it: ran %d times, broken %v", o.ran, w.stats.Broken)
+	}
+}
+
 // Each checker sees the fault that it is there for: a front, or what stands round
 // it, that is broken on purpose.
 func TestMutationsAreSeen(t *testing.T) {
