--- a/lab/world/document.go
+++ b/lab/world/document.go
@@ -15,14 +15,12 @@
 		if c.Effect == rules.Unsafe {
 			effect = "non_idempotent"
 		}
+		grade := object{"name": c.Name, "effect": effect, "goal-time-us": c.Aim, "aim-stretch": c.AimStretch,
+			"give-up-us": c.GiveUp, "importance": c.Worth, "late-value": c.LateWorth}
 		if c.Effect == rules.Keyed {
-			effect = "idempotency_key"
-		}
-		grades = append(grades, object{"name": c.Name, "effect": effect, "goal-time-us": c.Aim, "aim-stretch": c.AimStretch,
-			"give-up-us": c.GiveUp, "importance": c.Worth, "late-value": c.LateWorth})
-		if c.Effect == rules.Keyed {
-			grades[len(grades)-1].(object)["memory-span-us"] = c.MemorySpan
+			grade["effect"], grade["memory-span-us"] = "idempotency_key", c.MemorySpan
 		}
+		grades = append(grades, grade)
 	}
 	return object{
 		"balancers": x.Gateways, "zone": x.Zone, "zones": s.zones(), "machine-types": kinds, "weights": "nominal", "discovery": "pushed",
