--- a/cmd/cherryramp/standin_test.go
+++ b/cmd/cherryramp/standin_test.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"cherryramp/internal/loopbacktest"
+	"cherryramp/lab/syscallfault"
 )
 
 // patience is how long a test waits for what must come. Nothing sleeps for it.
@@ -28,6 +29,7 @@
 var binary string
 
 func TestMain(m *testing.M) {
+	syscallfault.RunLauncher()
 	dir, err := os.MkdirTemp("", "cherryramp")
 	if err == nil {
 		binary = filepath.Join(dir, "cherryramp")
@@ -264,6 +266,14 @@
 	cmd    *exec.Cmd
 	log    *lines
 	ended  chan error
+	faults *syscallfault.Injector // nil: its system calls are left alone
+}
+
+// faults are what happens to a front's system calls and clock.
+type faults struct {
+	matches []syscallfault.Match
+	clock   bool // it can be stepped
+	decide  syscallfault.Decide
 }
 
 // newSite starts the program with so many cache boxes; operator is the text of
@@ -281,6 +291,12 @@
 
 // newSiteChanged is newSiteEnv with a configuration that is changed first.
 func newSiteChanged(t *testing.T, boxes int, operator string, change func(config string) string, more ...string) *site {
+	t.Helper()
+	return newSiteUnder(t, boxes, operator, change, nil, more...)
+}
+
+// newSiteUnder is newSiteChanged with faults in the front's system calls; nil: none.
+func newSiteUnder(t *testing.T, boxes int, operator string, change func(config string) string, f *faults, more ...string) *site {
 	t.Helper()
 	s := &site{t: t, parent: newNode(t), origin: newNode(t), board: newBoard(t), addr: freeAddress(t)}
 	var members []string
@@ -305,7 +321,7 @@
 		s.rules = write(t, strings.ReplaceAll(operator, "LISTEN", s.signed))
 		env = append(env, "CHERRYRAMP_OPERATOR="+s.rules)
 	}
-	s.start(env)
+	s.start(env, f)
 	return s
 }
 
@@ -369,12 +385,18 @@
 	}
 }
 
-func (s *site) start(env []string) {
+func (s *site) start(env []string, f *faults) {
 	s.t.Helper()
 	s.log = &lines{more: make(chan struct{}, 1)}
 	s.cmd = exec.Command(binary)
 	s.cmd.Env, s.cmd.Stderr = env, s.log
-	if err := s.cmd.Start(); err != nil {
+	var err error
+	if f != nil {
+		s.faults, err = syscallfault.Start(s.cmd, f.matches, f.clock, f.decide)
+	} else {
+		err = s.cmd.Start()
+	}
+	if err != nil {
 		s.t.Fatal(err)
 	}
 	s.ended = make(chan error, 1)
