A drain closes the listening socket, and health checks follow the front's state

Ruled out: two processes at a door, a state taken back, a clock, a held-up loop. One drain (program/drain.go) for LAMEDUCK, the fleet and SIGTERM: it logs each step, accepts for 750 ms and is over when nothing is left. GET /ping is 503 while draining or ending.

--- a/internal/decide/readiness/readiness.go
+++ b/internal/decide/readiness/readiness.go
@@ -1,7 +1,11 @@
-// Package readiness tells whether a front takes clients, as the operators' door
-// and a drain see it: a front is ready once it has started and heard the notice
-// board (or waited long enough for it), and not while it is a lame duck or
-// ending. It is state only; the program hands in the moment and what it heard.
+// Package readiness is the readiness state of one front, as its health checks and the
+// operators' door tell it: a front is ready once it has started and heard the notice
+// board (or waited long enough for it), and not while it is draining or ending.
+//
+// Inputs are the orders to drain, rejoin and end, the moment, and whether the board has
+// answered; the output is a yes or no with its reason. Draining ends with a rejoin; an
+// end is for good. The state is of fixed size. It carries nothing out: the program closes
+// listeners and connections.
 package readiness
 
 import "errors"
@@ -13,7 +17,7 @@
 type State struct {
 	started  int64 // us, when the front began to listen
 	wait     int64 // us that a start waits for the notice board; 0: there is none
-	lameDuck bool
+	draining bool
 	ending   bool
 }
 
@@ -21,36 +25,45 @@
 // wait is above 0 the front waits that long at most for the board's first answer.
 func New(now, wait int64) *State { return &State{started: now, wait: wait} }
 
-// Ready tells whether the front takes clients at a moment, given whether the
-// board has answered once; if not, why, in a few words.
+// Ready tells whether the front takes clients and its start is over at a moment, given
+// whether the board has answered once; if not, why, in a few words.
 func (s *State) Ready(now int64, heard bool) (bool, string) {
+	if ok, why := s.Takes(); !ok {
+		return false, why
+	}
+	if s.wait > 0 && !heard && now < s.started+s.wait {
+		return false, "starting"
+	}
+	return true, ""
+}
+
+// Takes tells whether the front takes clients, its start aside; if not, why, in a few words.
+func (s *State) Takes() (bool, string) {
 	switch {
 	case s.ending:
 		return false, "ending"
-	case s.lameDuck:
+	case s.draining:
 		return false, "lame duck"
-	case s.wait > 0 && !heard && now < s.started+s.wait:
-		return false, "starting"
 	}
 	return true, ""
 }
 
-// LameDuck has the front say no from now on. It tells whether the front has to
-// empty itself: not where it already does.
-func (s *State) LameDuck() (empty bool) {
-	if s.lameDuck || s.ending {
+// Drain has the front say no from now on. It tells whether the front has to empty itself:
+// not where it already does.
+func (s *State) Drain() (empty bool) {
+	if s.draining || s.ending {
 		return false
 	}
-	s.lameDuck = true
+	s.draining = true
 	return true
 }
 
-// Rejoin takes a lame duck back; a front that is ending can't be.
+// Rejoin takes a drain back; a front that is ending can't be.
 func (s *State) Rejoin() error {
 	if s.ending {
 		return ErrEnding
 	}
-	s.lameDuck = false
+	s.draining = false
 	return nil
 }
 
@@ -61,5 +74,5 @@
 	return first
 }
 
-// Duck tells whether the front is a lame duck.
-func (s *State) Duck() bool { return s.lameDuck }
+// Draining tells whether the front was told to drain.
+func (s *State) Draining() bool { return s.draining }
--- a/internal/front/ops/ops.go
+++ b/internal/front/ops/ops.go
@@ -40,8 +40,8 @@
 	Ready() (ok bool, why string)
 	// Info appends the figures, one line of JSON without its line end.
 	Info(b []byte) []byte
-	// LameDuck has the front empty itself and say no to Ready.
-	LameDuck()
+	// Drain has the front empty itself and say no to Ready.
+	Drain()
 	// Rejoin has it take clients again; the error tells why it can't.
 	Rejoin() error
 	// Fleet carries out a call to the fleet, whose answer is told now or later, once;
@@ -84,7 +84,7 @@
 
 // Listen opens the door at an address.
 func (d *Door) Listen(address string) error {
-	_, err := transport.Listen(d.loop, address, d.most, &d.gauge, d.admit)
+	_, err := transport.Listen(d.loop, address, d.most, &d.gauge, d.log, d.admit)
 	return err
 }
 
@@ -205,14 +205,12 @@
 	case "INFO":
 		return append(d.desk.Info(b), "\neof\n"...)
 	case "LAMEDUCK":
-		d.desk.LameDuck()
-		d.log.Info("lame duck: the front empties")
+		d.desk.Drain()
 		return append(b, "ok lame duck\n"...)
 	case "REJOIN":
 		if err := d.desk.Rejoin(); err != nil {
 			return append(append(b, "fail "...), err.Error()+"\n"...)
 		}
-		d.log.Info("rejoined: the front takes clients again")
 		return append(b, "ok rejoined\n"...)
 	case "":
 		return append(b, "fail no call\n"...)
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -36,12 +36,14 @@
 // Front reads the platform's requests and words its answers.
 type Front struct {
 	classes []Class
+	ready   func() (ok bool, why string)
 	log     *slog.Logger
 }
 
-// New makes a front for the classes that requests may name.
-func New(classes []Class, log *slog.Logger) *Front {
-	return &Front{classes: classes, log: log}
+// New makes a front for the classes that requests may name. Health checks are answered by
+// ready: 200, or 503 with the reason.
+func New(classes []Class, ready func() (ok bool, why string), log *slog.Logger) *Front {
+	return &Front{classes: classes, ready: ready, log: log}
 }
 
 // Reload has requests that come from now on name other classes.
@@ -50,6 +52,9 @@
 // Take answers a health check, and turns any other request into a call.
 func (f *Front) Take(r *httpwire.Request, x *session.Exchange) (*gateway.Call, *httpwire.Response) {
 	if r.Target == health && r.Method == "GET" {
+		if ok, why := f.ready(); !ok {
+			return nil, &httpwire.Response{Status: 503, Body: []byte(why + "\n")}
+		}
 		return nil, &httpwire.Response{Status: 200}
 	}
 	call, wrong := f.read(r, x.Came())
--- a/internal/front/session/session.go
+++ b/internal/front/session/session.go
@@ -154,7 +154,8 @@
 	places   atomic.Int64 // held at most
 	refused  atomic.Int64 // when one was last turned away
 	closing  bool
-	listener *transport.Listener
+	listener *transport.Listener // nil: none, or it is being stopped
+	stopping *transport.Listener // the last one that was stopped
 	buf      []byte
 }
 
@@ -200,19 +201,24 @@
 	full.Close = true
 	s.full = httpwire.AppendResponse(nil, full, false)
 	s.listener, err = transport.Listen(s.loop, s.cfg.Listen, max(s.cfg.Buffer, s.cfg.Limits.Head+s.cfg.Limits.Body),
-		&s.gauge, s.admit)
+		&s.gauge, s.log, s.admit)
 	return err
 }
 
-// Stop accepts no more clients: new ones are refused, or go to another process
-// at the address. Those that came are served.
+// Stop accepts no more clients than the kernel holds already: new ones are refused, or go
+// to another process at the address. Those that came are served. See Accepting.
 func (s *Server) Stop() {
 	if s.listener != nil {
 		s.listener.Stop()
-		s.listener = nil
+		s.stopping, s.listener = s.listener, nil
 	}
 }
 
+// Accepting tells whether a listening socket is still open, also one that was told to stop.
+func (s *Server) Accepting() bool {
+	return s.listener != nil || s.stopping != nil && !s.stopping.Closed()
+}
+
 // Resume listens again after Stop; the error is the address's.
 func (s *Server) Resume() error {
 	if s.listener != nil {
@@ -345,10 +351,22 @@
 	return n
 }
 
+// Connections counts all that clients hold, with those that the loop has not heard of yet.
+func (s *Server) Connections() int { return int(s.held.Load()) }
+
+// unheard counts the connections that were accepted and that the loop has not heard of yet.
+func (s *Server) unheard() int {
+	n := s.Connections()
+	for i := range s.lists {
+		n -= s.lists[i].count
+	}
+	return n
+}
+
 // Coming counts connections that are bringing a request, and those that came
 // within arriving and may be; their time bounds them.
 func (s *Server) Coming() int {
-	n, now := s.lists[reading].count, s.loop.Now()
+	n, now := s.lists[reading].count+s.unheard(), s.loop.Now()
 	s.lists[silent].each(func(c *conn) {
 		if c.brings(now) {
 			n++
--- a/internal/program/door.go
+++ b/internal/program/door.go
@@ -1,7 +1,6 @@
 package program
 
 import (
-	"errors"
 	"fmt"
 
 	"cherryramp/internal/decide/figures"
@@ -18,8 +17,16 @@
 
 // Ready tells whether the front takes clients.
 func (p *program) Ready() (bool, string) {
-	if ok, why := p.ready.Ready(p.loop.Now(), p.news.Answered()); !ok || p.fleet == nil {
-		return ok, why
+	if ok, why := p.ready.Ready(p.loop.Now(), p.news.Answered()); !ok {
+		return false, why
+	}
+	return p.fleetAllows()
+}
+
+// fleetAllows tells whether the front's part in a fleet lets it serve.
+func (p *program) fleetAllows() (bool, string) {
+	if p.fleet == nil {
+		return true, ""
 	}
 	if ok, _ := p.fleet.Holds(); !ok {
 		return false, "no lease of the fleet holds, or the version is too old"
@@ -30,17 +37,24 @@
 	return true, ""
 }
 
-// LameDuck has the front say no to readiness and empty itself: it stops
-// listening, so that new clients are refused (or go to another process at the
-// address); idle connections end now, others with their next answer; what is open
-// is answered.
-func (p *program) LameDuck() {
-	if !p.ready.LameDuck() {
-		return
+// takesClients tells whether the front takes clients, as their health check asks. A start
+// that is not over is no reason against it: the configuration holds a list to serve by.
+func (p *program) takesClients() (bool, string) {
+	if ok, why := p.ready.Takes(); !ok {
+		return false, why
 	}
-	for _, f := range p.fronts {
-		f.Stop()
-		f.Drain()
+	return p.fleetAllows()
+}
+
+// Drain has the front say no to readiness and empty itself. It goes on accepting for
+// acceptGrace; idle connections end now, others with their next answer; what is open is
+// answered.
+func (p *program) Drain() { p.startDrain("operator") }
+
+// startDrain is Drain, for a reason that the log tells.
+func (p *program) startDrain(reason string) {
+	if p.ready.Drain() {
+		p.drain.begin(reason, acceptGrace)
 	}
 }
 
@@ -50,25 +64,20 @@
 	if err := p.rejoin(); err != nil {
 		return err
 	}
-	if p.duck {
-		p.duck = false
+	if p.drainedByFleet {
+		p.drainedByFleet = false
 		p.fleet.Rejoin()
 	}
 	return nil
 }
 
-// rejoin listens and takes clients again after LameDuck.
+// rejoin listens and takes clients again after Drain.
 func (p *program) rejoin() error {
 	if err := p.ready.Rejoin(); err != nil {
 		return err
 	}
-	var err error
-	for _, f := range p.fronts {
-		f.Rejoin()
-		err = errors.Join(err, f.Resume())
-	}
-	if err != nil {
-		p.ready.LameDuck() // it did not come back whole
+	if err := p.drain.cancel(); err != nil {
+		p.ready.Drain() // it did not come back whole
 		return fmt.Errorf("listen: %w", err)
 	}
 	return nil
--- a/internal/program/fleet.go
+++ b/internal/program/fleet.go
@@ -119,14 +119,14 @@
 func (h fleetHost) GoOut(out bool, permit uint64) {
 	p := h.p
 	switch {
-	case out && !p.duck:
+	case out && !p.drainedByFleet:
 		p.log.Info("fleet: the front empties itself", "permit", permit)
-		p.byHand = p.ready.Duck()
-		p.LameDuck()
-		p.duck = true
-	case !out && p.duck:
-		p.duck = false
-		if p.byHand {
+		p.drainedByHand = p.ready.Draining()
+		p.startDrain("fleet")
+		p.drainedByFleet = true
+	case !out && p.drainedByFleet:
+		p.drainedByFleet = false
+		if p.drainedByHand {
 			return
 		}
 		if err := p.rejoin(); err != nil {
--- a/internal/program/serve.go
+++ b/internal/program/serve.go
@@ -48,11 +48,9 @@
 	nodesLeast   = 4         // descriptors for cache nodes at the least
 	poolMost     = 8         // connections to one node at most
 	idleShare    = 0.8       // part of the nodes' idle time after which we close first
-	drainAfter   = 750_000   // us after SIGTERM until which clients may still come
-	drainPoll    = 20_000    // us between looks at whether all is answered
-	drainMost    = 3_000_000 // us that open calls may take after SIGTERM, if their classes allow as much
-	drainSlack   = 500_000   // us past it after which what is still open is failed
-	drainFlush   = 150_000   // us past that for the last answers to leave
+	endMost      = 3_000_000 // us that open calls may take after SIGTERM, if their classes allow as much
+	endSlack     = 500_000   // us past it after which what is still open is failed
+	endFlush     = 150_000   // us past that for the last answers to leave
 	fewestPooled = 16        // nodes that the connections must suffice for
 )
 
@@ -107,31 +105,32 @@
 
 // program is the wired parts.
 type program struct {
-	log      *slog.Logger
-	cfg      *config.Config // in force
-	table    *generations.Table[rules.Class]
-	platform *platform.Front
-	pools    *upstream.Pools
-	loop     *loop.Loop
-	gate     *gateway.Gateway
-	news     *board.Board
-	fronts   []*session.Server
-	operator *config.Operator
-	signed   *signed.Front  // nil: off
-	links    *config.Signed // by which it judges
-	held     *balance       // nil: no account of bytes is kept
-	queue    *session.Queue // nil: no limit is learnt
-	figures  *figures.Figures
-	door     *ops.Door // nil: no operators' door
-	ready    *readiness.State
-	fleet    FleetPart     // nil: the front acts alone
-	bars     *gateway.Bars // nil without fleet
-	duck     bool          // it takes no clients, as the fleet wants
-	watched  hurt.Watch    // of what the fleet must know of this front
-	hurt     bool
-	byHand   bool // nor did it before, as a person wanted
-	versions versions
-	shared   *shared // limits and purges of the whole fleet; nil: off
+	log            *slog.Logger
+	cfg            *config.Config // in force
+	table          *generations.Table[rules.Class]
+	platform       *platform.Front
+	pools          *upstream.Pools
+	loop           *loop.Loop
+	gate           *gateway.Gateway
+	news           *board.Board
+	fronts         []*session.Server
+	operator       *config.Operator
+	signed         *signed.Front  // nil: off
+	links          *config.Signed // by which it judges
+	held           *balance       // nil: no account of bytes is kept
+	queue          *session.Queue // nil: no limit is learnt
+	figures        *figures.Figures
+	door           *ops.Door // nil: no operators' door
+	ready          *readiness.State
+	drain          *drain
+	fleet          FleetPart     // nil: the front acts alone
+	bars           *gateway.Bars // nil without fleet
+	watched        hurt.Watch    // of what the fleet must know of this front
+	hurt           bool
+	drainedByFleet bool // it takes no clients, as the fleet wants
+	drainedByHand  bool // nor did it before, as a person wanted
+	versions       versions
+	shared         *shared // limits and purges of the whole fleet; nil: off
 }
 
 // build wires the parts and starts to serve.
@@ -194,7 +193,7 @@
 	if operator.Fleet != nil {
 		limits.Audit = auditor{p}
 	}
-	p.platform = platform.New(p.named(), log)
+	p.platform = platform.New(p.named(), p.takesClients, log)
 	p.fronts = append(p.fronts, session.New(limits, p.loop, p.platform, p.gate, log))
 	if operator.Exchange != nil {
 		p.shared = newShared(p, operator.Exchange)
@@ -228,6 +227,7 @@
 		wait = readyAfter
 	}
 	p.ready = readiness.New(p.loop.Now(), wait)
+	p.drain = &drain{loop: p.loop, fronts: p.fronts, gate: p.gate, log: log}
 	if cfg.Ops != "" {
 		p.door = ops.New(p.loop, p, operator.Fleet != nil, log)
 		if err := p.door.Listen(cfg.Ops); err != nil {
@@ -420,42 +420,31 @@
 	if !p.ready.End() {
 		return
 	}
-	p.log.Info("told to end", "signal", got.String(), "open", p.gate.Open())
 	now := p.loop.Now()
-	p.loop.At(now+drainAfter, func() {
-		for _, f := range p.fronts {
-			f.Stop()
-			f.Drain()
-		}
-		p.watch()
-	})
-	var longest loop.Micros
+	p.log.Info("told to end", "signal", got.String(), "open", p.gate.Open())
+	p.loop.At(now+acceptGrace, func() { p.drain.end(got.String(), p.loop.Quit) })
+	last := max(acceptGrace, min(p.longestDeadline(), endMost)+endSlack)
+	p.loop.At(now+last, p.abandon)
+	p.loop.At(now+last+endFlush, p.loop.Quit)
+}
+
+// longestDeadline is the longest that a client of any class waits.
+func (p *program) longestDeadline() (longest loop.Micros) {
 	for _, c := range p.table.Classes() {
 		longest = max(longest, c.GiveUp)
 	}
-	last := max(drainAfter, min(longest, drainMost)+drainSlack)
-	p.loop.At(now+last, func() {
-		if open := p.gate.Open(); open > 0 {
-			p.log.Warn("out of time: what is open is failed", "open", open)
-			if p.queue != nil {
-				p.queue.Abandon()
-			}
-			p.gate.Abandon()
-		}
-	})
-	p.loop.At(now+last+drainFlush, p.loop.Quit)
+	return longest
 }
 
-// watch ends the program once all is answered and all connections have ended.
-func (p *program) watch() {
-	busy := p.gate.Open()
-	for _, f := range p.fronts {
-		f.Drain() // those that have said nothing since end too
-		busy += f.Busy() + f.Coming() + f.Ending()
-	}
-	if busy == 0 {
-		p.loop.Quit()
+// abandon fails what is still open, so that it has its answer before the program ends.
+func (p *program) abandon() {
+	open := p.gate.Open()
+	if open == 0 {
 		return
 	}
-	p.loop.At(p.loop.Now()+drainPoll, p.watch)
+	p.log.Warn("out of time: what is open is failed", "open", open)
+	if p.queue != nil {
+		p.queue.Abandon()
+	}
+	p.gate.Abandon()
 }
--- a/internal/transport/watch.go
+++ b/internal/transport/watch.go
@@ -31,16 +31,12 @@
 }
 
 // watched is the program's watch, as netpoll's poller is the program's.
-var watched struct {
-	once sync.Once
-	w    *watch
-	err  error
-}
+var watched struct{ w *watch }
 
 // startWatch has the poller look after the watch; once for the program.
-func startWatch() error {
-	watched.once.Do(func() { watched.w, watched.err = newWatch() })
-	return watched.err
+func startWatch() (err error) {
+	watched.w, err = newWatch()
+	return err
 }
 
 func newWatch() (*watch, error) {
