Spans are monotonic: the loop's moments go on from the program's start

Change: the loop's moments are those of the Unix clock at the program's start and go on monotonically. What follows the wall clock asks it: signed links' expiry (signed, Wall). Moments of other clocks that lie in the future (a server's start, a purge) count from when they were heard of, and a copy from the future is not kept (gateway). Exchange: its tasks' stall and its messages' numbers no longer follow the wall clock within a process (a task started anew after a step back would have been passed over). Open: a program that starts while the wall clock is wrong takes it for right until its end, links aside.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -87,7 +87,10 @@
 	done    <-chan error
 	sup     *suture.Supervisor
 	counts  Counts
-	history *history
+	// sequence numbers the messages of this process. It outlives a task that is started anew,
+	// and begins above that of the process before.
+	sequence atomic.Uint64
+	history  *history
 	disk    *disk // nil: no purges
 
 	standing atomic.Pointer[Standing]
@@ -126,6 +129,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	x := &Exchange{cfg: cfg, log: log, ctx: ctx, cancel: cancel}
 	x.section.Store(cfg.Section)
+	x.sequence.Store(uint64(time.Now().UnixMicro()))
 	x.links.Store(&links{})
 	x.open.Store(cfg.Section.Purges == nil)
 	var err error
@@ -248,6 +252,12 @@
 // stallMost is for how long a task may be busy with one message.
 const stallMost = 2 * time.Second
 
+// began is when this process did, for spans.
+var began = time.Now()
+
+// monotonic is a moment that no step of the wall clock moves, in us; never 0.
+func monotonic() Micros { return 1 + time.Since(began).Microseconds() }
+
 func (t *task) String() string { return "exchange " + t.name }
 
 func (t *task) box() *box[any] {
@@ -278,7 +288,7 @@
 		case err := <-ended:
 			return err
 		case <-look.C:
-			if since := beat.Load(); since != 0 && time.Since(time.UnixMicro(since)) > stallMost {
+			if since := beat.Load(); since != 0 && monotonic()-since > stallMost.Microseconds() {
 				t.x.counts.Restarts.Add(1)
 				return fmt.Errorf("exchange: %s stalls", t.name)
 			}
@@ -296,7 +306,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case m := <-box.out:
-			beat.Store(time.Now().UnixMicro())
+			beat.Store(monotonic())
 			if t.x.cfg.fault != nil {
 				t.x.cfg.fault(t.name, m)
 			}
@@ -305,7 +315,7 @@
 			}
 			b.take(m)
 		case <-every.C:
-			beat.Store(time.Now().UnixMicro())
+			beat.Store(monotonic())
 			b.round()
 		}
 		beat.Store(0)
--- a/internal/exchange/hub.go
+++ b/internal/exchange/hub.go
@@ -76,12 +76,11 @@
 	wanted   map[string]suture.ServiceToken
 	unused   map[string]int // rounds for which nobody wanted a connection
 	children map[tie]Micros
-	seq      uint64
 }
 
 func newHub(x *Exchange) *hub {
 	return &hub{x: x, attached: map[tree.Role]*tree.Attachment{}, conns: map[string][]*conn{}, wanted: map[string]suture.ServiceToken{}, unused: map[string]int{},
-		children: map[tie]Micros{}, seq: uint64(time.Now().UnixMicro())}
+		children: map[tie]Micros{}}
 }
 
 // roles are those of this process: itself, and the sites that it keeps.
@@ -121,8 +120,7 @@
 		to, _ := a.To()
 		for _, k := range ask {
 			wanted[k.Name] = true
-			h.seq++
-			h.send(Envelope{Subject: Tree, Up: true, Role: r, Site: k.Site, Keeper: k.Number, Seq: h.seq, Body: encode(greet{k.Number == to.Number})})
+			h.send(Envelope{Subject: Tree, Up: true, Role: r, Site: k.Site, Keeper: k.Number, Seq: h.x.sequence.Add(1), Body: encode(greet{k.Number == to.Number})})
 		}
 		if k, ok := a.To(); ok {
 			up[r] = k
@@ -169,8 +167,7 @@
 			delete(h.conns, m.c.name)
 		}
 	case goes:
-		h.seq++
-		m.e.Seq = h.seq
+		m.e.Seq = h.x.sequence.Add(1)
 		h.send(m.e)
 	case fromFront:
 		h.came(m.name, m.e)
@@ -249,8 +246,7 @@
 			} else if !g.Attached {
 				delete(h.children, t)
 			}
-			h.seq++
-			h.send(Envelope{Subject: Tree, Role: e.Role, Site: e.Site, Keeper: e.Keeper, Seq: h.seq, Body: e.Body})
+			h.send(Envelope{Subject: Tree, Role: e.Role, Site: e.Site, Keeper: e.Keeper, Seq: h.x.sequence.Add(1), Body: e.Body})
 		} else if a := h.attached[e.Role]; a != nil {
 			a.Heard(e.Keeper, now, h.x.spans())
 		}
--- a/internal/front/signed/answer.go
+++ b/internal/front/signed/answer.go
@@ -53,7 +53,7 @@
 	if !renews {
 		return f.answer(v, a, nil)
 	}
-	now := f.now()
+	now := f.wall()
 	if !costly {
 		return f.answer(v, a, f.minted(v.grant.Renew(now)))
 	}
@@ -181,7 +181,7 @@
 func (f *Front) cacheControl(v *visit, a *gateway.Answer) string {
 	now, left := f.now(), v.class.MaxAge
 	if v.grant.Expires > 0 {
-		left = min(left, v.grant.Expires-now)
+		left = min(left, v.grant.Expires-f.wall())
 	}
 	if v.class.Fresh > 0 {
 		left = min(left, a.Born+v.class.Fresh-now)
--- a/internal/front/signed/proofs.go
+++ b/internal/front/signed/proofs.go
@@ -40,7 +40,7 @@
 		p = &proof{Proof: g, set: f.policy.Set}
 		prefix := suspects.Prefix(v.asked.Peer)
 		p.job = &turns.Job{Tenant: g.Tenant(), Prefix: prefix,
-			Suspect: f.suspects.Count(prefix, v.asked.Now) >= suspectFrom || f.shared != nil && f.shared.Suspect(prefix), Value: p}
+			Suspect: f.suspects.Count(prefix, f.now()) >= suspectFrom || f.shared != nil && f.shared.Suspect(prefix), Value: p}
 		f.proofs[g] = p
 		if out := f.turns.Push(p.job); out == p.job {
 			f.forget(p)
@@ -103,7 +103,7 @@
 func (f *Front) checked(p *proof, good bool) {
 	delete(f.proofs, p.Proof)
 	now := f.now()
-	p.set.Settle(p.Proof, good, now)
+	p.set.Settle(p.Proof, good, f.wall())
 	if !good {
 		f.suspects.Add(p.job.Prefix, now)
 		if f.shared != nil {
--- a/internal/front/signed/signed.go
+++ b/internal/front/signed/signed.go
@@ -109,7 +109,8 @@
 // Front judges requests and words outcomes as a content network does.
 type Front struct {
 	policy   Policy
-	now      func() gateway.Micros
+	now      func() gateway.Micros // for spans
+	wall     func() gateway.Micros // for what links say of moments, such as their expiry
 	log      *slog.Logger
 	pool     *workers.Pool
 	turns    *turns.Queue
@@ -123,13 +124,14 @@
 	count    uint64
 }
 
-// New makes a front. Its costly work goes to the pool.
-func New(cfg Config, policy Policy, pool *workers.Pool, now func() gateway.Micros, log *slog.Logger) (*Front, error) {
+// New makes a front. Its costly work goes to the pool. Spans are counted by now; links are
+// judged by wall, the wall clock.
+func New(cfg Config, policy Policy, pool *workers.Pool, now, wall func() gateway.Micros, log *slog.Logger) (*Front, error) {
 	var seed [16]byte
 	if _, err := rand.Read(seed[:]); err != nil {
 		return nil, fmt.Errorf("signed: %w", err)
 	}
-	return &Front{policy: policy, now: now, log: log, pool: pool, turns: turns.New(cfg.Queue),
+	return &Front{policy: policy, now: now, wall: wall, log: log, pool: pool, turns: turns.New(cfg.Queue),
 		proofs: map[*grants.Proof]*proof{}, suspects: suspects.New(binary.BigEndian.Uint64(seed[8:])),
 		rates: quota.NewRates(cfg.Rates), uses: quota.NewUses(cfg.Uses), variants: encoding.New(cfg.Encoded),
 		base: binary.BigEndian.Uint64(seed[:])}, nil
@@ -170,7 +172,7 @@
 			Header: httpwire.Header{{Name: "Allow", Value: "GET, HEAD"}}})
 	}
 	// The last byte is here: this try is judged once, for this moment.
-	v.asked = grants.Request{Target: r.Target, Header: r.Header, Peer: x.Peer(), Now: f.now()}
+	v.asked = grants.Request{Target: r.Target, Header: r.Header, Peer: x.Peer(), Now: f.wall()}
 	v.ask = content.Read(r.Method, r.Header)
 	return f.judge(v)
 }
@@ -236,7 +238,7 @@
 	if class == nil {
 		return nil, nil
 	}
-	c := &gateway.Call{Class: class.Place, Object: object, Deadline: v.asked.Now + class.GiveUp}
+	c := &gateway.Call{Class: class.Place, Object: object, Deadline: f.now() + class.GiveUp}
 	if session.ReadCopy(c, v.grant.Query, group) != "" {
 		return nil, nil
 	}
@@ -274,7 +276,7 @@
 	}
 	if u := f.policy.Uses[g.Profile.Name]; u.Most > 0 {
 		v.use = g.Digest()
-		away, refusal := f.uses.Take(quota.Token{Name: v.use, Until: g.Ends(), Most: u.Most,
+		away, refusal := f.uses.Take(quota.Token{Name: v.use, Until: now + g.Ends() - f.wall(), Most: u.Most,
 			Object: g.Path + "?" + g.Query + " " + v.asked.Peer.String(), Retry: u.Retry}, now)
 		switch refusal {
 		case "":
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -82,7 +82,15 @@
 	Name  string
 	Addr  string
 	State rules.MemberState
-	Born  Micros
+	Born  Micros // when it last started, not in the future
+
+	announced Micros // Born as discovery tells it
+}
+
+// purge is what is known of the last purge of an object or a group.
+type purge struct {
+	stamp Micros // as it was told: copies given out until then are from before it
+	at    Micros // the loop's moment for it, not in the future
 }
 
 // Attempt is one send of a call to a server.
@@ -163,7 +171,7 @@
 	open    map[string]struct{} // the clients' ids of the calls
 	last    rules.RequestID
 	servers map[rules.ServerID]*Server
-	purges  map[uint64]Micros // when; of objects and groups
+	purges  map[uint64]purge // of objects and groups
 	swept   Micros
 	copies  *copies
 	guard   func() (ok bool, away Micros) // nil: the gateway may always act
@@ -181,7 +189,7 @@
 		cfg.Figures = figures.New(make([]string, len(cfg.Settings.Classes)))
 	}
 	return &Gateway{cfg: cfg, loop: l, router: router, log: log, calls: map[rules.RequestID]*Call{},
-		open: map[string]struct{}{}, servers: map[rules.ServerID]*Server{}, purges: map[uint64]Micros{},
+		open: map[string]struct{}{}, servers: map[rules.ServerID]*Server{}, purges: map[uint64]purge{},
 		copies: newCopies(cfg.Copies)}, nil
 }
 
@@ -347,9 +355,11 @@
 		}
 		id := rules.ServerID(key(m.Name))
 		seen[id] = true
+		announced := m.Born
+		m.Born = g.started(id, announced)
 		e.List = append(e.List, rules.Member{ID: id, Kind: kind, Born: m.Born, State: m.State,
 			Cell: m.Cell, Zone: zone, Weight: m.Weight})
-		g.follow(id, m)
+		g.follow(id, m, announced)
 	}
 	if full {
 		for _, id := range slices.Sorted(maps.Keys(g.servers)) {
@@ -364,9 +374,18 @@
 	g.events = append(g.events, e)
 }
 
+// started is when a server last started, as the loop's clock has it. A moment in the future
+// is of a clock that differs from ours: the server has started by now.
+func (g *Gateway) started(id rules.ServerID, announced Micros) Micros {
+	if s := g.servers[id]; s != nil && s.announced == announced {
+		return s.Born
+	}
+	return min(announced, g.loop.Now())
+}
+
 // follow keeps a server's state. One that is gone is forgotten; attempts that
 // still name it see its last state.
-func (g *Gateway) follow(id rules.ServerID, m Member) {
+func (g *Gateway) follow(id rules.ServerID, m Member, announced Micros) {
 	s := g.servers[id]
 	if s == nil {
 		s = &Server{ID: id, Name: m.Name}
@@ -375,7 +394,7 @@
 		g.log.Info("server changed", "server", m.Name, "kind", m.Kind, "state", stateName(m.State),
 			"started_us", m.Born)
 	}
-	s.State, s.Born = m.State, m.Born
+	s.State, s.Born, s.announced = m.State, m.Born, announced
 	if m.Addr != "" {
 		s.Addr = m.Addr
 	}
@@ -401,23 +420,26 @@
 // Purge tells of a purge.
 func (g *Gateway) Purge(p Purge) {
 	now := g.loop.Now()
-	k, e := groupKey(p.Group), rules.Purge{Group: p.Group, Age: max(0, now-p.At)}
+	at := min(p.At, now) // the stamp is of another clock
+	k, e := groupKey(p.Group), rules.Purge{Group: p.Group, Age: now - at}
 	if p.Object != "" {
 		k = key(p.Object)
 		e = rules.Purge{Object: k, Age: e.Age}
 	}
-	g.purges[k] = max(g.purges[k], p.At)
+	g.purged(k, purge{stamp: p.At, at: at})
 	g.copies.purge(p)
 	if g.events = append(g.events, e); now-g.swept > g.cfg.Settings.PurgeSettle {
 		g.swept = now
-		for k, at := range g.purges {
-			if g.settled(at, now) {
-				delete(g.purges, k)
-			}
-		}
+		maps.DeleteFunc(g.purges, func(_ uint64, p purge) bool { return g.settled(p.at, now) })
 	}
 }
 
+// purged notes a purge of an object or a group; the latest counts.
+func (g *Gateway) purged(k uint64, p purge) {
+	last := g.purges[k]
+	g.purges[k] = purge{stamp: max(last.stamp, p.stamp), at: max(last.at, p.at)}
+}
+
 // settled tells whether no copy from before a purge can be left anywhere.
 func (g *Gateway) settled(at, now Micros) bool {
 	return now-at > g.cfg.Settings.PurgeSettle+1_000_000
@@ -544,6 +566,10 @@
 	return true
 }
 
+// clockSlack is how far the moment at which the origin gave a copy out may lie ahead of our
+// clock, in us, for the copy's age to be believed.
+const clockSlack = 50_000
+
 // waitedFrom is how long after its choice an attempt counts as one that waited, in us.
 const waitedFrom = 1000
 
@@ -558,8 +584,8 @@
 	a.Call.left = true
 	maxAge = a.maxAge
 	for _, k := range []uint64{key(a.Call.Object), groupKey(a.Call.Group)} {
-		if at, known := g.purges[k]; known && !g.settled(at, now) {
-			if age := max(1000, now-at); maxAge == 0 || age < maxAge {
+		if p, known := g.purges[k]; known && !g.settled(p.at, now) {
+			if age := max(1000, now-p.at); maxAge == 0 || age < maxAge {
 				maxAge = age
 			}
 			if fresh := g.cfg.Settings.Classes[a.Call.Class].Fresh; a.maxAge == 0 && fresh > 0 {
@@ -589,7 +615,7 @@
 			if at := g.since(a.Call, e.Answer.Tag); at > 0 && e.Answer.Born <= at {
 				// From before a purge that came meanwhile, or of a tag that only the answer
 				// tells: as if nothing suitable had been held. It goes again for a newer one.
-				g.purges[key(a.Call.Object)] = max(g.purges[key(a.Call.Object)], at)
+				g.purged(key(a.Call.Object), purge{stamp: at, at: at})
 				g.events = append(g.events, rules.Purge{Object: key(a.Call.Object), Age: max(0, g.loop.Now()-at)})
 				e = End{Code: rules.Miss, Waited: e.Waited}
 			}
@@ -613,14 +639,16 @@
 	if serves {
 		c.over = true
 		g.giveUp(c)
-		g.copies.keep(c, &g.cfg.Settings.Classes[c.Class], &e.Answer, g.purgedSince(c, e.Answer.Born))
+		if aheadOf := e.Answer.Born - g.loop.Now(); aheadOf <= clockSlack { // else its age can't be known
+			g.copies.keep(c, &g.cfg.Settings.Classes[c.Class], &e.Answer, g.purgedSince(c, e.Answer.Born))
+		}
 		c.Caller.Answer(e.Answer)
 	}
 }
 
 // purgedSince tells whether a call's object was purged after a moment.
 func (g *Gateway) purgedSince(c *Call, born Micros) bool {
-	return g.purges[key(c.Object)] >= born || g.purges[groupKey(c.Group)] >= born || g.since(c, "") >= born
+	return g.purges[key(c.Object)].stamp >= born || g.purges[groupKey(c.Group)].stamp >= born || g.since(c, "") >= born
 }
 
 func serverID(s *Server) rules.ServerID {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -328,3 +328,36 @@
 		}
 	}
 }
+
+// Guards against moments of another clock, an hour ahead of ours: a server's start, a purge and
+// a copy's age are reckoned from when they were heard of, and none from the future.
+func TestMomentsOfAClockThatIsAhead(t *testing.T) {
+	const hour = 3600 * second
+	g, n := newGateway(t)
+	ahead := g.loop.Now() + hour
+	starting := member("s-1", "box", rules.Ready)
+	starting.Born = ahead
+	for range 2 { // a list that comes again changes nothing
+		g.Members(false, []Member{starting})
+		g.Settle()
+	}
+	id := rules.ServerID(key("s-1"))
+	if s := g.servers[id]; s.Born > g.loop.Now() || s.Born < g.loop.Now()-second {
+		t.Errorf("started %d us from now", s.Born-g.loop.Now())
+	}
+	g.Purge(Purge{Object: "9f3a", At: ahead})
+	submit(g, 0, "9f3a")
+	a := n.started[0]
+	if age, ok := g.Clear(a); !ok || age > second {
+		t.Errorf("the oldest copy that will do: %d us, %v", age, ok)
+	}
+	if !g.settled(g.purges[key("9f3a")].at, g.loop.Now()+g.cfg.Settings.PurgeSettle+2*second) {
+		t.Error("the purge is never over")
+	}
+	g.End(a, End{Code: rules.OK, Answer: Answer{Kind: Served, Body: []byte("old"), Tag: "t", Born: ahead - second}})
+	submit(g, 0, "9f3b")
+	g.End(n.started[1], End{Code: rules.OK, Answer: Answer{Kind: Served, Body: []byte("x"), Tag: "t", Born: ahead}})
+	if g.Kept() != 0 {
+		t.Errorf("%d bytes of copies of unknown age are kept", g.Kept())
+	}
+}
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -11,7 +11,10 @@
 	"time"
 )
 
-// Micros is a moment, in microseconds of the Unix clock.
+// Micros is a moment, in microseconds. On the system's clock moments are those of the Unix
+// clock as it stood when the loop was made, and go on monotonically from there: a step of the
+// wall clock moves none of them, so that spans hold. What has to follow the wall clock, such
+// as the expiry of a link, asks Wall.
 type Micros = int64
 
 // Clock tells the time and waits.
@@ -25,10 +28,16 @@
 // forever is waited for where nothing is due.
 const forever Micros = 1<<63 - 1
 
-// system is the system's Unix clock.
-type system struct{ timer *time.Timer }
+// system is the system's clock.
+type system struct {
+	began time.Time // with its monotonic reading
+	timer *time.Timer
+}
+
+func (s *system) Now() Micros { return s.began.UnixMicro() + time.Since(s.began).Microseconds() }
 
-func (s *system) Now() Micros { return time.Now().UnixMicro() }
+// Wall is the moment that the system's wall clock shows now, steps and all.
+func Wall() Micros { return time.Now().UnixMicro() }
 
 // Wait is part of Clock.
 func (s *system) Wait(until Micros, wake <-chan struct{}) {
@@ -93,7 +102,7 @@
 
 // New makes a loop on the system's clock that calls settle after each batch of
 // callbacks.
-func New(settle func()) *Loop { return NewOn(&system{}, settle) }
+func New(settle func()) *Loop { return NewOn(&system{began: time.Now()}, settle) }
 
 // NewOn makes a loop on a clock.
 func NewOn(clock Clock, settle func()) *Loop {
--- a/internal/program/serve.go
+++ b/internal/program/serve.go
@@ -203,7 +203,7 @@
 		o := operator.Signed
 		p.links = o
 		p.signed, err = signed.New(signed.Config{Queue: o.Pool.Queue, Rates: o.Tables.Rates, Uses: o.Tables.Uses,
-			Encoded: *o.EncodedMB << 20}, p.signedPolicy(o), workers.New(p.loop, o.Pool.Workers), p.loop.Now, log)
+			Encoded: *o.EncodedMB << 20}, p.signedPolicy(o), workers.New(p.loop, o.Pool.Workers), p.loop.Now, loop.Wall, log)
 		if err != nil {
 			return nil, err
 		}
