Failing test: system calls of a started front fail in the ways their pages document

lab/syscallfault has accept, write, read, connect, socket, shutdown, epoll_ctl and poll of a started front fail now and then, from a seed.

--- a/cmd/cherryramp/standin_test.go
+++ b/cmd/cherryramp/standin_test.go
@@ -450,18 +450,16 @@
 	return err != nil && !os.IsTimeout(err)
 }
 
-var lastID int
+var lastID atomic.Int64
 
 func get(class, object string, wait int) string {
-	lastID++
 	return fmt.Sprintf("GET /call/%s/%s?seg=3 HTTP/1.1\r\nHost: x\r\nReq-Id: %016x\r\nReq-Wait-Ms: %d\r\n"+
-		"X-Bucket: 17\r\n\r\n", class, object, lastID, wait)
+		"X-Bucket: 17\r\n\r\n", class, object, lastID.Add(1), wait)
 }
 
 func put(wait int, body string) string {
-	lastID++
 	return fmt.Sprintf("PUT /call/payout-confirm/77 HTTP/1.1\r\nHost: x\r\nReq-Id: %016x\r\nReq-Wait-Ms: %d\r\n"+
-		"X-Bucket: 1\r\nContent-Length: %d\r\n\r\n%s", lastID, wait, len(body), body)
+		"X-Bucket: 1\r\nContent-Length: %d\r\n\r\n%s", lastID.Add(1), wait, len(body), body)
 }
 
 // check makes sure that the stand-ins' own texts are what they claim to be.
--- /dev/null
+++ b/cmd/cherryramp/syscalls_test.go
@@ -0,0 +1,151 @@
+package main_test
+
+import (
+	"bufio"
+	"math/rand/v2"
+	"net/http"
+	"syscall"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"cherryramp/lab/syscallfault"
+)
+
+// A started front whose system calls fail, now and then, in the ways that their pages
+// document. Nothing of what was taken may be lost by it.
+
+// failing is a way in which system calls fail.
+type failing struct {
+	name    string
+	matches []syscallfault.Match
+	errno   syscall.Errno
+	rate    float64 // of the calls
+	inRow   int     // at most, so that trying again helps
+}
+
+func anyOf(numbers ...int) (matches []syscallfault.Match) {
+	for _, n := range numbers {
+		matches = append(matches, syscallfault.Match{Number: n, Arg: syscallfault.AnyArg})
+	}
+	return matches
+}
+
+var failings = []failing{
+	{"accept ECONNABORTED", anyOf(unix.SYS_ACCEPT, unix.SYS_ACCEPT4), unix.ECONNABORTED, 0.4, 3},
+	{"accept EINTR", anyOf(unix.SYS_ACCEPT, unix.SYS_ACCEPT4), unix.EINTR, 0.4, 3},
+	{"accept ENFILE", anyOf(unix.SYS_ACCEPT, unix.SYS_ACCEPT4), unix.ENFILE, 0.3, 3},
+	{"accept ENOBUFS", anyOf(unix.SYS_ACCEPT, unix.SYS_ACCEPT4), unix.ENOBUFS, 0.3, 3},
+	{"accept ETIMEDOUT", anyOf(unix.SYS_ACCEPT, unix.SYS_ACCEPT4), unix.ETIMEDOUT, 0.3, 3},
+	{"write ENOBUFS", anyOf(unix.SYS_WRITE), unix.ENOBUFS, 0.3, 3},
+	{"write EINTR", anyOf(unix.SYS_WRITE), unix.EINTR, 0.3, 3},
+	{"write EAGAIN", anyOf(unix.SYS_WRITE), unix.EAGAIN, 0.3, 3},
+	{"read EINTR", anyOf(unix.SYS_READV), unix.EINTR, 0.3, 3},
+	{"connect EADDRNOTAVAIL", anyOf(unix.SYS_CONNECT), unix.EADDRNOTAVAIL, 0.5, 2},
+	{"connect ENOBUFS", anyOf(unix.SYS_CONNECT), unix.ENOBUFS, 0.5, 2},
+	{"connect EINTR", anyOf(unix.SYS_CONNECT), unix.EINTR, 0.5, 2},
+	{"connect ENETUNREACH", anyOf(unix.SYS_CONNECT), unix.ENETUNREACH, 0.3, 1},
+	{"connect EHOSTUNREACH", anyOf(unix.SYS_CONNECT), unix.EHOSTUNREACH, 0.3, 1},
+	{"socket ENFILE", anyOf(unix.SYS_SOCKET), unix.ENFILE, 0.5, 2},
+	{"socket ENOBUFS", anyOf(unix.SYS_SOCKET), unix.ENOBUFS, 0.5, 2},
+	{"shutdown ENOTCONN", anyOf(unix.SYS_SHUTDOWN), unix.ENOTCONN, 1, 1 << 30},
+	{"shutdown ENOBUFS", anyOf(unix.SYS_SHUTDOWN), unix.ENOBUFS, 0.5, 3},
+	{"epoll_ctl ENOMEM", []syscallfault.Match{{Number: unix.SYS_EPOLL_CTL, Arg: 1, Value: unix.EPOLL_CTL_ADD}}, unix.ENOMEM, 1, 2},
+	{"poll EINTR", anyOf(unix.SYS_POLL, unix.SYS_PPOLL), unix.EINTR, 0.5, 3},
+}
+
+// decider fails calls on sockets at a rate, from a seed.
+func (f *failing) decider(seed uint64, armed func() bool) syscallfault.Decide {
+	r := rand.New(rand.NewPCG(seed, 33))
+	row := 0
+	return func(c syscallfault.Call) syscall.Errno {
+		if !armed() || !concernsSocket(c) || row >= f.inRow || r.Float64() >= f.rate {
+			row = 0
+			return 0
+		}
+		row++
+		return f.errno
+	}
+}
+
+// concernsSocket tells whether a call is about a socket; of epoll's, whether it begins to wait
+// for room in a full one.
+func concernsSocket(c syscallfault.Call) bool {
+	switch c.Number {
+	case unix.SYS_SOCKET, unix.SYS_POLL, unix.SYS_PPOLL:
+		return true
+	case unix.SYS_EPOLL_CTL:
+		events, ok := c.Word(3)
+		return ok && events == unix.EPOLLOUT
+	}
+	return c.IsSocket()
+}
+
+// Guards what was taken against system calls that fail: each request is served whole, an answer
+// that is taken slowly too; a drain empties the front, a rejoin takes it back; and the end is clean.
+func TestSystemCallsThatFail(t *testing.T) {
+	for i, f := range failings {
+		t.Run(f.name, func(t *testing.T) {
+			t.Parallel()
+			door := freeAddress(t)
+			s := newSiteUnderFaults(t, 2, faults{matches: f.matches, decide: f.decider(uint64(i), func() bool { return true })}, "ROUTER_OPS="+door)
+			for _, b := range s.boxes {
+				b.serveLarge()
+			}
+			s.parent.serveLarge()
+			s.origin.serveLarge()
+			serveAndDrain(t, s, door)
+			if s.faults.Made(f.errno) == 0 {
+				t.Error("no call failed")
+			}
+		})
+	}
+}
+
+func serveAndDrain(t *testing.T, s *site, door string) {
+	slow := narrow(t, s.addr, "127.0.1.1")
+	_ = slow.c.SetDeadline(time.Now().Add(patience))
+	slow.r = bufio.NewReaderSize(slow.c, 16)
+	const behind = 3 // requests behind each other: more than its socket takes
+	for range behind {
+		slow.send(get("guide-video", "9f00", 5000))
+	}
+	serve := func(c *client) {
+		t.Helper()
+		c.send(get("guide-video", "9f3a", 5000))
+		if r, body := c.answer("GET"); r.StatusCode != http.StatusOK || len(body) != 240_000 {
+			t.Errorf("got %d, %d bytes", r.StatusCode, len(body))
+		}
+	}
+	kept := dial(t, s.addr)
+	for range 8 {
+		serve(kept)
+		serve(dial(t, s.addr))
+	}
+	for range behind {
+		if r, body := slow.answer("GET"); r.StatusCode != http.StatusOK || len(body) != 240_000 {
+			t.Errorf("taken slowly: %d, %d bytes", r.StatusCode, len(body))
+		}
+	}
+	if got := call(t, door, "LAMEDUCK"); len(got) == 0 || got[0] != "ok lame duck" {
+		t.Errorf("LAMEDUCK: %q", got)
+	}
+	if !kept.closed() {
+		t.Error("an idle connection stays open in a drain")
+	}
+	if !eventually(drainedBy, func() bool { return !accepts(s.addr) }) {
+		t.Error("told to drain, it still accepts new clients")
+	}
+	s.log.await(t, "drain: over")
+	if got := call(t, door, "REJOIN"); len(got) == 0 || got[0] != "ok rejoined" {
+		t.Errorf("REJOIN: %q", got)
+	}
+	serve(dial(t, s.addr))
+	s.signal(syscall.SIGTERM)
+	began := time.Now()
+	s.ends()
+	if spent := time.Since(began); spent > 3700*time.Millisecond {
+		t.Errorf("it ended %v after SIGTERM", spent)
+	}
+}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -80,18 +80,18 @@
 
 // Exchange is one front's part.
 type Exchange struct {
-	cfg     Config
-	log     *slog.Logger
-	ctx     context.Context
-	cancel  context.CancelFunc
-	done    <-chan error
-	sup     *suture.Supervisor
-	counts  Counts
+	cfg    Config
+	log    *slog.Logger
+	ctx    context.Context
+	cancel context.CancelFunc
+	done   <-chan error
+	sup    *suture.Supervisor
+	counts Counts
 	// sequence numbers the messages of this process. It outlives a task that is started anew,
 	// and begins above that of the process before.
 	sequence atomic.Uint64
 	history  *history
-	disk    *disk // nil: no purges
+	disk     *disk // nil: no purges
 
 	standing atomic.Pointer[Standing]
 	links    atomic.Pointer[links] // who attaches where, by the hub
--- a/lab/syscallfault/syscallfault.go
+++ b/lab/syscallfault/syscallfault.go
@@ -60,6 +60,15 @@
 // IsSocket tells whether the call's first argument is a socket.
 func (c Call) IsSocket() bool { return strings.HasPrefix(c.Descriptor(), "socket:") }
 
+// Word reads the 32 bits that an argument points to; false: it can't be read.
+func (c Call) Word(arg int) (uint32, bool) {
+	var b [4]byte
+	local := []unix.Iovec{{Base: &b[0], Len: uint64(len(b))}}
+	remote := []unix.RemoteIovec{{Base: uintptr(c.Args[arg]), Len: len(b)}}
+	_, err := unix.ProcessVMReadv(c.Process, local, remote, 0)
+	return binary.NativeEndian.Uint32(b[:]), err == nil
+}
+
 // Decide gives the error that a call fails with; 0: the call is made as usual.
 type Decide func(Call) syscall.Errno
 
