Failing system calls end no connection early and leave none behind

Cause, of the incident's class (a call's error is thrown away and its effect taken for granted): Conn.close with shutdown(2), watch.set with epoll_ctl(2), Gone with poll(2) and EINTR; and write(2) without buffers was an end of the connection (transport). Change: where shutdown fails and the poller will not hear of an end, the descriptor is closed (counted, told with 'drain: over'); writes without buffers and full sockets that can't be watched are tried again after 5 ms; a listener at the start (5 s) and after REJOIN waits for room; a connection to a server that this machine lacks room for is tried again after 20 ms and is not the server's fault.

--- a/cmd/cherryramp/syscalls_test.go
+++ b/cmd/cherryramp/syscalls_test.go
@@ -141,6 +141,9 @@
 	if got := call(t, door, "REJOIN"); len(got) == 0 || got[0] != "ok rejoined" {
 		t.Errorf("REJOIN: %q", got)
 	}
+	if !eventually(drainedBy, func() bool { return call(t, door, "PING")[0] == "ok ready" }) {
+		t.Error("it is not ready again")
+	}
 	serve(dial(t, s.addr))
 	s.signal(syscall.SIGTERM)
 	began := time.Now()
--- a/internal/program/door.go
+++ b/internal/program/door.go
@@ -20,6 +20,14 @@
 	if ok, why := p.ready.Ready(p.loop.Now(), p.news.Answered()); !ok {
 		return false, why
 	}
+	return p.allowed()
+}
+
+// allowed tells whether anything but the front's own state keeps it from serving.
+func (p *program) allowed() (bool, string) {
+	if p.drain.reopening {
+		return false, "a listener can't be opened yet"
+	}
 	return p.fleetAllows()
 }
 
@@ -43,7 +51,7 @@
 	if ok, why := p.ready.Takes(); !ok {
 		return false, why
 	}
-	return p.fleetAllows()
+	return p.allowed()
 }
 
 // Drain has the front say no to readiness and empty itself. It goes on accepting for
@@ -77,7 +85,6 @@
 		return err
 	}
 	if err := p.drain.cancel(); err != nil {
-		p.ready.Drain() // it did not come back whole
 		return fmt.Errorf("listen: %w", err)
 	}
 	return nil
--- a/internal/program/drain.go
+++ b/internal/program/drain.go
@@ -7,11 +7,13 @@
 	"cherryramp/internal/front/session"
 	"cherryramp/internal/gateway"
 	"cherryramp/internal/loop"
+	"cherryramp/internal/transport"
 )
 
 const (
 	acceptGrace  = 750_000   // us from being told to drain or end during which clients are still accepted
 	drainPoll    = 20_000    // us between looks at whether all is answered
+	reopenRetry  = 50_000    // us until a listener is opened again for which the machine lacked room
 	drainWarning = 4_000_000 // us after which a drain that is not over is told
 )
 
@@ -31,6 +33,10 @@
 	poll    *loop.Deadline
 	warned  bool
 	over    func() // what follows; nil: nothing
+
+	reopening bool // a listener is not open again yet
+	retry     *loop.Deadline
+	failed    func() // told where a listener can't be opened again
 }
 
 // begin has idle connections end at once and the others with their next answer, and
@@ -39,6 +45,8 @@
 	if d.active {
 		return
 	}
+	d.loop.Stop(d.retry)
+	d.reopening = false
 	now := d.loop.Now()
 	d.active, d.since, d.warned = true, now, false
 	d.log.Info("drain: begins", "reason", reason, "requests", d.gate.Open(), "connections", d.connections(),
@@ -82,7 +90,7 @@
 	}
 	spent := d.loop.Now() - d.since
 	if !accepting && busy == 0 {
-		d.log.Info("drain: over", "after_ms", spent/1000)
+		d.log.Info("drain: over", "after_ms", spent/1000, "closed_outright", transport.Unshut())
 		if d.over != nil {
 			d.over()
 		}
@@ -96,8 +104,9 @@
 	d.poll = d.loop.At(d.loop.Now()+drainPoll, d.look)
 }
 
-// cancel takes a drain back: the front listens, and answers keep their connections. The
-// error is a listener's; the drain then goes on.
+// cancel takes a drain back: the front listens, and answers keep their connections. Where the
+// machine lacks room for a listener, reopening holds until there is. Any other error is a
+// listener's; the drain then goes on.
 func (d *drain) cancel() error {
 	if d.active {
 		d.log.Info("drain: taken back", "after_ms", (d.loop.Now()-d.since)/1000)
@@ -105,12 +114,28 @@
 	d.loop.Stop(d.closing)
 	d.loop.Stop(d.poll)
 	d.active = false
-	var err error
 	for _, f := range d.fronts {
 		f.Rejoin()
+	}
+	return d.reopen()
+}
+
+// reopen opens the listeners that are closed.
+func (d *drain) reopen() error {
+	d.loop.Stop(d.retry)
+	var err error
+	for _, f := range d.fronts {
 		err = errors.Join(err, f.Resume())
 	}
-	if err != nil {
+	d.reopening = transport.LacksRoom(err)
+	switch {
+	case d.reopening:
+		d.log.Warn("drain: a listener can't be opened yet", "error", err)
+		d.retry = d.loop.At(d.loop.Now()+reopenRetry, func() { _ = d.reopen() })
+		return nil
+	case err != nil:
+		d.log.Error("drain: a listener can't be opened, the front does not take clients", "error", err)
+		d.failed()
 		d.begin("a listener could not be opened again", 0)
 	}
 	return err
--- a/internal/program/serve.go
+++ b/internal/program/serve.go
@@ -38,20 +38,22 @@
 )
 
 const (
-	memoryShare  = 0.6       // part of the memory limit that the heap may fill before it is swept harder
-	copyShare    = 0.25      // part of the memory limit for copies of our own
-	clientShare  = 0.55      // part of the descriptors for clients; the usual ones hold a third at most
-	signedShare  = 0.1       // part of them for the clients of the signed front, where it is on
-	poolShare    = 0.25      // part of them for cache nodes
-	inputShare   = 0.125     // part of the memory limit that answers on one connection may fill unseen
-	refusedRoom  = 16        // descriptors for clients of both fronts that only get a refusal
-	nodesLeast   = 4         // descriptors for cache nodes at the least
-	poolMost     = 8         // connections to one node at most
-	idleShare    = 0.8       // part of the nodes' idle time after which we close first
-	endMost      = 3_000_000 // us that open calls may take after SIGTERM, if their classes allow as much
-	endSlack     = 500_000   // us past it after which what is still open is failed
-	endFlush     = 150_000   // us past that for the last answers to leave
-	fewestPooled = 16        // nodes that the connections must suffice for
+	memoryShare   = 0.6                    // part of the memory limit that the heap may fill before it is swept harder
+	copyShare     = 0.25                   // part of the memory limit for copies of our own
+	clientShare   = 0.55                   // part of the descriptors for clients; the usual ones hold a third at most
+	signedShare   = 0.1                    // part of them for the clients of the signed front, where it is on
+	poolShare     = 0.25                   // part of them for cache nodes
+	inputShare    = 0.125                  // part of the memory limit that answers on one connection may fill unseen
+	refusedRoom   = 16                     // descriptors for clients of both fronts that only get a refusal
+	nodesLeast    = 4                      // descriptors for cache nodes at the least
+	poolMost      = 8                      // connections to one node at most
+	idleShare     = 0.8                    // part of the nodes' idle time after which we close first
+	startPatience = 5 * time.Second        // for a listener at the start, while the machine lacks room for it
+	startRetry    = 100 * time.Millisecond // between its tries
+	endMost       = 3_000_000              // us that open calls may take after SIGTERM, if their classes allow as much
+	endSlack      = 500_000                // us past it after which what is still open is failed
+	endFlush      = 150_000                // us past that for the last answers to leave
+	fewestPooled  = 16                     // nodes that the connections must suffice for
 )
 
 // Serve is one front, until SIGTERM. What ends it otherwise is in the log.
@@ -218,7 +220,7 @@
 		p.fronts = append(p.fronts, session.New(links, p.loop, p.signed, p.gate, log))
 	}
 	for _, f := range p.fronts {
-		if err := f.Start(); err != nil {
+		if err := startPatiently(f.Start, log); err != nil {
 			return nil, fmt.Errorf("listen: %w", err)
 		}
 	}
@@ -227,7 +229,8 @@
 		wait = readyAfter
 	}
 	p.ready = readiness.New(p.loop.Now(), wait)
-	p.drain = &drain{loop: p.loop, fronts: p.fronts, gate: p.gate, log: log}
+	p.drain = &drain{loop: p.loop, fronts: p.fronts, gate: p.gate, log: log,
+		failed: func() { p.ready.Drain() }}
 	if cfg.Ops != "" {
 		p.door = ops.New(p.loop, p, operator.Fleet != nil, log)
 		if err := p.door.Listen(cfg.Ops); err != nil {
@@ -245,6 +248,18 @@
 	return p, nil
 }
 
+// startPatiently opens a listener at the program's start, and tries again for a while where
+// this machine lacks room for it.
+func startPatiently(listen func() error, log *slog.Logger) error {
+	for end := time.Now().Add(startPatience); ; time.Sleep(startRetry) {
+		err := listen()
+		if err == nil || !transport.LacksRoom(err) || time.Now().After(end) {
+			return err
+		}
+		log.Warn("a listener can't be opened yet", "error", err)
+	}
+}
+
 // grace is the shortest that the settings give to act on what the notice board tells; 0
 // where they give none.
 func grace(cfg *config.Config) loop.Micros {
--- a/internal/transport/listener.go
+++ b/internal/transport/listener.go
@@ -200,7 +200,7 @@
 			x.retrying = false
 			return nil, nil
 		case errors.Is(err, unix.EINTR):
-		case !lacksRoom(err):
+		case !LacksRoom(err):
 			x.report(err) // of a connection that ended before it was accepted: the next may be whole
 		case !x.retrying:
 			x.report(err)
@@ -215,10 +215,10 @@
 	}
 }
 
-// lacksRoom tells whether the system could not accept for want of descriptors, buffers or
-// leave, which it may have again later. All other errors are one connection's own (accept(2)).
-func lacksRoom(err error) bool {
-	for _, lack := range []error{unix.EMFILE, unix.ENFILE, unix.ENOBUFS, unix.ENOMEM, unix.EPERM} {
+// LacksRoom tells whether this machine could not do what was asked for want of descriptors,
+// buffers, ports or leave, which it may have again later. It says nothing of the other side.
+func LacksRoom(err error) bool {
+	for _, lack := range []error{unix.EMFILE, unix.ENFILE, unix.ENOBUFS, unix.ENOMEM, unix.EADDRNOTAVAIL, unix.EPERM} {
 		if errors.Is(err, lack) {
 			return true
 		}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -30,6 +30,8 @@
 	sendBuffer = 416 << 10 // asked of the kernel for clients, so that one answer fits whole
 	takeBuffer = 64 << 10  // and for what they send; the poller reads as much at once
 	peerBuffer = 256 << 10 // and for what those that we dial send
+
+	writeRetry = 5 * time.Millisecond // until a write is tried again for which the system lacked room
 )
 
 // Handler is told what happens on a connection, always on the loop.
@@ -61,6 +63,7 @@
 	sent     int64       // bytes that the socket has taken
 	came     int64       // bytes that have come
 	last     loop.Micros // when the last of them did
+	retrying bool        // a push follows by timer
 	serial   int32       // in the watch
 	events   uint32      // that the watch looks for
 	dialed   bool
@@ -225,7 +228,7 @@
 		c.gauge.Out.Add(int64(-len(c.out)))
 		c.lost = c.flushing
 		c.out, c.flushing = nil, false
-		watched.w.set(c, 0)
+		_ = watched.w.set(c, 0) // closing the descriptor takes it out as well
 	}
 	c.mu.Unlock()
 	if first {
@@ -296,11 +299,33 @@
 	c.gauge.Out.Add(int64(len(p)))
 	if !c.flushing {
 		c.flushing = true
-		watched.w.set(c, c.wants())
+		c.awaitRoom()
 	}
 	return false, nil
 }
 
+// awaitRoom has what waits be sent once the socket takes more, or at the next try. Where the
+// system lacks room to be asked there is one.
+func (c *Conn) awaitRoom() {
+	if err := watched.w.set(c, c.wants()); err != nil {
+		c.pushLater()
+	}
+}
+
+// pushLater tries to send what waits after writeRetry.
+func (c *Conn) pushLater() {
+	if c.retrying {
+		return
+	}
+	c.retrying = true
+	time.AfterFunc(writeRetry, func() {
+		c.mu.Lock()
+		c.retrying = false
+		c.mu.Unlock()
+		c.push()
+	})
+}
+
 // Dismiss answers what has already come on a connection that is not taken, without a wait:
 // it is read, since a close over unread bytes is a reset that may overtake the answer. Where
 // nothing has come yet there is nothing to answer. It is for admit alone.
@@ -339,6 +364,10 @@
 		if errors.Is(err, syscall.EAGAIN) {
 			break
 		}
+		if LacksRoom(err) { // the socket is writable, so nothing would tell of the end of that
+			c.pushLater()
+			break
+		}
 		if err != nil {
 			return n, err
 		}
@@ -427,19 +456,45 @@
 	}
 	c.shut, c.discard = true, true
 	c.drop()
-	_ = syscall.Shutdown(c.fd, syscall.SHUT_RDWR)
+	if err := syscall.Shutdown(c.fd, syscall.SHUT_RDWR); err != nil && !c.hungUp() {
+		c.release()
+	}
 }
 
+// release ends a connection whose socket can't be shut, and of whose end the poller would
+// never hear: its descriptor is closed.
+func (c *Conn) release() {
+	unshut.Add(1)
+	if c.parked {
+		watched.w.run(c.end)
+		return
+	}
+	go func(np netpoll.Connection) { _ = np.Close() }(c.np) // it may wait for the poller
+}
+
+// unshut counts the connections that were ended by closing their descriptors.
+var unshut atomic.Int64
+
+// Unshut counts the connections of the process whose sockets could not be shut and were closed
+// outright. It may be called from anywhere.
+func Unshut() int64 { return unshut.Load() }
+
 // Gone tells whether the other side has ended its side. Its last bytes may still stand
 // before the end, unread by the poller or by the loop, where either was held up.
 func (c *Conn) Gone() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closed || c.shut {
-		return true
-	}
+	return c.closed || c.shut || c.hungUp()
+}
+
+// hungUp tells whether the other side has ended its side, or the connection is broken. The
+// poller has heard of it, or is about to.
+func (c *Conn) hungUp() bool {
 	fds := []unix.PollFd{{Fd: int32(c.fd), Events: unix.POLLRDHUP}}
 	n, err := unix.Poll(fds, 0)
+	for errors.Is(err, unix.EINTR) {
+		n, err = unix.Poll(fds, 0)
+	}
 	return err == nil && n > 0 && fds[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
 }
 
@@ -479,7 +534,7 @@
 	c.ending, c.discard = true, true
 	c.drop()
 	if !c.flushing {
-		_ = syscall.Shutdown(c.fd, syscall.SHUT_WR)
+		_ = syscall.Shutdown(c.fd, syscall.SHUT_WR) // where it fails the other side learns of the end by Close
 	}
 	c.mu.Unlock()
 	c.loop.At(by, c.Close)
--- a/internal/transport/watch.go
+++ b/internal/transport/watch.go
@@ -20,14 +20,14 @@
 //     from then on the watch reads it, and ends it.
 //   - full sockets, until they take more. Nothing is started to wait for them.
 type watch struct {
-	fd, wake int // epoll instance; eventfd that has it look at what is to be parked
+	fd, wake int // epoll instance; eventfd that has it run tasks
 	events   [128]syscall.EpollEvent
 	buf      [takeBuffer]byte
 
 	mu     sync.Mutex
 	serial int32
 	conns  map[int32]*Conn // by serial; of those in the epoll instance
-	parks  []*Conn         // asked for
+	tasks  []func()        // for the poller
 }
 
 // watched is the program's watch, as netpoll's poller is the program's.
@@ -75,7 +75,7 @@
 	n, _ := syscall.EpollWait(w.fd, w.events[:], 0) // EINTR: it is called again
 	for _, e := range w.events[:max(0, n)] {
 		if int(e.Fd) == w.wake {
-			w.parkAll()
+			w.runAll()
 			continue
 		}
 		w.mu.Lock()
@@ -106,59 +106,85 @@
 	switch n, err := syscall.Read(c.fd, buf); {
 	case n > 0:
 		c.deliver(buf[:n])
-	case errors.Is(err, syscall.EAGAIN), errors.Is(err, syscall.EINTR):
+	case errors.Is(err, syscall.EAGAIN), errors.Is(err, syscall.EINTR), LacksRoom(err):
 	default:
-		c.over()
-		_ = syscall.Close(c.fd)
+		c.end()
 	}
 }
 
-// set has a descriptor watched for events; none takes it out.
-func (w *watch) set(c *Conn, events uint32) {
-	if events == c.events {
+// end ends a parked connection. It runs on the poller.
+func (c *Conn) end() {
+	c.mu.Lock()
+	closed := c.closed
+	c.mu.Unlock()
+	if closed {
 		return
 	}
+	c.over()
+	_ = syscall.Close(c.fd) // whatever it says, the descriptor is gone (close(2))
+}
+
+// set has a descriptor watched for events; none takes it out. On an error nothing has changed;
+// there is one for a descriptor that has ended, of which Closed tells.
+func (w *watch) set(c *Conn, events uint32) error {
+	if events == c.events {
+		return nil
+	}
 	op := syscall.EPOLL_CTL_MOD
 	w.mu.Lock()
+	defer w.mu.Unlock()
 	switch {
 	case c.events == 0:
 		op = syscall.EPOLL_CTL_ADD
 		for w.serial++; w.serial == 0 || w.conns[w.serial] != nil; w.serial++ {
 		}
 		c.serial = w.serial
-		w.conns[c.serial] = c
 	case events == 0:
 		op = syscall.EPOLL_CTL_DEL
 		delete(w.conns, c.serial)
 	}
-	w.mu.Unlock()
+	err := syscall.EpollCtl(w.fd, op, c.fd, &syscall.EpollEvent{Events: events, Fd: int32(c.fd), Pad: c.serial})
+	if err != nil && events != 0 {
+		return err
+	}
+	if events != 0 {
+		w.conns[c.serial] = c
+	}
 	c.events = events
-	// It fails for a descriptor that has ended, of which Closed tells.
-	_ = syscall.EpollCtl(w.fd, op, c.fd, &syscall.EpollEvent{Events: events, Fd: int32(c.fd), Pad: c.serial})
+	return nil
 }
 
 // ask has the poller park a connection.
-func (w *watch) ask(c *Conn) {
+func (w *watch) ask(c *Conn) { w.run(func() { c.park(w) }) }
+
+// run has the poller call a function, between what it does for connections.
+func (w *watch) run(do func()) {
 	w.mu.Lock()
-	w.parks = append(w.parks, c)
-	first := len(w.parks) == 1
+	w.tasks = append(w.tasks, do)
+	first := len(w.tasks) == 1
 	w.mu.Unlock()
-	if first {
-		var one [8]byte
-		binary.NativeEndian.PutUint64(one[:], 1)
-		_, _ = syscall.Write(w.wake, one[:])
+	if !first {
+		return
+	}
+	var one [8]byte
+	binary.NativeEndian.PutUint64(one[:], 1)
+	for {
+		if _, err := syscall.Write(w.wake, one[:]); !errors.Is(err, syscall.EINTR) {
+			return // a full counter wakes the poller as well
+		}
 	}
 }
 
-func (w *watch) parkAll() {
+// runAll runs what was asked for. Where the wake-up can't be taken back the poller comes again.
+func (w *watch) runAll() {
 	var count [8]byte
 	_, _ = syscall.Read(w.wake, count[:])
 	w.mu.Lock()
-	parks := w.parks
-	w.parks = nil
+	tasks := w.tasks
+	w.tasks = nil
 	w.mu.Unlock()
-	for _, c := range parks {
-		c.park(w)
+	for _, do := range tasks {
+		do()
 	}
 }
 
@@ -176,7 +202,11 @@
 	c.mu.Unlock()
 	_ = np.Detach() // calls ended, which passes over a parked connection
 	c.mu.Lock()
-	w.set(c, c.wants())
+	if err := w.set(c, c.wants()); err != nil { // nobody would hear of it any more
+		c.mu.Unlock()
+		c.end()
+		c.mu.Lock()
+	}
 }
 
 // wants is the events that the watch has to look for.
@@ -184,7 +214,7 @@
 	if c.parked {
 		events = syscall.EPOLLIN | syscall.EPOLLRDHUP
 	}
-	if c.flushing {
+	if c.flushing && !c.retrying {
 		events |= syscall.EPOLLOUT
 	}
 	return events
@@ -195,7 +225,11 @@
 func (c *Conn) push() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.flushing || c.closed {
+	if c.closed {
+		return
+	}
+	if !c.flushing { // its last event is still asked for
+		c.awaitRoom()
 		return
 	}
 	n, err := c.write(c.out)
@@ -206,10 +240,11 @@
 		return
 	}
 	if len(c.out) > 0 {
+		c.awaitRoom()
 		return
 	}
 	c.out, c.flushing = nil, false
-	watched.w.set(c, c.wants())
+	c.awaitRoom()
 	if c.ending {
 		_ = syscall.Shutdown(c.fd, syscall.SHUT_WR)
 	}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -11,6 +11,7 @@
 
 	"cherryramp/internal/gateway"
 	"cherryramp/internal/loop"
+	"cherryramp/internal/transport"
 	"cherryramp/rules"
 )
 
@@ -27,7 +28,10 @@
 	shareMost   = 2       // attempts on a connection from which another one is opened beside it
 	silentCost  = 1000    // in pick, of a silent connection: above any number of open attempts
 	busyCost    = 2000    // in pick, where an attempt should be alone
-	freshSpan   = 50_000  // us idle from which a used connection may be reset under what comes next
+	redialAfter = 20_000  // us until a connection is tried again for which this machine lacked room
+	// mostShortages is after how many of these in a row what waits goes elsewhere.
+	mostShortages = 3
+	freshSpan     = 50_000 // us idle from which a used connection may be reset under what comes next
 )
 
 // Config bounds the connections.
@@ -115,6 +119,8 @@
 	conns      []*conn
 	dialing    int
 	dialFailed bool // the last connection did not come up
+	paused     bool // nothing is dialled for a while: this machine lacked room for it
+	shortages  int  // connections in a row for which it lacked room
 	gone       bool // the server has left the list
 	waiting    []*gateway.Attempt
 }
@@ -287,6 +293,9 @@
 		x.send(c, a)
 	}
 	streams := max(1, x.all.cfg.Streams)
+	if x.paused {
+		return
+	}
 	if (len(x.waiting) > x.dialing*streams || more > x.dialing) && x.room() {
 		if x.all.full() {
 			x.all.evictIdle(x)
@@ -433,6 +442,11 @@
 			if err != nil {
 				p.held--
 			}
+			if transport.LacksRoom(err) {
+				x.dialLater(err)
+				return
+			}
+			x.shortages = 0
 			if x.dialFailed = err != nil; err == nil {
 				c.tc = tc
 				x.conns = append(x.conns, c)
@@ -446,6 +460,24 @@
 		})
 }
 
+// dialLater connects again after redialAfter: this machine lacked room for a connection, of
+// which the server is not to blame. Where that lasts, what waits may go elsewhere.
+func (x *pool) dialLater(err error) {
+	p := x.all
+	x.paused = true
+	x.shortages++
+	p.log.Warn("connection can't be opened here", "server", x.name, "error", err, "waiting", len(x.waiting))
+	if x.shortages >= mostShortages && len(x.conns)+x.dialing == 0 {
+		for _, a := range x.take(func(*gateway.Attempt) bool { return true }) {
+			p.gate.End(a, gateway.End{Code: rules.Moot})
+		}
+	}
+	p.loop.At(p.loop.Now()+redialAfter, func() {
+		x.paused = false
+		x.flush()
+	})
+}
+
 // fail ends what waits and no connection is left to take.
 func (x *pool) fail() {
 	for _, c := range x.conns {
