SIGTERM is heard of beside a reload, and no signal drops another kind's

Cause: one goroutine read signals and files, and one channel held both kinds (program.heed). Change: a channel and a goroutine each.

--- a/internal/program/serve.go
+++ b/internal/program/serve.go
@@ -70,8 +70,11 @@
 	if err != nil {
 		return err
 	}
-	signals := make(chan os.Signal, 8)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	// A channel that is full drops signals, so each kind has its own: one of a kind that waits
+	// stands for all that follow.
+	ends, reloads := make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(ends, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(reloads, syscall.SIGHUP)
 	log := logging.New(os.Stderr, level)
 	slog.SetDefault(log)
 	cfg, err := config.Load(os.Getenv)
@@ -93,7 +96,8 @@
 	if err != nil {
 		return err
 	}
-	go p.heed(signals)
+	go p.heedEnds(ends)
+	go p.heedReloads(reloads)
 	log.Info("serving", "name", cfg.Name, "listen", cfg.Listen, "ops", cfg.Ops, "board", cfg.Board)
 	p.loop.Run()
 	if p.fleet != nil {
@@ -364,14 +368,17 @@
 	return policy
 }
 
-// heed carries out signals for as long as the program runs. Files are read here,
-// beside the loop.
-func (p *program) heed(signals <-chan os.Signal) {
+// heedEnds carries out the signals that end the program.
+func (p *program) heedEnds(signals <-chan os.Signal) {
 	for got := range signals {
-		if got != syscall.SIGHUP {
-			p.loop.Post(func() { p.stop(got) })
-			continue
-		}
+		p.loop.Post(func() { p.stop(got) })
+	}
+}
+
+// heedReloads reads the files anew at a signal. That may take any time, and happens beside
+// the loop and beside the signals that end the program.
+func (p *program) heedReloads(signals <-chan os.Signal) {
+	for range signals {
 		version := make(chan *config.Version, 1)
 		p.loop.Post(func() { version <- p.versions.current })
 		cfg, operator, err := config.LoadVersion(os.Getenv, <-version)
