The admin endpoint answers every caller and belongs to one process

Cause: the door's connections were netpoll's, which ends a connection as soon as the other side is half-closed; an empty line was taken for none; its listener had SO_REUSEPORT (transport.Listen). Change: internal/front/ops is internal/admin (Server, Handler, session), on the standard library's sockets with a goroutine a session, bounded as before, retried writes, an address of its own that is tried again. Weighed: handling half-closes in transport, where netpoll closes the descriptor itself.

--- a/internal/program/door.go
+++ b/internal/program/admin.go
@@ -11,9 +11,9 @@
 // board answers, as they would after a break.
 const readyAfter = 2_000_000
 
-// The program is the desk of the operators' door. Readiness and the figures are
+// The program is the handler of the admin endpoint. Readiness and the figures are
 // state of their own (internal/decide); the program carries out what they say,
-// and the door only words it.
+// and internal/admin only formats it.
 
 // Ready tells whether the front takes clients.
 func (p *program) Ready() (bool, string) {
--- a/internal/program/serve.go
+++ b/internal/program/serve.go
@@ -16,6 +16,7 @@
 	"syscall"
 	"time"
 
+	"cherryramp/internal/admin"
 	"cherryramp/internal/board"
 	"cherryramp/internal/config"
 	"cherryramp/internal/decide/admission"
@@ -24,7 +25,6 @@
 	"cherryramp/internal/decide/hurt"
 	"cherryramp/internal/decide/readiness"
 	"cherryramp/internal/ephemeral"
-	"cherryramp/internal/front/ops"
 	"cherryramp/internal/front/platform"
 	"cherryramp/internal/front/session"
 	"cherryramp/internal/front/signed"
@@ -126,7 +126,6 @@
 	held           *balance       // nil: no account of bytes is kept
 	queue          *session.Queue // nil: no limit is learnt
 	figures        *figures.Figures
-	door           *ops.Door // nil: no operators' door
 	ready          *readiness.State
 	drain          *drain
 	fleet          FleetPart     // nil: the front acts alone
@@ -236,8 +235,7 @@
 	p.drain = &drain{loop: p.loop, fronts: p.fronts, gate: p.gate, log: log,
 		failed: func() { p.ready.Drain() }}
 	if cfg.Ops != "" {
-		p.door = ops.New(p.loop, p, operator.Fleet != nil, log)
-		if err := p.door.Listen(cfg.Ops); err != nil {
+		if err := admin.New(p.loop, p, operator.Fleet != nil, log).Listen(cfg.Ops); err != nil {
 			return nil, fmt.Errorf("ops: %w", err)
 		}
 	}
