--- a/cmd/cherryramp/admin_test.go
+++ b/cmd/cherryramp/admin_test.go
@@ -43,7 +43,7 @@
 				time.Sleep(350 * time.Millisecond)
 			}
 		}, "ok rejoined\n"},
-		"too long": {func(c *net.TCPConn) { _, _ = io.WriteString(c, strings.Repeat("x", 10_000)) }, "fail call too long\n"},
+		"too long":             {func(c *net.TCPConn) { _, _ = io.WriteString(c, strings.Repeat("x", 10_000)) }, "fail call too long\n"},
 		"more behind the call": {func(c *net.TCPConn) { _, _ = io.WriteString(c, "REJOIN\nPING\n") }, "ok rejoined\n"},
 		"an empty line":        {func(c *net.TCPConn) { _, _ = io.WriteString(c, "\n") }, "fail no call\n"},
 		"nothing":              {func(c *net.TCPConn) { _ = c.CloseWrite() }, ""},
--- a/cmd/cherryramp/end_test.go
+++ b/cmd/cherryramp/end_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -201,6 +202,29 @@
 	}
 }
 
+// Guards against a deadline that is passed on as if the request had come when a held-up front
+// read it: it has waited in the kernel, on a resting connection or on one not yet accepted.
+func TestWokenFrontPassesOnWhatIsLeft(t *testing.T) {
+	const wait, held, slack = 3000, 600, 150 // ms
+	s := newSite(t, 1, "")
+	resting := dial(t, s.addr)
+	resting.send("GET /ping HTTP/1.1\r\nHost: x\r\n\r\n")
+	resting.answer("GET")
+	s.signal(syscall.SIGSTOP)
+	fresh := dial(t, s.addr)
+	resting.send(get("guide-video", "9f3a", wait))
+	fresh.send(get("guide-video", "9f3b", wait))
+	time.Sleep(held * time.Millisecond)
+	s.signal(syscall.SIGCONT)
+	for range 2 {
+		x := s.boxes[0].next(t)
+		if ttl, err := strconv.Atoi(x.fields["ttl"]); err != nil || ttl > wait-held+slack {
+			t.Errorf("%s has %d ms left at most, and %q was passed on", x.fields["name"], wait-held, x.fields["ttl"])
+		}
+		x.reply("ok", "sum=t1,t0=1,why=warm", object(x))
+	}
+}
+
 // Guards those who asked while the front was held up against a reset, where they are more
 // than it has places for: each is served, or refused with a time to come back.
 func TestWokenFrontAnswersAllWhoAsked(t *testing.T) {
