A request's time counts from when the kernel took it in

Cause: Conn.last was when the poller read the bytes (transport.deliver), later than they came where the front was held up or the connection waited to be accepted. Change: the kernel is asked how long ago the last bytes came (TCP_INFO, last_data_recv) of connections that were accepted.

--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -172,6 +172,9 @@
 	tell := !c.told && !c.discard
 	c.came += int64(len(p))
 	c.last = c.loop.Now()
+	if !c.dialed {
+		c.last -= waited(c.fd)
+	}
 	if !c.discard {
 		if len(c.in)+len(p) > c.limit {
 			c.flooded, c.discard = true, true
@@ -433,7 +436,8 @@
 	return c.came
 }
 
-// Last is when the last bytes came, which may be long before the loop looks at them.
+// Last is when the last bytes came, which may be long before the loop looks at them, or the
+// poller: for a connection that was accepted it is when the kernel took them in.
 func (c *Conn) Last() loop.Micros {
 	c.mu.Lock()
 	defer c.mu.Unlock()
