--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -169,13 +169,38 @@
 	_ = j.Close()
 }
 
-// shaky is a file on a disk that fills up, or whose sync fails.
+// A snapshot that is durable is told as kept, and what comes after it is kept too, whatever the
+// old file's close says: nobody needs that any more.
+func TestRewriteWhereTheOldFileFailsToClose(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "j")
+	j, _, _, err := open(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	j.f = &shaky{File: j.f.(*os.File), room: 1000, close: syscall.EIO}
+	told := make(chan error, 1)
+	j.Rewrite([][]byte{[]byte("ab")}, func(err error) { told <- err })
+	if err := <-told; err != nil {
+		t.Errorf("the snapshot: %v", err)
+	}
+	if kept := write(t, j, []string{"c"}); !slices.Equal(kept, []string{"c"}) {
+		t.Errorf("kept after it: %q", kept)
+	}
+	_ = j.Close()
+	if _, got, _, err := open(path); err != nil || !slices.Equal(got, []string{"ab", "c"}) {
+		t.Errorf("%q, %v", got, err)
+	}
+}
+
+// shaky is a file on a disk that fills up, or whose sync or close fails.
 type shaky struct {
 	*os.File
-	room int
-	sync error
+	room        int
+	sync, close error
 }
 
+func (s *shaky) Close() error { return errors.Join(s.close, s.File.Close()) }
+
 func (s *shaky) Write(p []byte) (int, error) {
 	n := min(len(p), s.room)
 	s.room -= n
