--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -359,8 +359,9 @@
 	if err != nil {
 		return fmt.Errorf("journal: %w", err)
 	}
+	placed := false
 	defer func() {
-		if err != nil {
+		if err != nil && !placed {
 			err = errors.Join(fmt.Errorf("journal: %w", err), f.Close(), os.Remove(path))
 		}
 	}()
@@ -394,15 +395,17 @@
 	if err := os.Rename(path, j.path); err != nil {
 		return err
 	}
+	placed = true
 	old := j.f
 	j.f, j.size = f, size
+	_ = old.Close() // the snapshot stands for all that was in it
 	// The new file holds from here on; without the directory's word it may be the old
 	// one again after a crash, so nothing more is promised.
 	if err := syncDir(j.path); err != nil {
 		j.lost = errors.Join(ErrClosed, err)
-		return errors.Join(j.lost, old.Close())
+		return j.lost
 	}
-	return old.Close()
+	return nil
 }
 
 func syncDir(path string) error {
