--- /dev/null
+++ b/internal/program/reload.go
@@ -0,0 +1,71 @@
+package program
+
+import (
+	"cmp"
+	"os"
+
+	"cherryramp/internal/board"
+	"cherryramp/internal/config"
+	"cherryramp/internal/front/session"
+)
+
+// heedReloads reads the files anew at a signal. That may take any time, and happens beside
+// the loop and beside the signals that end the program.
+func (p *program) heedReloads(signals <-chan os.Signal) {
+	for range signals {
+		version := make(chan *config.Version, 1)
+		p.loop.Post(func() { version <- p.versions.current })
+		cfg, operator, err := config.LoadVersion(os.Getenv, <-version)
+		if err != nil {
+			p.log.Error("configuration can't be used, the old one stays", "error", err)
+			p.loop.Post(func() { p.figures.Loaded(false) })
+			continue
+		}
+		p.loop.Post(func() { p.reload(cfg, operator) })
+	}
+}
+
+// reload takes over what a new configuration may change while the program runs.
+func (p *program) reload(cfg *config.Config, operator *config.Operator) {
+	if err := p.take(cfg, operator); err != nil {
+		p.log.Error("configuration can't be used, the old one stays", "error", err)
+		p.figures.Loaded(false)
+		return
+	}
+	p.figures.Loaded(true)
+	p.log.Info("configuration read again", "board", p.cfg.Board, "generation", p.table.Number(), "settings", p.cfg.Digest)
+}
+
+// take has all parts take a configuration over, or none.
+func (p *program) take(cfg *config.Config, operator *config.Operator) error {
+	next, fixed := p.cfg.Next(cfg)
+	if err := p.settle(next); err != nil {
+		return err
+	}
+	if fixed = append(fixed, p.operator.Fixed(operator)...); len(fixed) > 0 {
+		p.log.Warn("configuration: these keys need a restart, their old values stay", "keys", fixed)
+	}
+	p.cfg = next
+	p.news.Renew(board.Within(grace(p.cfg)))
+	if p.cfg.Board != "" {
+		p.news.Move(p.cfg.Board)
+	}
+	p.gate.Limit(copies(p.cfg))
+	if p.shared != nil && operator.Exchange != nil {
+		p.shared.renew(operator.Exchange)
+	}
+	if c := operator.Clients; p.operator.Clients != nil && c != nil {
+		for i, f := range p.fronts {
+			b := session.Bounds{Connections: held(p.cfg, c), Prefix: c.Prefix, Idle: int64(c.IdleMS) * 1000, Request: int64(c.RequestMS) * 1000}
+			if i > 0 {
+				b.Connections = int(signedShare * float64(p.cfg.Sockets))
+			}
+			f.Rebound(b)
+		}
+	}
+	if p.signed != nil {
+		p.links = cmp.Or(operator.Signed, p.links)
+		p.signed.Reload(p.signedPolicy(p.links))
+	}
+	return nil
+}
