--- a/lab/fleet/processes.go
+++ b/lab/fleet/processes.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -33,6 +34,7 @@
 	Log     io.Writer      // of the fronts; nil: into a file each
 
 	SiteOf   func(i int) string                          // a front's site, as a path; nil: zones z0, z1 and so on
+	Launch   func(front int, cmd *exec.Cmd) error        // starts a front's command; nil: as it is
 	Sections func(p *Process) map[string]any             // further sections of a front's operator's file
 	Config   func(name, listen string, front int) string // its configuration; nil: before a small site's stand-ins
 }
@@ -198,7 +200,11 @@
 		}
 		to = p.log
 	}
-	running, err := process.Start(process.Options{Path: p.program, Log: to, Env: []string{"ROUTER_CONFIG=" + filepath.Join(p.Dir, "config.json"),
+	var launch func(*exec.Cmd) error
+	if p.f.o.Launch != nil {
+		launch = func(cmd *exec.Cmd) error { return p.f.o.Launch(p.f.index(p), cmd) }
+	}
+	running, err := process.Start(process.Options{Launch: launch, Path: p.program, Log: to, Env: []string{"ROUTER_CONFIG=" + filepath.Join(p.Dir, "config.json"),
 		"CHERRYRAMP_OPERATOR=" + filepath.Join(p.Dir, "operator.json"), "ROUTER_OPS=" + p.Ops}})
 	if err != nil {
 		return err
--- a/lab/fleet/processes_test.go
+++ b/lab/fleet/processes_test.go
@@ -10,11 +10,13 @@
 
 	"cherryramp/internal/fleet"
 	"cherryramp/internal/seededtest"
+	"cherryramp/lab/syscallfault"
 )
 
 var program string
 
 func TestMain(m *testing.M) {
+	syscallfault.RunLauncher()
 	dir, err := os.MkdirTemp("", "fleet")
 	if err == nil {
 		program = filepath.Join(dir, "cherryramp")
--- a/lab/process/process.go
+++ b/lab/process/process.go
@@ -31,6 +31,8 @@
 	Env  []string  // all of its environment, but for PATH
 	Log  io.Writer // nil: nowhere
 	Core *int      // the one that it runs on; nil: any
+	// Launch starts the command; nil: as it is. It is for faults in its system calls.
+	Launch func(*exec.Cmd) error
 }
 
 // Process is a front that was started.
@@ -46,7 +48,11 @@
 	p := &Process{log: &awaited{text: Serving, seen: make(chan struct{}), to: o.Log}, ended: make(chan struct{})}
 	p.cmd = exec.Command(o.Path)
 	p.cmd.Env, p.cmd.Stderr = append([]string{"PATH=" + os.Getenv("PATH")}, o.Env...), p.log
-	if err := p.start(o.Core); err != nil {
+	launch := o.Launch
+	if launch == nil {
+		launch = (*exec.Cmd).Start
+	}
+	if err := p.start(launch, o.Core); err != nil {
 		return nil, fmt.Errorf("process: %w", err)
 	}
 	go func() {
@@ -57,9 +63,9 @@
 }
 
 // start starts the front, pinned to a core if there is one.
-func (p *Process) start(core *int) error {
+func (p *Process) start(launch func(*exec.Cmd) error, core *int) error {
 	if core == nil {
-		return p.cmd.Start()
+		return launch(p.cmd)
 	}
 	// A process inherits the cores of the thread that starts it.
 	runtime.LockOSThread()
@@ -72,7 +78,7 @@
 	if err := unix.SchedSetaffinity(0, &only); err != nil {
 		return fmt.Errorf("core %d: %w", *core, err)
 	}
-	return errors.Join(p.cmd.Start(), unix.SchedSetaffinity(0, &before))
+	return errors.Join(launch(p.cmd), unix.SchedSetaffinity(0, &before))
 }
 
 // Await waits until the front serves.
