--- a/cmd/cherryramp/soak_test.go
+++ b/cmd/cherryramp/soak_test.go
@@ -51,6 +51,7 @@
 	endAfterDrain
 	endByUpgrade
 	endWithShortDeadlines
+	endInADrain
 	endings
 )
 
@@ -107,6 +108,13 @@
 		}},
 		{"a server hangs", 0, func(s *soak) { s.hung.Store(true) }},
 		{"all servers hang", 0, func(s *soak) { s.allHung.Store(true) }},
+		{"drains taken back in series", 0, func(s *soak) {
+			for range 3 {
+				s.order("LAMEDUCK", "ok lame duck\n")
+				time.Sleep(time.Duration(1+s.plan.seed%6) * 100 * time.Millisecond) // while it still accepts
+				s.order("REJOIN", "ok rejoined\n")
+			}
+		}},
 		{"connections to servers break", 0, func(s *soak) { s.breaks.Add(3) }},
 	}
 	for _, i := range r.Perm(len(kinds))[:1+r.IntN(4)] {
@@ -303,11 +311,28 @@
 		if !eventually(s.killed(), func() bool { return len(next.ended) > 0 }) {
 			s.fault("the successor goes on: %s", next.log)
 		}
+	case endInADrain:
+		s.order("LAMEDUCK", "ok lame duck\n")
+		s.refuseAfter(newAfterSignal)
+		time.Sleep(time.Duration(s.plan.seed%10) * 100 * time.Millisecond)
+		s.terminate()
 	default:
 		s.terminate()
 	}
 }
 
+// order makes a call at the operators' door that must be answered so.
+func (s *soak) order(call, want string) {
+	if got := answered(s.t, s.door, writeCall(call)); got != want {
+		s.fault("%s: %q", call, got)
+	}
+}
+
+// refuseAfter tells the clients that new connections may be refused after a span.
+func (s *soak) refuseAfter(span time.Duration) {
+	time.AfterFunc(span, func() { s.refusing.Store(true) })
+}
+
 // killed is when SIGKILL may come after SIGTERM.
 func (s *soak) killed() time.Duration {
 	return min(s.deadline, settingsLongest) + 700*time.Millisecond
@@ -325,7 +350,7 @@
 		s.site.signal(syscall.SIGCONT)
 	}
 	if s.plan.end != endByUpgrade {
-		time.AfterFunc(newAfterSignal, func() { s.refusing.Store(true) })
+		s.refuseAfter(newAfterSignal)
 	}
 	select {
 	case err := <-s.site.ended:
@@ -341,23 +366,17 @@
 // drainAndRejoin has the front drain, looks at it as the platform does, and takes it back.
 func (s *soak) drainAndRejoin(clients []*soakClient) {
 	began := time.Now()
-	if got := answered(s.t, s.door, writeCall("LAMEDUCK")); got != "ok lame duck\n" {
-		s.fault("LAMEDUCK: %q", got)
-	}
-	time.AfterFunc(newAfterSignal, func() { s.refusing.Store(true) })
+	s.order("LAMEDUCK", "ok lame duck\n")
+	s.refuseAfter(newAfterSignal)
 	time.Sleep(drainChecked - time.Since(began))
-	if got := answered(s.t, s.door, writeCall("PING")); got != "fail lame duck\n" {
-		s.fault("4 s after LAMEDUCK PING says %q", got)
-	}
+	s.order("PING", "fail lame duck\n")
 	if takesWork(s.site.addr) || accepts(s.site.addr) {
 		s.fault("4 s after LAMEDUCK it takes work")
 	}
 	for _, c := range clients {
 		c.checkDrained()
 	}
-	if got := answered(s.t, s.door, writeCall("REJOIN")); got != "ok rejoined\n" {
-		s.fault("REJOIN: %q", got)
-	}
+	s.order("REJOIN", "ok rejoined\n")
 	if !eventually(2*time.Second, func() bool { return answered(s.t, s.door, writeCall("PING")) == "ok ready\n" }) {
 		s.fault("2 s after REJOIN it is not ready: %s", s.site.log)
 	}
