--- a/cmd/cherryramp/soak_test.go
+++ b/cmd/cherryramp/soak_test.go
@@ -1,6 +1,7 @@
 package main_test
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -159,6 +160,7 @@
 	ran      map[string]int // payouts, by id, that may have run
 	broken   []string
 	counts   map[string]int
+	idle     []net.Conn // of the crowd
 }
 
 // soakRequest is what a client knows of a request.
@@ -261,6 +263,9 @@
 	s.finish(clients)
 	s.over.Store(true)
 	workers.Wait()
+	for _, c := range s.idle {
+		_ = c.Close()
+	}
 	s.judge()
 }
 
@@ -282,17 +287,31 @@
 	return func(c *net.TCPConn) { _, _ = io.WriteString(c, line+"\n") }
 }
 
-// crowd holds many idle connections for a while.
+// crowd opens many connections that stay idle until the run is over. Some speak once before.
 func (s *soak) crowd() {
-	var idle []net.Conn
-	for range 300 {
-		if c, err := net.DialTimeout("tcp", s.site.addr, time.Second); err == nil {
-			idle = append(idle, c)
+	for i := range 300 {
+		c, err := net.DialTimeout("tcp", s.site.addr, time.Second)
+		if err != nil {
+			continue
 		}
+		if i%3 == 0 {
+			_, _ = io.WriteString(c, "GET /ping HTTP/1.1\r\nHost: x\r\n\r\n")
+		}
+		s.idle = append(s.idle, c)
 	}
-	time.Sleep(time.Second)
-	for _, c := range idle {
-		_ = c.Close()
+}
+
+// checkCrowd looks whether the front has ended all idle connections.
+func (s *soak) checkCrowd() {
+	held := 0
+	for _, c := range s.idle {
+		_ = c.SetReadDeadline(time.Now().Add(time.Millisecond))
+		if _, err := io.Copy(io.Discard, c); errors.Is(err, os.ErrDeadlineExceeded) {
+			held++
+		}
+	}
+	if held > 0 {
+		s.fault("4 s after LAMEDUCK %d idle connections stand open", held)
 	}
 }
 
@@ -376,6 +395,7 @@
 	for _, c := range clients {
 		c.checkDrained()
 	}
+	s.checkCrowd()
 	s.order("REJOIN", "ok rejoined\n")
 	if !eventually(2*time.Second, func() bool { return answered(s.t, s.door, writeCall("PING")) == "ok ready\n" }) {
 		s.fault("2 s after REJOIN it is not ready: %s", s.site.log)
