The decisions of a drain are a pure package, decide/draining

No change of behaviour but that listeners close at the look that follows their moment, 20 ms later at most. Orders, moments and what the front observes go in, steps come out; program/drain.go carries them out. Random orders and observations in any order, and a listener that closes for no order.

--- a/internal/program/drain.go
+++ b/internal/program/drain.go
@@ -4,6 +4,7 @@
 	"errors"
 	"log/slog"
 
+	"cherryramp/internal/decide/draining"
 	"cherryramp/internal/front/session"
 	"cherryramp/internal/gateway"
 	"cherryramp/internal/loop"
@@ -19,20 +20,17 @@
 
 // drain empties a front of its clients' connections: at first it still accepts clients,
 // since those who route them hear of the drain later than it does; then it closes its
-// listeners; and it is over once no request and no connection is left. It runs on the
-// loop, and its owner says who must not be ready meanwhile.
+// listeners; and it is over once no request and no connection is left. It carries out what
+// draining decides, on the loop; its owner says who must not be ready meanwhile.
 type drain struct {
 	loop   *loop.Loop
 	fronts []*session.Server
 	gate   *gateway.Gateway
 	log    *slog.Logger
 
-	active  bool
-	since   loop.Micros
-	closing *loop.Deadline // when the listeners close
-	poll    *loop.Deadline
-	warned  bool
-	over    func() // what follows; nil: nothing
+	state draining.State
+	poll  *loop.Deadline // the next look
+	over  func()         // what follows; nil: nothing
 
 	reopening bool // a listener is not open again yet
 	retry     *loop.Deadline
@@ -42,19 +40,13 @@
 // begin has idle connections end at once and the others with their next answer, and
 // closes the listeners after a span in us. Once it has begun it does nothing.
 func (d *drain) begin(reason string, acceptFor loop.Micros) {
-	if d.active {
+	if !d.state.Begin(d.loop.Now(), acceptFor, drainWarning) {
 		return
 	}
 	d.loop.Stop(d.retry)
 	d.reopening = false
-	now := d.loop.Now()
-	d.active, d.since, d.warned = true, now, false
 	d.log.Info("drain: begins", "reason", reason, "requests", d.gate.Open(), "connections", d.connections(),
 		"accepting_ms", acceptFor/1000)
-	for _, f := range d.fronts {
-		f.Drain()
-	}
-	d.closing = d.loop.At(now+acceptFor, d.stopAccepting)
 	d.look()
 }
 
@@ -62,58 +54,52 @@
 // begun goes on.
 func (d *drain) end(reason string, then func()) {
 	d.over = then
-	if !d.active {
-		d.begin(reason, 0)
-		return
-	}
-	d.loop.Stop(d.closing)
-	d.loop.Stop(d.poll)
-	d.stopAccepting()
+	d.begin(reason, 0)
+	d.state.End(d.loop.Now())
 	d.look()
 }
 
-// stopAccepting closes the listeners, which first accept what waits at them.
-func (d *drain) stopAccepting() {
-	d.log.Info("drain: listeners close", "after_ms", (d.loop.Now()-d.since)/1000, "connections", d.connections())
-	for _, f := range d.fronts {
-		f.Stop()
-	}
-}
-
-// look ends the connections that have said nothing meanwhile, and tells when all is over.
+// look ends the connections that have nothing to bring, and takes the next step.
 func (d *drain) look() {
-	accepting, busy := false, d.gate.Open()
+	d.loop.Stop(d.poll)
+	observed := draining.Observed{Left: d.gate.Open()}
 	for _, f := range d.fronts {
 		f.Drain()
-		accepting = accepting || f.Accepting()
-		busy += f.Busy() + f.Coming() + f.Ending()
+		observed.Accepting = observed.Accepting || f.Accepting()
+		observed.Left += f.Busy() + f.Coming() + f.Ending()
 	}
-	spent := d.loop.Now() - d.since
-	if !accepting && busy == 0 {
-		d.log.Info("drain: over", "after_ms", spent/1000, "closed_outright", transport.Unshut())
+	now := d.loop.Now()
+	step := d.state.Look(now, observed)
+	spent := d.state.Spent(now) / 1000
+	if step.Over {
+		d.log.Info("drain: over", "after_ms", spent, "closed_outright", transport.Unshut())
 		if d.over != nil {
 			d.over()
 		}
 		return
 	}
-	if spent >= drainWarning && !d.warned {
-		d.warned = true
-		d.log.Warn("drain: not over", "after_ms", spent/1000, "accepting", accepting, "requests", d.gate.Open(),
+	if step.CloseListeners {
+		d.log.Info("drain: listeners close", "after_ms", spent, "connections", d.connections())
+		for _, f := range d.fronts {
+			f.Stop()
+		}
+	}
+	if step.Warn {
+		d.log.Warn("drain: not over", "after_ms", spent, "accepting", observed.Accepting, "requests", d.gate.Open(),
 			"connections", d.connections())
 	}
-	d.poll = d.loop.At(d.loop.Now()+drainPoll, d.look)
+	d.poll = d.loop.At(now+drainPoll, d.look)
 }
 
 // cancel takes a drain back: the front listens, and answers keep their connections. Where the
 // machine lacks room for a listener, reopening holds until there is. Any other error is a
 // listener's; the drain then goes on.
 func (d *drain) cancel() error {
-	if d.active {
-		d.log.Info("drain: taken back", "after_ms", (d.loop.Now()-d.since)/1000)
-	}
-	d.loop.Stop(d.closing)
 	d.loop.Stop(d.poll)
-	d.active = false
+	spent := d.state.Spent(d.loop.Now()) / 1000
+	if d.state.Cancel() {
+		d.log.Info("drain: taken back", "after_ms", spent)
+	}
 	for _, f := range d.fronts {
 		f.Rejoin()
 	}
