A listener counts as closed once all that it accepted has been heard of

Cause, found by reading: where the system does not shut a listener down, its socket could be closed, and a drain told as over, between an accept and the front's hearing of that client.

--- a/internal/transport/listener.go
+++ b/internal/transport/listener.go
@@ -58,6 +58,7 @@
 	socket   int // -1: closed
 	stopped  bool
 	stopBy   time.Time // after which nothing more is accepted
+	entering int       // connections that were accepted and that admit has not heard of yet
 	retrying bool      // netpoll has taken the socket out of its poller and calls Accept elsewhere
 	reported time.Time
 }
@@ -77,6 +78,7 @@
 		netpoll.WithOnPrepare(func(np netpoll.Connection) context.Context {
 			c := wrap(l, np, limit, g)
 			c.handler = admit(c)
+			x.admitted()
 			ctx := context.WithValue(context.Background(), connKey{}, c)
 			if c.handler == nil {
 				_ = np.Close()
@@ -153,16 +155,23 @@
 	x.log.Info("listener closed", "accept_errors", x.failed.Load(), "close_error", err)
 }
 
-// waited tells whether a client may still be accepted.
+// admitted tells that admit has heard of a connection that was accepted.
+func (x *Listener) admitted() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.entering--
+}
+
+// waited tells whether a client may still be accepted, or is on its way to admit.
 func (x *Listener) waited() bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if time.Now().After(x.stopBy) {
-		return x.retrying // Accept gives up by itself
+	if past := time.Since(x.stopBy); past > 0 { // Accept gives up by itself
+		return past < detachPatience && (x.retrying || x.entering > 0)
 	}
 	ready := []unix.PollFd{{Fd: int32(x.socket), Events: unix.POLLIN}}
 	n, err := unix.Poll(ready, 0)
-	return x.retrying || n > 0 || err != nil
+	return x.retrying || x.entering > 0 || n > 0 || err != nil
 }
 
 // detach has netpoll leave the socket alone, so that its poller never touches the
@@ -195,6 +204,7 @@
 		fd, from, err := unix.Accept4(x.socket, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
 		switch {
 		case err == nil:
+			x.entering++
 			return &accepted{fd: fd, local: x.address, remote: tcpAddress(from)}, nil
 		case errors.Is(err, unix.EAGAIN):
 			x.retrying = false
