--- a/cmd/cherryramp/drain_test.go
+++ b/cmd/cherryramp/drain_test.go
@@ -90,6 +90,23 @@
 	}
 }
 
+// Guards against a request that is lost because its client could not know of the connection's
+// end: where our side can't be shut for writing, the client hears of it as soon as all is taken.
+func TestDrainTellsIdleClientsWhereTheirSideCannotBeShut(t *testing.T) {
+	const told = 40 * time.Millisecond // of the 50 in which a request may cross its connection's end
+	door := freeAddress(t)
+	s := newSiteUnderFaults(t, 1, faults{
+		matches: []syscallfault.Match{{Number: unix.SYS_SHUTDOWN, Arg: 1, Value: unix.SHUT_WR}},
+		decide:  func(syscallfault.Call) syscall.Errno { return unix.ENOTCONN },
+	}, "ROUTER_OPS="+door)
+	c := s.served(t, "9f3a")
+	call(t, door, "LAMEDUCK")
+	began := time.Now()
+	if !c.closed() || time.Since(began) > told {
+		t.Errorf("it is told of the end after %v", time.Since(began))
+	}
+}
+
 // A client whose connection is kept asks on it whether the front takes work: a front that
 // drains, or is told to end, says no there as well, not at the operators' door alone.
 func TestHealthCheckOnAKeptConnectionFollowsTheDrain(t *testing.T) {
