A client is told of its connection's end where our side can't be shut

Change: HalfClose and push close the connection as soon as the other side has taken all, where shutdown(SHUT_WR) fails (transport.endOutput).

--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -400,10 +400,7 @@
 	if c.closed {
 		return c.sent, 0
 	}
-	held, err := unix.IoctlGetInt(c.fd, unix.SIOCOUTQ)
-	if err != nil {
-		held = 0
-	}
+	held := c.unacknowledged()
 	return c.sent - int64(held), held + len(c.out)
 }
 
@@ -465,6 +462,35 @@
 	}
 }
 
+// endOutput ends our side, behind all that was written. Where the socket can't be shut for
+// that, the connection is closed as soon as the other side has taken all: whoever is not told of
+// the end sends on, for nothing.
+func (c *Conn) endOutput() {
+	if err := syscall.Shutdown(c.fd, syscall.SHUT_WR); err == nil || c.hungUp() {
+		return
+	}
+	if c.unacknowledged() == 0 {
+		c.close()
+		return
+	}
+	time.AfterFunc(writeRetry, func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if !c.closed && !c.shut {
+			c.endOutput()
+		}
+	})
+}
+
+// unacknowledged is the bytes that the kernel holds for the other side; 0 where it does not tell.
+func (c *Conn) unacknowledged() int {
+	held, err := unix.IoctlGetInt(c.fd, unix.SIOCOUTQ)
+	if err != nil {
+		return 0
+	}
+	return held
+}
+
 // release ends a connection whose socket can't be shut, and of whose end the poller would
 // never hear: its descriptor is closed.
 func (c *Conn) release() {
@@ -538,7 +564,7 @@
 	c.ending, c.discard = true, true
 	c.drop()
 	if !c.flushing {
-		_ = syscall.Shutdown(c.fd, syscall.SHUT_WR) // where it fails the other side learns of the end by Close
+		c.endOutput()
 	}
 	c.mu.Unlock()
 	c.loop.At(by, c.Close)
--- a/internal/transport/watch.go
+++ b/internal/transport/watch.go
@@ -246,7 +246,7 @@
 	c.out, c.flushing = nil, false
 	c.awaitRoom()
 	if c.ending {
-		_ = syscall.Shutdown(c.fd, syscall.SHUT_WR)
+		c.endOutput()
 	}
 	c.loop.Post(c.drained)
 }
