--- a/rules/api.go
+++ b/rules/api.go
@@ -5,7 +5,7 @@
 // The package does no I/O, keeps no clock and starts no goroutines. The host
 // calls [New] once per gateway and then [Router.Step] with the time and what
 // happened since; it carries out the actions that come back. This file is the
-// interface; every decision is in rules.go.
+// interface; the decisions are in rules.go, and what is learnt of how servers answer in pace.go.
 package rules
 
 // Micros is a time or a span in microseconds. Only differences mean anything.
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -87,13 +87,6 @@
 	filled Micros // when tokens were last earned
 }
 
-// pace is a fading estimate of how a member answers.
-type pace struct {
-	slow float64 // excess of a hit's time, or a fill's past its first byte, over a hit's as expected
-	wait float64 // us until the first byte of a fill
-	at   Micros
-}
-
 // attempt is one send.
 type attempt struct {
 	server, source *member
@@ -449,22 +442,6 @@
 		MaxAge: r.ageBound(q, q.class.Fresh+q.class.Grace)})
 }
 
-func (r *Router) hitTime(t *attempt) float64 { return t.expect * (1 + r.paceOf(t.server).slow) }
-
-// patience is how long to wait where some answers never come though the work is done: until a
-// second try at the same cache, given room times what a hit takes, can just be in time, but not less
-// than slack times what the first may need. Guards against answers lost in silence; where they are
-// slow instead it wastes work, within the budget.
-func (r *Router) patience(q *request, t *attempt, slack, room float64) Micros {
-	hit := r.hitTime(t)
-	need := hit
-	if t.source != nil && t.source != t.server {
-		p := r.paceOf(t.source)
-		need = max(hit, p.wait+t.expect*(1+p.slow))
-	}
-	return max(Micros(slack*need), q.came+q.aim()-r.now-Micros(room*hit), r.cfg.Tick)
-}
-
 // readWay is the ordinary path: an edge cache by hash of object and part, its
 // fill from the object's first parent.
 func (r *Router) readWay(q *request, g *Get) (server, source *member) {
@@ -539,38 +516,6 @@
 	return first
 }
 
-// aim is the span from its coming within which an answer earns the full worth.
-func (q *request) aim() Micros {
-	return min(q.class.Aim+Micros(q.class.AimStretch*q.work), q.deadline-q.came)
-}
-
-// fits tells whether a cache with what it has out for all gateways can answer within the aim. The
-// largest work per worth stops fitting first. Guards against jams: a rush, slow fills, lost caches.
-func (r *Router) fits(m *member, q *request) bool {
-	left := float64(q.came + q.aim() - r.now)
-	return r.expect(m, q)*(1+r.paceOf(m).slow) <= left
-}
-
-// fillFits tells whether a fill, as fills went lately, can still be in time.
-func (r *Router) fillFits(m, source *member, q *request) bool {
-	p := r.paceOf(source)
-	return p.wait+r.expect(m, q)*(1+p.slow) <= float64(q.came+q.aim()-r.now)
-}
-
-// expect is the time that a hit should take at a cache. Where weights tell no
-// size, only the pace of its answers tells how full it is.
-func (r *Router) expect(m *member, q *request) float64 {
-	if r.cfg.Weights == WeightsOff || r.cfg.Weights == WeightsLive {
-		return q.work
-	}
-	own, each := float64(m.inFlight+1), float64(m.inFlight+1) // each: what any other gateway may have there
-	if m.tier == tierCache {
-		mean := r.load * m.size()
-		each *= mean / (mean + 1)
-	}
-	return q.work * max(1, (own+(r.gates(m)-1)*each)/(m.size()*r.slowStart(m)))
-}
-
 // hold counts attempts out at caches of the location, and their mean over time.
 func (r *Router) hold(m *member, by int) {
 	m.inFlight += by
@@ -865,25 +810,6 @@
 
 func (r *Router) shareOf(m *member) float64 { return 1 - (1-m.share)*fade(r.now-m.shareAt, shareHalf) }
 
-// gauge books a sample of a member's pace on it and its tier. A sample after a
-// silence counts for the time that it bridges.
-func (r *Router) gauge(m *member, wait, slow, trust float64) {
-	for _, p := range []*pace{&m.pace, &r.tiers[m.tier]} {
-		gain := trust * max(paceGain, 1-fade(r.now-p.at, easeHalf))
-		p.slow += gain * (min(slow, slowMost) - p.slow)
-		p.wait += gain * (wait - p.wait)
-		p.at = r.now
-	}
-}
-
-// paceOf is a member's pace as far as it was seen lately, else that of its
-// tier: where hundreds share the work, most members were not seen lately.
-func (r *Router) paceOf(m *member) pace {
-	own, t := fade(r.now-m.pace.at, easeHalf), &r.tiers[m.tier]
-	rest := (1 - own) * fade(r.now-t.at, easeHalf)
-	return pace{slow: max(0, own*m.slow+rest*t.slow), wait: own*m.wait + rest*t.wait}
-}
-
 // Health. Guards against members that fail, die or refuse; the same rule for
 // every tier, and each gateway by what it saw itself.
 
