A refused request is logged with its reason and the estimate behind it

Change: rules.Refuse carries a Cause; the gateway logs it once a second at most for each reason, with the count since the start; the soak prints these lines with its counts. No decision differs.

--- a/cmd/cherryramp/soak_test.go
+++ b/cmd/cherryramp/soak_test.go
@@ -471,6 +471,16 @@
 	}
 }
 
+// refusalLines are the log's lines on requests that the front refused itself.
+func refusalLines(log string) (lines string) {
+	for line := range strings.Lines(log) {
+		if strings.Contains(line, `msg="request refused"`) {
+			lines += line
+		}
+	}
+	return lines
+}
+
 // judge holds what the boxes saw against what the clients know.
 func (s *soak) judge() {
 	s.mu.Lock()
@@ -501,7 +511,7 @@
 	if !s.allHung.Load() && s.counts["served"]*servedLeast < s.counts["asked"] {
 		s.broken = append(s.broken, fmt.Sprintf("%d of %d were served", s.counts["served"], s.counts["asked"]))
 	}
-	s.t.Logf("%v %v, %d attempts", &s.plan, s.counts, len(s.attempts))
+	s.t.Logf("%v %v, %d attempts\n%s", &s.plan, s.counts, len(s.attempts), refusalLines(s.site.log.String()))
 	if len(s.broken) > 0 {
 		s.t.Errorf("%v\nbroken %d times:\n%s\nlog:\n%s", &s.plan, len(s.broken), strings.Join(s.broken[:min(10, len(s.broken))], "\n"), s.site.log)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -177,6 +177,8 @@
 	guard   func() (ok bool, away Micros) // nil: the gateway may always act
 	bounds  Bounds                        // nil: none
 	log     *slog.Logger
+
+	refusals refusals
 }
 
 // New makes a gateway whose attempts nodes will carry.
@@ -461,7 +463,7 @@
 	case rules.Get:
 		g.get(a)
 	case rules.Refuse:
-		g.finish(a.ID, Answer{Kind: Refused, Await: a.Await})
+		g.refuse(a)
 	case rules.Fail:
 		g.finish(a.ID, Answer{Kind: Failed})
 	case rules.Cancel:
--- a/rules/api.go
+++ b/rules/api.go
@@ -294,6 +294,40 @@
 type Refuse struct {
 	ID    RequestID
 	Await Micros // how long the client should stay away; 0 is no advice
+	Cause Cause
+}
+
+// Reason says why the module ended a request itself.
+type Reason uint8
+
+// The reasons.
+const (
+	ReasonDeadline    Reason = iota // its time has run out
+	ReasonAttempts                  // it has had all attempts that it may have
+	ReasonRetryBudget               // further attempts are used up for now
+	ReasonCrowded                   // few places for open requests are left
+	ReasonNoServer                  // no server may take it
+	ReasonServerSlow                // the server is expected to answer past the aim
+	ReasonFillSlow                  // a hit is unlikely, and every fill is expected to end past the aim
+	ReasonOutcome                   // its last attempt ended in a way after which it may not go again
+	Reasons           int    = iota
+)
+
+// String is the reason as logs have it.
+func (r Reason) String() string {
+	return [Reasons]string{"deadline", "attempts", "retry budget", "crowded", "no server", "server slow",
+		"fill slow", "outcome"}[r]
+}
+
+// Cause is why a request was refused, with the estimate that decided: it is 0 but for the reason where
+// none did.
+type Cause struct {
+	Reason   Reason
+	Server   ServerID // whose time was estimated: the server's, or the source's of a fill
+	Expected Micros   // until the answer
+	Left     Micros   // of the aim
+	Slow     float64  // excess of the server's time over what is expected of it idle, as believed
+	InFlight int      // attempts of this gateway at the server
 }
 
 // Fail is a final answer that promises nothing.
--- a/rules/pace.go
+++ b/rules/pace.go
@@ -37,14 +37,28 @@
 // fits tells whether a cache with what it has out for all gateways can answer within the aim. The
 // largest work per worth stops fitting first. Guards against jams: a rush, slow fills, lost caches.
 func (r *Router) fits(m *member, q *request) bool {
-	left := float64(q.came + q.aim() - r.now)
-	return r.expect(m, q)*(1+r.paceOf(m).slow) <= left
+	p := r.paceOf(m)
+	return r.inAim(q, m, p, ReasonServerSlow, r.expect(m, q)*(1+p.slow))
 }
 
 // fillFits tells whether a fill, as fills went lately, can still be in time.
 func (r *Router) fillFits(m, source *member, q *request) bool {
 	p := r.paceOf(source)
-	return p.wait+r.expect(m, q)*(1+p.slow) <= float64(q.came+q.aim()-r.now)
+	return r.inAim(q, source, p, ReasonFillSlow, p.wait+r.expect(m, q)*(1+p.slow))
+}
+
+// inAim tells whether an answer that is expected after so long can be in time, and notes it as the
+// cause of a refusal where it can't.
+func (r *Router) inAim(q *request, m *member, p pace, reason Reason, expected float64) bool {
+	left := float64(q.came + q.aim() - r.now)
+	if expected <= left {
+		return true
+	}
+	if !q.hopeless { // else its cause is known
+		q.cause = Cause{Reason: reason, Server: m.ID, Expected: Micros(expected), Left: Micros(left),
+			Slow: p.slow, InFlight: m.inFlight}
+	}
+	return false
 }
 
 // expect is the time that a hit should take at a cache. Where weights tell no
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -116,6 +116,7 @@
 	skipSrc  *member // source that failed it
 	bucket   int
 	hopeless bool // no cache can answer it within its aim
+	cause    Cause
 }
 
 // object is what is remembered of an object across its parts.
@@ -347,6 +348,7 @@
 		}
 	}
 	if r.crowded(q) {
+		q.cause.Reason = ReasonCrowded
 		r.giveUp(q)
 		return
 	}
@@ -367,10 +369,24 @@
 	return r.cfg.MaxHeld > 0 && left < crowdFrom && cost > crowdMost*r.cost*max(0, left)/crowdFrom
 }
 
+// spent tells whether a request may have no further attempt, and why.
+func (r *Router) spent(q *request) (reason Reason, ends bool) {
+	switch {
+	case r.now >= q.deadline:
+		return ReasonDeadline, true
+	case len(q.tries) >= q.most:
+		return ReasonAttempts, true
+	case len(q.tries) > 0 && r.retries < 1:
+		return ReasonRetryBudget, true
+	}
+	return 0, false
+}
+
 // send starts the next attempt of a request that has none out, or gives up on it.
 func (r *Router) send(q *request) {
 	left, again := q.deadline-r.now, len(q.tries) > 0
-	if left <= 0 || len(q.tries) >= q.most || again && r.retries < 1 {
+	if reason, ends := r.spent(q); ends {
+		q.cause.Reason = reason
 		r.giveUp(q)
 		return
 	}
@@ -378,6 +394,7 @@
 		r.retries--
 	}
 	g := Get{ID: q.ID, Attempt: len(q.tries), MaxAge: r.ageBound(q, q.class.Fresh)}
+	q.cause = Cause{Reason: ReasonNoServer}
 	var server, source *member
 	switch {
 	case !q.class.Write:
@@ -459,7 +476,9 @@
 		source, g.Held = r.fill(q, server, source)
 	}
 	if source == nil && r.hitBy[q.bucket] < lookLeast && q.class.Grace == 0 {
-		q.hopeless = true
+		if !q.hopeless {
+			q.hopeless, q.cause.Reason = true, ReasonFillSlow
+		}
 		return server, nil
 	}
 	if source == nil || g.Held { // an old copy in time is worth more than none
@@ -641,7 +660,7 @@
 // giveUp ends a request at once: refused where nothing can have run, with a time to come back, else failed.
 func (r *Router) giveUp(q *request) {
 	if r.mayRefuse(q) {
-		a := Refuse{ID: q.ID}
+		a := Refuse{ID: q.ID, Cause: q.cause}
 		if r.cfg.RetryAfter {
 			r.rng++ // spread, so that those refused together don't come back together
 			a.Await = r.cfg.MaxAway/4 + Micros(mix(r.rng)%uint64(r.cfg.MaxAway/2+1))
@@ -702,6 +721,7 @@
 	case q.mayRepeat() && (e.Code != Timeout || r.now < q.deadline-r.cfg.Tick):
 		r.send(q)
 	default:
+		q.cause = Cause{Reason: ReasonOutcome}
 		r.giveUp(q)
 	}
 }
