A belief that refuses requests is tested by one of them

Callers saw 503 after 503 for seconds, on fronts with nothing else in flight and servers that answer in milliseconds. Cause: fits and fillFits refuse by an estimate of how servers answer; where it refuses all, nothing is sent, so nothing but its fading (a halving in 2 s, from up to 10) corrects it. Ruled out: crowded and fill slow, which gave no line. Mend: Router.probe lets a request through where no other news of the belief can come: the gateway has nothing out, or nothing was heard for an aim. It holds because a request that is alone is always sent, whatever was learnt (a property test), and because one gateway sends no more than one such request in the span of an aim beside others, so jams stay spared (TestSlowFillsAreNotStarted as it was).

--- a/rules/pace.go
+++ b/rules/pace.go
@@ -61,6 +61,34 @@
 	return false
 }
 
+// probe tells whether a request may go to a server that is expected to answer past its aim, to test that
+// belief. A belief that refuses would else stop the very traffic that corrects it and, where it is
+// wrong, last until it fades. It is tested where no other news of it comes: the gateway has nothing
+// out, or for the span of an aim nothing was heard and no other request was let through for it.
+func (r *Router) probe(m *member, q *request) bool {
+	if m == nil {
+		return false
+	}
+	heard := r.tiers[m.tier].at
+	if r.now-m.pace.at < easeHalf { // its own pace is what counts
+		heard = m.pace.at
+	}
+	if r.out > 0 && r.now-max(heard, r.probed[m.tier]) < q.aim() {
+		return false
+	}
+	q.probes[m.tier] = true
+	return true
+}
+
+// noteProbes books that a request's attempt goes out as a probe.
+func (r *Router) noteProbes(q *request) {
+	for t, probes := range q.probes {
+		if probes {
+			r.probed[t] = r.now
+		}
+	}
+}
+
 // expect is the time that a hit should take at a cache. Where weights tell no
 // size, only the pace of its answers tells how full it is.
 func (r *Router) expect(m *member, q *request) float64 {
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -63,8 +63,12 @@
 	tierCache tier = iota
 	tierParent
 	tierOrigin
+	tierCount = iota
 )
 
+// tierSet is a set of tiers.
+type tierSet [tierCount]bool
+
 // member is a listed server and what this gateway has seen of it.
 type member struct {
 	Member
@@ -115,7 +119,8 @@
 	ranAt    Micros  // when it was sent
 	skipSrc  *member // source that failed it
 	bucket   int
-	hopeless bool // no cache can answer it within its aim
+	hopeless bool    // no cache can answer it within its aim
+	probes   tierSet // whose pace its next attempt tests
 	cause    Cause
 }
 
@@ -163,8 +168,10 @@
 	loadAt  Micros
 	spoilt  Micros  // when an answer was last spoilt on its way
 	cost    float64 // usual work of a request over its worth, us
-	tiers   [3]pace
-	hitBy   [10]float64 // share of hits by how long ago the part was last asked for
+	out     int     // attempts, everywhere
+	tiers   [tierCount]pace
+	probed  [tierCount]Micros // when an attempt last went out to test a tier's pace
+	hitBy   [10]float64       // share of hits by how long ago the part was last asked for
 }
 
 // New makes a gateway's router. The seed is its only source of chance.
@@ -394,7 +401,7 @@
 		r.retries--
 	}
 	g := Get{ID: q.ID, Attempt: len(q.tries), MaxAge: r.ageBound(q, q.class.Fresh)}
-	q.cause = Cause{Reason: ReasonNoServer}
+	q.cause, q.probes = Cause{Reason: ReasonNoServer}, tierSet{}
 	var server, source *member
 	switch {
 	case !q.class.Write:
@@ -430,6 +437,7 @@
 		in+Micros(r.hitTime(&t)) <= q.came+q.aim()-r.now {
 		r.do(Wake{Tag: uint32(q.ID), In: in})
 	}
+	r.noteProbes(q)
 	q.tries = append(q.tries, t)
 	q.inFlight++
 	r.do(g)
@@ -464,7 +472,7 @@
 func (r *Router) readWay(q *request, g *Get) (server, source *member) {
 	source, server = r.source(q), r.edge(q)
 	if server == nil { // no cache will do: a parent, then the origin, where permitted
-		if !r.cfg.Direct || source == nil || !r.fits(source, q) {
+		if !r.cfg.Direct || source == nil || !r.fits(source, q) && !r.probe(source, q) {
 			return nil, nil
 		}
 		if source.tier == tierParent && r.origin != nil && r.origin.listed {
@@ -472,14 +480,16 @@
 		}
 		return source, source
 	}
+	supplier := source
 	if source != nil {
 		source, g.Held = r.fill(q, server, source)
 	}
-	if source == nil && r.hitBy[q.bucket] < lookLeast && q.class.Grace == 0 {
-		if !q.hopeless {
-			q.hopeless, q.cause.Reason = true, ReasonFillSlow
+	if missLikely := r.hitBy[q.bucket] < lookLeast && q.class.Grace == 0; source == nil && missLikely {
+		if !r.probe(supplier, q) {
+			q.giveUpHope(ReasonFillSlow)
+			return server, nil
 		}
-		return server, nil
+		source = supplier
 	}
 	if source == nil || g.Held { // an old copy in time is worth more than none
 		g.MaxAge = r.ageBound(q, q.class.Fresh+q.class.Grace)
@@ -499,6 +509,13 @@
 	return server, source
 }
 
+// giveUpHope notes that no cache can answer a request within its aim; the first reason stays.
+func (q *request) giveUpHope(reason Reason) {
+	if !q.hopeless {
+		q.hopeless, q.cause.Reason = true, reason
+	}
+}
+
 // fill settles how a miss is filled, by how fills went lately: as usual, or by the runner-up;
 // where only those that need the origin go badly, with what the parent holds; else not at all,
 // so that hits go on. Guards against parents that are slow or out of reach, a slow or stopped
@@ -521,8 +538,13 @@
 // the top two.
 func (r *Router) edge(q *request) *member {
 	first := r.best(r.caches, q.part, q, nil)
-	if first == nil || !r.fits(first, q) {
-		q.hopeless = first != nil
+	if first == nil {
+		return nil
+	}
+	if !r.fits(first, q) {
+		if !r.probe(first, q) {
+			q.giveUpHope(ReasonServerSlow)
+		}
 		return first
 	}
 	o := r.object(q.Object)
@@ -538,6 +560,7 @@
 // hold counts attempts out at caches of the location, and their mean over time.
 func (r *Router) hold(m *member, by int) {
 	m.inFlight += by
+	r.out += by
 	if m.tier != tierCache {
 		return
 	}
