One answer that was held up is no proof of a whole tier of servers

Callers saw requests refused for servers that had answered nothing wrong, as another one had once said 'refused' or been slow. Cause: gauge gave the first sample after a silence nearly its full weight, on the member and on its tier at once. Evidence: lines with slow=3 exactly, the constant of one 'refused', for servers with no sample of their own; TestOneServersAnswerIsNoProofOfTheOthers. Mend: what is worse than believed counts for a tier as far as the sample before it says the same; waits of fills likewise. The server's own pace follows at once, as TestFullCacheIsGivenRoom wants. It holds because a lone answer leaves the tier where it was.

--- a/rules/pace.go
+++ b/rules/pace.go
@@ -10,15 +10,35 @@
 	at   Micros
 }
 
+// tierPace is the pace of a tier's members together.
+type tierPace struct {
+	pace
+	lastSlow, lastWait float64 // as the last sample had them
+}
+
 // gauge books a sample of a member's pace on it and its tier. A sample after a
 // silence counts for the time that it bridges.
 func (r *Router) gauge(m *member, wait, slow, trust float64) {
-	for _, p := range []*pace{&m.pace, &r.tiers[m.tier]} {
-		gain := trust * max(paceGain, 1-fade(r.now-p.at, easeHalf))
-		p.slow += gain * (min(slow, slowMost) - p.slow)
-		p.wait += gain * (wait - p.wait)
-		p.at = r.now
-	}
+	slow = min(slow, slowMost)
+	m.pace.book(r.now, wait, slow, trust)
+	r.tiers[m.tier].book(r.now, wait, slow, trust)
+}
+
+// book takes a sample of one member for the tier. What is worse than believed counts as far as the sample
+// before it says the same: a single answer, which anything may have held up, is no proof of a tier.
+func (t *tierPace) book(now Micros, wait, slow, trust float64) {
+	left := fade(now-t.at, easeHalf)
+	agreedSlow := min(slow, left*max(t.slow, t.lastSlow))
+	agreedWait := min(wait, left*max(t.wait, t.lastWait))
+	t.lastSlow, t.lastWait = slow, wait
+	t.pace.book(now, agreedWait, agreedSlow, trust)
+}
+
+func (p *pace) book(now Micros, wait, slow, trust float64) {
+	gain := trust * max(paceGain, 1-fade(now-p.at, easeHalf))
+	p.slow += gain * (slow - p.slow)
+	p.wait += gain * (wait - p.wait)
+	p.at = now
 }
 
 // paceOf is a member's pace as far as it was seen lately, else that of its
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -169,7 +169,7 @@
 	spoilt  Micros  // when an answer was last spoilt on its way
 	cost    float64 // usual work of a request over its worth, us
 	out     int     // attempts, everywhere
-	tiers   [tierCount]pace
+	tiers   [tierCount]tierPace
 	probed  [tierCount]Micros // when an attempt last went out to test a tier's pace
 	hitBy   [10]float64       // share of hits by how long ago the part was last asked for
 }
