A class's first answers tell its work

Callers with short deadlines were refused for the first tens of requests of a class, though answers took milliseconds. Cause: a class's work is taken to be half its aim, and each answer moved that by a twentieth (workGain), so the guess was still a quarter of the aim after 14 answers. Mend: the mean of the first answers, the guess counting as one, until a twentieth is more.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -157,6 +157,7 @@
 	floor   Micros // copies from before it are taken as purged
 	hasCut  bool
 	mean    []float64 // by class, mean sending time, us
+	timed   []int     // by class, answers whose time is in it
 	bytes   float64
 	bytesAt Micros
 	retries float64
@@ -185,7 +186,7 @@
 		r.hitBy[i] = 0.5
 	}
 	for _, c := range s.Classes {
-		r.mean = append(r.mean, workPriorShare*float64(max(c.Aim, milli)))
+		r.mean, r.timed = append(r.mean, workPriorShare*float64(max(c.Aim, milli))), append(r.timed, 0)
 		r.cost = max(r.cost, r.mean[len(r.mean)-1]/max(c.Worth, 0.01))
 	}
 	return r, nil
@@ -198,10 +199,10 @@
 		return err
 	}
 	for i := len(r.mean); i < len(s.Classes); i++ {
-		r.mean = append(r.mean, workPriorShare*float64(max(s.Classes[i].Aim, milli)))
+		r.mean, r.timed = append(r.mean, workPriorShare*float64(max(s.Classes[i].Aim, milli))), append(r.timed, 0)
 		for j, old := range s.Classes[:i] {
 			if old.Name == s.Classes[i].Name {
-				r.mean[i] = r.mean[j]
+				r.mean[i], r.timed[i] = r.mean[j], r.timed[j]
 			}
 		}
 	}
@@ -767,7 +768,7 @@
 	}
 	if spent := float64(e.Spent); cache && e.Code == OK && hit == 1 {
 		if q.Size == 0 { // sizes are not told: the quickest hit tells most
-			r.mean[q.Class] += workGain * (spent - r.mean[q.Class])
+			r.learnWork(q.Class, spent)
 		}
 		if t.expect > 0 && (q.Size > 0 || p != nil && p.work > 0) {
 			r.gauge(t.server, t.server.wait, spent/t.expect-1, 1)
@@ -842,6 +843,14 @@
 	}
 }
 
+// learnWork books what an answer of a class took. What was taken for the class's work before any answer
+// counts as one answer: where it was far too long, short requests would be refused until it is gone.
+func (r *Router) learnWork(class int, spent float64) {
+	r.timed[class]++
+	gain := max(workGain, 1/float64(r.timed[class]+1))
+	r.mean[class] += gain * (spent - r.mean[class])
+}
+
 // cut takes from a source that has all it can bear a part of its objects, regained by time: a
 // gateway of hundreds sees too few good fills. At the origin it is the share of fills that may ask.
 func (r *Router) cut(m *member) {
