Failing tests: a drain told during a lost connection; the client library's old watches

The race of TestLogsAListInUse is at the first connection, not at a reconnect: the library's loop goroutine reads lastZxid for old watches (conn.go:614) after it has started the receiver (849).

--- a/internal/ephemeral/ephemeral_test.go
+++ b/internal/ephemeral/ephemeral_test.go
@@ -46,6 +46,22 @@
 	}
 }
 
+// awaitLast waits for a list that ends so.
+func (s *sink) awaitLast(t *testing.T, want string) {
+	t.Helper()
+	end := time.After(patience)
+	for {
+		select {
+		case got := <-s.lists:
+			if strings.HasSuffix(got, want) {
+				return
+			}
+		case <-end:
+			t.Fatalf("no list ends with %q", want)
+		}
+	}
+}
+
 // said hands over the log's word of a list in line with the lists.
 type said struct{ *sink }
 
@@ -128,6 +144,53 @@
 	}
 }
 
+// What happens: a front sends requests to a server that was told as draining, for as long as nothing
+// else changes.
+//
+// Why: the drain was told while the connection was lost. The client library then sets its old watches
+// again, with the number of the last change that it has heard of, and the follower waited for them to
+// fire. Where that number is too new, as when another answer overtakes it, or the service fires no
+// watch, nothing is ever read again.
+//
+// What showed it: "member nodes: session" stands in the log after the cut, and no "member nodes read" behind it.
+func TestDrainToldDuringALostConnectionIsHeard(t *testing.T) {
+	k := keepertest.New(t)
+	k.Set("s-1", box("SERVING"))
+	k.Set("s-2", box("SERVING"))
+	s := start(t, k)
+	s.await(t, "true s-1+ s-2+")
+	k.Cut(false)
+	k.Set("s-1", box("DRAINING"))
+	s.await(t, "true s-1- s-2+")
+	k.Set("s-1", box("SERVING"))
+	s.await(t, "true s-1+ s-2+")
+}
+
+// What happens: a data race inside the client library (conn.go:614 reads what conn.go:849 writes), and by it
+// a number of the last change that is too new in the call that sets old watches again.
+//
+// Why: at each connection the library's main goroutine looks for watches to set again after it has started
+// the receiver, which may have added some by then and goes on counting.
+//
+// What showed it: 64,000 first connections to a server in memory, with four reads that set watches each, under
+// the race detector: reported in 6 of 6 plays; with four reads without watches in none of 6. So
+// the library must be left without watches, and then asks for none to be set again.
+func TestLibraryHasNoWatchesToSetAgain(t *testing.T) {
+	k := keepertest.New(t)
+	k.Set("s-1", box("SERVING"))
+	s := start(t, k)
+	s.await(t, "true s-1+")
+	for i := range 3 {
+		k.Cut(false)
+		name := fmt.Sprintf("s-%d", i+2)
+		k.Set(name, box("SERVING"))
+		s.awaitLast(t, name+"+")
+	}
+	if n := k.WatchesSetAgain(); n > 0 {
+		t.Errorf("old watches were set again %d times", n)
+	}
+}
+
 // Guards against watches that die with their session: the new one must read
 // all again and hear of what comes later.
 func TestNewSessionReadsAllAgain(t *testing.T) {
--- a/internal/ephemeral/keepertest/keepertest.go
+++ b/internal/ephemeral/keepertest/keepertest.go
@@ -27,6 +27,8 @@
 	watches map[net.Conn]map[string]bool // "list" or a child
 	frozen  bool
 	thawed  sync.Cond
+
+	setAgain int // calls that set watches of an older connection again
 }
 
 // Root is the path whose children are the nodes.
@@ -194,6 +196,7 @@
 		body.text(data)
 		body.stat()
 	case 101: // watches of an older connection, set again; what changed since fires at once
+		k.setAgain++
 		seen := p.take64()
 		for _, list := range []bool{false, false, true} {
 			for range p.take32() {
@@ -272,5 +275,12 @@
 	k.conns, k.watches = map[net.Conn]bool{}, map[net.Conn]map[string]bool{}
 }
 
+// WatchesSetAgain counts the calls in which clients set watches of an older connection again.
+func (k *Keeper) WatchesSetAgain() int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.setAgain
+}
+
 // Addr is where the keeper listens.
 func (k *Keeper) Addr() string { return k.ln.Addr().String() }
