--- a/internal/ephemeral/keepertest/keepertest.go
+++ b/internal/ephemeral/keepertest/keepertest.go
@@ -20,7 +20,7 @@
 type Keeper struct {
 	ln      net.Listener
 	mu      sync.Mutex
-	nodes   map[string]string // child: data
+	nodes   map[string]node // by child
 	zxid    int64
 	session int64
 	conns   map[net.Conn]bool
@@ -31,6 +31,12 @@
 	setAgain int // calls that set watches of an older connection again
 }
 
+// node is what the keeper holds under a name.
+type node struct {
+	data    string
+	changed int64 // number of the change that made it so
+}
+
 // Root is the path whose children are the nodes.
 const Root = "/padma/boxes"
 
@@ -52,7 +58,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("keeper: %w", err)
 	}
-	k := &Keeper{ln: ln, nodes: map[string]string{}, session: 100, conns: map[net.Conn]bool{},
+	k := &Keeper{ln: ln, nodes: map[string]node{}, session: 100, conns: map[net.Conn]bool{},
 		watches: map[net.Conn]map[string]bool{}}
 	k.thawed.L = &k.mu
 	go func() {
@@ -187,13 +193,13 @@
 		body.stat()
 	case 4: // the data of a node
 		child := strings.TrimPrefix(p.takeText(), Root+"/")
-		data, known := k.nodes[child]
+		n, known := k.nodes[child]
 		if !known {
 			code = -101
 			break
 		}
 		k.watches[c][child] = p.b[0] == 1
-		body.text(data)
+		body.text(n.data)
 		body.stat()
 	case 101: // watches of an older connection, set again; what changed since fires at once
 		k.setAgain++
@@ -202,13 +208,15 @@
 			for range p.take32() {
 				path := p.takeText()
 				child := strings.TrimPrefix(path, Root+"/")
-				switch _, known := k.nodes[child]; {
+				switch n, known := k.nodes[child]; {
 				case list && k.zxid > seen:
 					notify(c, 4, Root)
 				case list:
 					k.watches[c]["list"] = true
 				case !known:
 					notify(c, 2, path)
+				case n.changed > seen:
+					notify(c, 3, path)
 				default:
 					k.watches[c][child] = true
 				}
@@ -248,7 +256,7 @@
 		delete(k.nodes, child)
 		kind = 2
 	} else {
-		k.nodes[child] = data
+		k.nodes[child] = node{data: data, changed: k.zxid}
 	}
 	for c, w := range k.watches {
 		if w[child] {
