Fronts of a world on sockets share their log without a race

Cause, by the race detector: several fronts' processes wrote into one strings.Builder (lab/process awaited.Write). Change: one lock round it. Measured: go test -race -run TestPromisesHoldOnSockets ./lab/world gave 3 reports before; -run Sockets gives none now.

--- a/lab/world/sockets.go
+++ b/lab/world/sockets.go
@@ -69,6 +69,9 @@
 	if len(w.fronts) > 250 {
 		return nil, fmt.Errorf("world: %d fronts, on sockets 250 at most", len(w.fronts))
 	}
+	if o.Log != nil {
+		o.Log = &sharedWriter{to: o.Log}
+	}
 	w.loop = loop.New(w.settle)
 	w.sockets = &o
 	// Bodies are as much longer than in virtual time as the memory for copies is, so
@@ -82,6 +85,18 @@
 	return w, nil
 }
 
+// sharedWriter hands on what several fronts write, one piece at a time.
+type sharedWriter struct {
+	mu sync.Mutex
+	to io.Writer
+}
+
+func (w *sharedWriter) Write(p []byte) (int, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.to.Write(p)
+}
+
 // blocks counts the worlds on sockets that this process has had: each has a block
 // of loopback addresses.
 var blocks atomic.Uint32
