Failing test: the poller's library closes connections where the kernel lacks memory

Seen: a client's connection is reset, its request read and not answered, where epoll_ctl fails as the connection is taken in, and where readv fails with ENOMEM; both documented. lab/syscallfault makes either fail, for the library's own calls alone.

--- a/cmd/cherryramp/syscalls_test.go
+++ b/cmd/cherryramp/syscalls_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -173,3 +174,57 @@
 		t.Errorf("it ended %v after SIGTERM", spent)
 	}
 }
+
+// What happens: a client's connection is reset, its request read by nobody or read and not answered.
+//
+// Why: the poller's library closes a connection outright where epoll_ctl fails as it takes the connection
+// in, and where readv fails with anything but EINTR and EAGAIN. Both fail with ENOMEM while the kernel
+// lacks memory (epoll_ctl(2), recv(2)), which says nothing of the connection.
+//
+// What showed it: the poller's lines at level DEBUG, "connection register failed: cannot allocate
+// memory", one for each client that was reset; of readv it says nothing, and the clients are reset as well.
+func TestConnectionsSurviveAPollerWithoutMemory(t *testing.T) {
+	for name, f := range map[string]failing{
+		"taken in": {"epoll_ctl ENOMEM", []syscallfault.Match{{Number: unix.SYS_EPOLL_CTL, Arg: 1, Value: unix.EPOLL_CTL_ADD}}, unix.ENOMEM, 0.4, 2},
+		"read":     {"readv ENOMEM", anyOf(unix.SYS_READV), unix.ENOMEM, 0.3, 3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			door := freeAddress(t)
+			var serving atomic.Bool
+			random, row := rand.New(rand.NewPCG(36, 1)), 0
+			decide := func(c syscallfault.Call) syscall.Errno {
+				if !serving.Load() || !byLibrary(c) || row >= f.inRow || random.Float64() >= f.rate {
+					row = 0
+					return 0
+				}
+				row++
+				return f.errno
+			}
+			patient := func(config string) string {
+				return strings.Replace(config, `"goal-time-us":200000`, `"goal-time-us":4000000`, 1)
+			}
+			s := newSiteUnder(t, 2, "", patient, &faults{matches: f.matches, decide: decide}, "ROUTER_OPS="+door)
+			serving.Store(true)
+			for _, b := range s.boxes {
+				b.serveLarge()
+			}
+			s.parent.serveLarge()
+			s.origin.serveLarge()
+			serveAndDrain(t, s, door)
+			if s.faults.Made(f.errno) == 0 {
+				t.Error("no call failed")
+			}
+		})
+	}
+}
+
+// byLibrary tells whether a call is the poller's library's. Go's own poller, which the operators' door
+// and the dialler's part of the library stand on, watches by edge.
+func byLibrary(c syscallfault.Call) bool {
+	if c.Number != unix.SYS_EPOLL_CTL {
+		return true
+	}
+	events, ok := c.Word(3)
+	return ok && events&unix.EPOLLET == 0
+}
