Connections go on where the poller lacks memory to watch or read them

Cause: netpoll closes a connection where epoll_ctl or readv fail with ENOMEM (connection_onevent.go register, poll_default_linux.go handler). Evidence: its line 'connection register failed: cannot allocate memory' for each client that was reset. Mend: Conn.ended asks the socket; where neither side has ended, it goes on under a descriptor of our own in our own epoll. It holds because there ENOMEM is tried again. Listeners and the watch itself are tried again too; a connection to a server that can't be watched is our want. Ruled out on the way: taking each ErrConnClosed for a want of memory, which refused connects give as well.

--- a/internal/program/drain.go
+++ b/internal/program/drain.go
@@ -72,7 +72,8 @@
 	step := d.state.Look(now, observed)
 	spent := d.state.Spent(now) / 1000
 	if step.Over {
-		d.log.Info("drain: over", "after_ms", spent, "closed_outright", transport.Unshut())
+		d.log.Info("drain: over", "after_ms", spent, "closed_outright", transport.Unshut(),
+			"poller_gave_up", transport.Adopted())
 		if d.over != nil {
 			d.over()
 		}
--- a/internal/transport/listener.go
+++ b/internal/transport/listener.go
@@ -95,13 +95,27 @@
 		_ = unix.Close(x.socket)
 		return nil, fmt.Errorf("transport: %w", err)
 	}
-	go func() {
-		defer close(x.served)
-		_ = events.Serve(x)
-	}()
+	go x.serve(events)
 	return x, nil
 }
 
+// serve has the poller watch the socket until Stop. Where the system lacks memory for that, it is
+// tried again.
+func (x *Listener) serve(events netpoll.EventLoop) {
+	defer close(x.served)
+	for {
+		err := events.Serve(x)
+		x.mu.Lock()
+		stopped := x.stopped
+		x.mu.Unlock()
+		if stopped {
+			return
+		}
+		x.log.Warn("a listener can't be watched", "error", err)
+		time.Sleep(acceptRetry)
+	}
+}
+
 // newListener binds the socket.
 func newListener(address string, log *slog.Logger) (*Listener, error) {
 	bound, err := reusePort.Listen(context.Background(), "tcp", address)
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"log/slog"
 	"net/netip"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -124,6 +125,9 @@
 	go func() {
 		left := time.Duration(by-l.Now()) * time.Microsecond
 		np, err := netpoll.DialConnection("tcp", address, max(left, time.Microsecond))
+		if unwatched(err) {
+			err = fmt.Errorf("%w: %w", unix.ENOMEM, err)
+		}
 		if err != nil {
 			l.Post(func() { ready(nil, fmt.Errorf("transport: dial %s: %w", address, err)) })
 			return
@@ -146,6 +150,16 @@
 	}()
 }
 
+// unwatched tells whether a connection came up and the poller could not watch it, which is a want of this
+// machine. Of the reason netpoll's error keeps the text alone.
+func unwatched(err error) bool {
+	if !errors.Is(err, netpoll.ErrConnClosed) {
+		return false
+	}
+	text := err.Error()
+	return strings.HasSuffix(text, unix.ENOMEM.Error()) || strings.HasSuffix(text, unix.ENOSPC.Error())
+}
+
 func wrap(l *loop.Loop, np netpoll.Connection, limit int, g *Gauge) *Conn {
 	c := &Conn{loop: l, np: np, limit: limit, gauge: g, fd: -1}
 	if at, err := netip.ParseAddrPort(np.RemoteAddr().String()); err == nil {
@@ -214,14 +228,39 @@
 // ended is the poller's last word on a connection; its descriptor is still open.
 func (c *Conn) ended(netpoll.Connection) error {
 	c.mu.Lock()
-	parked := c.parked // netpoll has only let go of it
+	goesOn := c.parked || c.adopt() // parked: netpoll has only let go of it
 	c.mu.Unlock()
-	if !parked {
+	if !goesOn {
 		c.over()
 	}
 	return nil
 }
 
+// adopt takes over a connection that netpoll is about to close though nobody has ended it, and
+// tells whether it could: netpoll closes where the kernel lacks memory to watch the socket or
+// to read from it, which says nothing of the connection. It goes on under a descriptor of our own.
+func (c *Conn) adopt() bool {
+	if c.closed || c.shut || c.hungUp() {
+		return false
+	}
+	fd, err := unix.FcntlInt(uintptr(c.fd), unix.F_DUPFD_CLOEXEC, 0)
+	if err != nil {
+		return false
+	}
+	_ = watched.w.set(c, 0) // under the descriptor that goes
+	c.fd, c.parked, c.np = fd, true, nil
+	adopted.Add(1)
+	c.attach()
+	return true
+}
+
+// adopted counts the connections that netpoll gave up though they were whole.
+var adopted atomic.Int64
+
+// Adopted counts the connections of the process that the poller could not watch or read for want
+// of memory, and that went on. It may be called from anywhere.
+func Adopted() int64 { return adopted.Load() }
+
 // over ends a connection whose descriptor is about to be closed.
 func (c *Conn) over() {
 	c.mu.Lock()
--- a/internal/transport/watch.go
+++ b/internal/transport/watch.go
@@ -7,6 +7,7 @@
 	"net"
 	"sync"
 	"syscall"
+	"time"
 
 	"github.com/cloudwego/netpoll"
 )
@@ -56,7 +57,12 @@
 	if err != nil {
 		return nil, fmt.Errorf("transport: %w", err)
 	}
-	go func() { _ = events.Serve(w) }()
+	go func() { // it returns only where the system lacks memory to watch the watch
+		for {
+			_ = events.Serve(w)
+			time.Sleep(acceptRetry)
+		}
+	}()
 	return w, nil
 }
 
@@ -202,11 +208,20 @@
 	c.mu.Unlock()
 	_ = np.Detach() // calls ended, which passes over a parked connection
 	c.mu.Lock()
-	if err := w.set(c, c.wants()); err != nil { // nobody would hear of it any more
-		c.mu.Unlock()
-		c.end()
-		c.mu.Lock()
+	c.attach()
+}
+
+// attach has the watch look after a parked connection, at once or, where the system lacks memory
+// for that, soon.
+func (c *Conn) attach() {
+	if c.closed || watched.w.set(c, c.wants()) == nil {
+		return
 	}
+	time.AfterFunc(writeRetry, func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.attach()
+	})
 }
 
 // wants is the events that the watch has to look for.
