--- a/cmd/cherryramp/soak_test.go
+++ b/cmd/cherryramp/soak_test.go
@@ -131,6 +131,9 @@
 		k.at = time.Duration(r.Int64N(int64(soakTroubles)))
 		p.troubles = append(p.troubles, k)
 	}
+	if r.IntN(4) == 0 { // drawn last, so that the rest of a seed's plan is as it was before there were any
+		p.failing = append(p.failing, shortWrites)
+	}
 	return p
 }
 
--- a/cmd/cherryramp/syscalls_test.go
+++ b/cmd/cherryramp/syscalls_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -57,6 +58,9 @@
 	{"poll EINTR", anyOf(unix.SYS_POLL, unix.SYS_PPOLL), unix.EINTR, 0.5, 3},
 }
 
+// shortWrites take half of their bytes.
+var shortWrites = failing{"write short", anyOf(unix.SYS_WRITE), syscallfault.Short, 0.5, 5}
+
 // decider fails calls on sockets at a rate, from a seed.
 func (f *failing) decider(seed uint64, armed func() bool) syscallfault.Decide {
 	r := rand.New(rand.NewPCG(seed, 33))
@@ -107,7 +111,7 @@
 }
 
 func playSystemCallsThatFail(t *testing.T, change func(config string) string) {
-	for i, f := range failings {
+	for i, f := range append(slices.Clone(failings), shortWrites) {
 		t.Run(f.name, func(t *testing.T) {
 			t.Parallel()
 			door := freeAddress(t)
--- a/lab/fleet/disk_test.go
+++ b/lab/fleet/disk_test.go
@@ -19,6 +19,7 @@
 // failingDisks are the disks of a fleet's fronts, of which each may be made to fail.
 type failingDisks struct {
 	write, sync [3]atomic.Int32 // errno by front; 0: none
+	halved      [3]atomic.Bool  // a write of Short has been, and the next ones find the disk full
 }
 
 // launch starts a front whose journal is on such a disk.
@@ -35,6 +36,9 @@
 		if errno == 0 || !strings.Contains(c.Descriptor(), "/folder/journal") {
 			return 0
 		}
+		if syscall.Errno(errno) == syscallfault.Short && d.halved[front].Swap(true) {
+			return syscall.ENOSPC
+		}
 		return syscall.Errno(errno)
 	})
 	return err
@@ -55,6 +59,8 @@
 	}{
 		{"a follower's is full", false, &disks.write, syscall.ENOSPC, "the disk takes nothing"},
 		{"the leader's is full", true, &disks.write, syscall.ENOSPC, "the disk takes nothing"},
+		{"a follower's is full within a record", false, &disks.write, syscallfault.Short, "the disk takes nothing"},
+		{"the leader's is full within a record", true, &disks.write, syscallfault.Short, "the disk takes nothing"},
 		{"a follower's sync fails", false, &disks.sync, syscall.EIO, "takes no part until it is restarted"},
 		{"the leader's sync fails", true, &disks.sync, syscall.EIO, "takes no part until it is restarted"},
 	} {
@@ -65,6 +71,7 @@
 				victim = h.other(victim)
 			}
 			asked := h.other(victim)
+			disks.halved[h.index(victim)].Store(false)
 			known := logged(victim, x.logged)
 			x.disk[h.index(victim)].Store(int32(x.errno))
 			id := h.ask(asked, asked)
--- a/lab/syscallfault/syscallfault.go
+++ b/lab/syscallfault/syscallfault.go
@@ -69,11 +69,17 @@
 	return binary.NativeEndian.Uint32(b[:]), err == nil
 }
 
-// Decide gives the error that a call fails with; 0: the call is made as usual.
+// Decide gives the error that a call fails with; 0: the call is made as usual. Short is no
+// error: it has a write(2) or pwrite(2) take half of its bytes.
 type Decide func(Call) syscall.Errno
 
+// Short has a write take half of its bytes, as a full socket or a full disk does. It is a number that
+// no error of the system has.
+const Short syscall.Errno = 1 << 12
+
 // Injector answers for the system calls of one started process.
 type Injector struct {
+	process  int
 	listener int
 	decide   Decide
 	step     atomic.Int64 // of the wall clock, in ns
@@ -101,7 +107,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("syscallfault: %w", err)
 	}
-	x := &Injector{decide: decide, done: make(chan struct{})}
+	x := &Injector{process: cmd.Process.Pid, decide: decide, done: make(chan struct{})}
 	if x.listener, err = receiveDescriptor(control); err != nil {
 		return nil, fmt.Errorf("syscallfault: launcher: %w", err)
 	}
@@ -218,14 +224,60 @@
 		return r
 	}
 	errno := x.decide(Call{Process: int(n.PID), Number: int(n.Number), Args: n.Args})
+	if errno == Short {
+		short, err := x.writeHalf(n)
+		if err != nil {
+			return r // as usual
+		}
+		r.Value, r.Error, r.Flags = short.Value, short.Error, 0
+	}
 	if errno != 0 {
 		count, _ := x.made.LoadOrStore(errno, new(atomic.Int64))
 		count.(*atomic.Int64).Add(1)
-		r.Error, r.Flags = -int32(errno), 0
+		if errno != Short {
+			r.Error, r.Flags = -int32(errno), 0
+		}
 	}
 	return r
 }
 
+// writeHalf makes a write in the process's place, of half its bytes, and gives what came of it.
+func (x *Injector) writeHalf(n notification) (r response, err error) {
+	size := int(n.Args[2]) / 2
+	if size == 0 {
+		return r, errors.New("nothing to halve")
+	}
+	process, err := unix.PidfdOpen(x.process, 0)
+	if err != nil {
+		return r, err
+	}
+	defer unix.Close(process)
+	descriptor, err := unix.PidfdGetfd(process, int(int32(n.Args[0])), 0)
+	if err != nil {
+		return r, err
+	}
+	defer unix.Close(descriptor)
+	half := make([]byte, size)
+	local := []unix.Iovec{{Base: &half[0], Len: uint64(size)}}
+	remote := []unix.RemoteIovec{{Base: uintptr(n.Args[1]), Len: size}}
+	if _, err := unix.ProcessVMReadv(int(n.PID), local, remote, 0); err != nil {
+		return r, err
+	}
+	var wrote int
+	if n.Number == unix.SYS_PWRITE64 {
+		wrote, err = unix.Pwrite(descriptor, half, int64(n.Args[3]))
+	} else {
+		wrote, err = unix.Write(descriptor, half)
+	}
+	var errno syscall.Errno
+	if errors.As(err, &errno) {
+		r.Error = -int32(errno)
+		return r, nil
+	}
+	r.Value = int64(wrote)
+	return r, nil
+}
+
 // tell writes the stepped time to where the process wants it.
 func (x *Injector) tell(process int, address uintptr) error {
 	now := unix.NsecToTimespec(time.Now().UnixNano() + x.step.Load())
