--- a/rules/api.go
+++ b/rules/api.go
@@ -5,7 +5,8 @@
 // The package does no I/O, keeps no clock and starts no goroutines. The host
 // calls [New] once per gateway and then [Router.Step] with the time and what
 // happened since; it carries out the actions that come back. This file is the
-// interface; the decisions are in rules.go, and what is learnt of how servers answer in pace.go.
+// interface; a request's way is in rules.go, what is learnt of how servers answer in
+// pace.go, who is left out in health.go, and what has just started in slowstart.go.
 package rules
 
 // Micros is a time or a span in microseconds. Only differences mean anything.
--- a/rules/pace.go
+++ b/rules/pace.go
@@ -1,5 +1,7 @@
 package rules
 
+import "math"
+
 // How servers answer: the estimates of their times, learnt from outcomes, and what follows from them
 // for a request that has an aim.
 
@@ -138,3 +140,6 @@
 	}
 	return max(Micros(slack*need), q.came+q.aim()-r.now-Micros(room*hit), r.cfg.Tick)
 }
+
+// fade is what is left of a count or a bad estimate that nothing renewed.
+func fade(d, half Micros) float64 { return math.Exp2(-float64(max(0, d)) / float64(half)) }
