A server's answer counts for its tier at once again; slow fills are tested by a request that is alone

In a fleet of hundreds a gateway hears of a tier so seldom that two answers which agree are rare, and a probe of a fill from each costs the parents and the origin. TestOneServersAnswerIsNoProofOfTheOthers is red again and listed: other requests that come in the same moment are refused.

--- a/rules/pace.go
+++ b/rules/pace.go
@@ -12,35 +12,15 @@
 	at   Micros
 }
 
-// tierPace is the pace of a tier's members together.
-type tierPace struct {
-	pace
-	lastSlow, lastWait float64 // as the last sample had them
-}
-
 // gauge books a sample of a member's pace on it and its tier. A sample after a
 // silence counts for the time that it bridges.
 func (r *Router) gauge(m *member, wait, slow, trust float64) {
-	slow = min(slow, slowMost)
-	m.pace.book(r.now, wait, slow, trust)
-	r.tiers[m.tier].book(r.now, wait, slow, trust)
-}
-
-// book takes a sample of one member for the tier. What is worse than believed counts as far as the sample
-// before it says the same: a single answer, which anything may have held up, is no proof of a tier.
-func (t *tierPace) book(now Micros, wait, slow, trust float64) {
-	left := fade(now-t.at, easeHalf)
-	agreedSlow := min(slow, left*max(t.slow, t.lastSlow))
-	agreedWait := min(wait, left*max(t.wait, t.lastWait))
-	t.lastSlow, t.lastWait = slow, wait
-	t.pace.book(now, agreedWait, agreedSlow, trust)
-}
-
-func (p *pace) book(now Micros, wait, slow, trust float64) {
-	gain := trust * max(paceGain, 1-fade(now-p.at, easeHalf))
-	p.slow += gain * (slow - p.slow)
-	p.wait += gain * (wait - p.wait)
-	p.at = now
+	for _, p := range []*pace{&m.pace, &r.tiers[m.tier]} {
+		gain := trust * max(paceGain, 1-fade(r.now-p.at, easeHalf))
+		p.slow += gain * (min(slow, slowMost) - p.slow)
+		p.wait += gain * (wait - p.wait)
+		p.at = r.now
+	}
 }
 
 // paceOf is a member's pace as far as it was seen lately, else that of its
@@ -88,9 +68,6 @@
 // wrong, last until it fades. It is tested where no other news of it comes: the gateway has nothing
 // out, or for the span of an aim nothing was heard and no other request was let through for it.
 func (r *Router) probe(m *member, q *request) bool {
-	if m == nil {
-		return false
-	}
 	heard := r.tiers[m.tier].at
 	if r.now-m.pace.at < easeHalf { // its own pace is what counts
 		heard = m.pace.at
@@ -102,6 +79,17 @@
 	return true
 }
 
+// probeFill tells whether a request may have a fill that is expected to end past its aim, to test that
+// belief. A fill costs the parents and the origin, which all gateways share, so it is tested by a
+// request that is alone, and once in the span in which the belief halves by itself.
+func (r *Router) probeFill(source *member, q *request) bool {
+	if source == nil || r.out > 0 || r.now-r.probed[source.tier] < easeHalf {
+		return false
+	}
+	q.probes[source.tier] = true
+	return true
+}
+
 // noteProbes books that a request's attempt goes out as a probe.
 func (r *Router) noteProbes(q *request) {
 	for t, probes := range q.probes {
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -170,7 +170,7 @@
 	spoilt  Micros  // when an answer was last spoilt on its way
 	cost    float64 // usual work of a request over its worth, us
 	out     int     // attempts, everywhere
-	tiers   [tierCount]tierPace
+	tiers   [tierCount]pace
 	probed  [tierCount]Micros // when an attempt last went out to test a tier's pace
 	hitBy   [10]float64       // share of hits by how long ago the part was last asked for
 }
@@ -486,7 +486,7 @@
 		source, g.Held = r.fill(q, server, source)
 	}
 	if missLikely := r.hitBy[q.bucket] < lookLeast && q.class.Grace == 0; source == nil && missLikely {
-		if !r.probe(supplier, q) {
+		if !r.probeFill(supplier, q) {
 			q.giveUpHope(ReasonFillSlow)
 			return server, nil
 		}
