A slow server's tier is tested by one request at a time, to a server with nothing out

Change: probe asks whether the gateway has nothing out at that server and no such attempt out in its tier; or nothing was heard for an aim.

--- a/rules/pace.go
+++ b/rules/pace.go
@@ -63,16 +63,24 @@
 	return false
 }
 
+// probing is what tests a tier's pace.
+type probing struct {
+	out  int    // attempts that do
+	last Micros // when one was last sent
+}
+
 // probe tells whether a request may go to a server that is expected to answer past its aim, to test that
 // belief. A belief that refuses would else stop the very traffic that corrects it and, where it is
-// wrong, last until it fades. It is tested where no other news of it comes: the gateway has nothing
-// out, or for the span of an aim nothing was heard and no other request was let through for it.
+// wrong, last until it fades. Of each tier one such attempt is out at a time, to a server where the gateway
+// has nothing out; another may go where neither it nor any other answer has told of the pace for an aim.
 func (r *Router) probe(m *member, q *request) bool {
 	heard := r.tiers[m.tier].at
 	if r.now-m.pace.at < easeHalf { // its own pace is what counts
 		heard = m.pace.at
 	}
-	if r.out > 0 && r.now-max(heard, r.probed[m.tier]) < q.aim() {
+	p := &r.probing[m.tier]
+	free := p.out == 0 && m.inFlight == 0
+	if !free && r.now-max(heard, p.last) < q.aim() {
 		return false
 	}
 	q.probes[m.tier] = true
@@ -83,18 +91,28 @@
 // belief. A fill costs the parents and the origin, which all gateways share, so it is tested by a
 // request that is alone, and once in the span in which the belief halves by itself.
 func (r *Router) probeFill(source *member, q *request) bool {
-	if source == nil || r.out > 0 || r.now-r.probed[source.tier] < easeHalf {
+	if source == nil || r.out > 0 || r.now-r.probing[source.tier].last < easeHalf {
 		return false
 	}
 	q.probes[source.tier] = true
 	return true
 }
 
-// noteProbes books that a request's attempt goes out as a probe.
-func (r *Router) noteProbes(q *request) {
-	for t, probes := range q.probes {
-		if probes {
-			r.probed[t] = r.now
+// beginProbes books what a request's attempt tests.
+func (r *Router) beginProbes(probes tierSet) {
+	for t, tested := range probes {
+		if tested {
+			r.probing[t].out++
+			r.probing[t].last = r.now
+		}
+	}
+}
+
+// endProbes takes it back.
+func (r *Router) endProbes(probes tierSet) {
+	for t, tested := range probes {
+		if tested {
+			r.probing[t].out--
 		}
 	}
 }
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -98,9 +98,10 @@
 	expect         float64 // expected time of a hit
 	bucket         int     // how long ago its part was last asked for
 	trial, srcTry  bool
-	held           bool // its source was to give only what it holds
-	early          bool // it ends before its client does, since answers get lost
-	done, again    bool // again: how it ended is no reason to stay away from its server
+	probes         tierSet // whose pace it tests
+	held           bool    // its source was to give only what it holds
+	early          bool    // it ends before its client does, since answers get lost
+	done, again    bool    // again: how it ended is no reason to stay away from its server
 }
 
 // request is a client's request, kept until its last attempt has ended.
@@ -171,8 +172,8 @@
 	cost    float64 // usual work of a request over its worth, us
 	out     int     // attempts, everywhere
 	tiers   [tierCount]pace
-	probed  [tierCount]Micros // when an attempt last went out to test a tier's pace
-	hitBy   [10]float64       // share of hits by how long ago the part was last asked for
+	probing [tierCount]probing
+	hitBy   [10]float64 // share of hits by how long ago the part was last asked for
 }
 
 // New makes a gateway's router. The seed is its only source of chance.
@@ -438,7 +439,8 @@
 		in+Micros(r.hitTime(&t)) <= q.came+q.aim()-r.now {
 		r.do(Wake{Tag: uint32(q.ID), In: in})
 	}
-	r.noteProbes(q)
+	t.probes = q.probes
+	r.beginProbes(t.probes)
 	q.tries = append(q.tries, t)
 	q.inFlight++
 	r.do(g)
@@ -721,6 +723,7 @@
 	}
 	t := &q.tries[e.Attempt]
 	t.done, q.inFlight = true, q.inFlight-1
+	r.endProbes(t.probes)
 	if e.Code == Spoilt {
 		r.spoilt = r.now
 	} else if !slices.Contains([]Code{Timeout, Cancelled, ConnectFailed, Moot}, e.Code) {
