--- a/rules/refusal_test.go
+++ b/rules/refusal_test.go
@@ -84,14 +84,16 @@
 		outcomes := []Code{OK, OK, Miss, ServerError, Full, Timeout, Reset}
 		for range rapid.IntRange(1, 40).Draw(rt, "requests") {
 			g.now += Micros(rapid.IntRange(0, 3000).Draw(rt, "pause, ms")) * milli
-			get, _ := g.ask(Request{Class: rapid.IntRange(0, 1).Draw(rt, "class"), Object: uint64(rapid.IntRange(1, 6).Draw(rt, "object"))})
+			get, _ := g.ask(Request{Class: rapid.IntRange(0, 1).Draw(rt, "class"),
+				Object: uint64(rapid.IntRange(1, 6).Draw(rt, "object"))})
 			if get.ID == 0 {
 				rt.Fatal("a read alone on the gateway was not sent")
 			}
 			spent := Micros(rapid.IntRange(1, 2000).Draw(rt, "spent, ms")) * milli
 			g.now += spent
 			g.step(Outcome{ID: get.ID, Server: get.Server, Code: rapid.SampledFrom(outcomes).Draw(rt, "code"),
-				Note: Note(rapid.IntRange(0, int(NoteOriginFailed)).Draw(rt, "note")), Spent: spent, Closed: true})
+				Note:  Note(rapid.IntRange(0, int(NoteOriginFailed)).Draw(rt, "note")),
+				Spent: spent, Closed: true})
 		}
 	})
 }
@@ -148,12 +150,14 @@
 		g.now += 10 * second
 		get, _ = g.ask(Request{Object: 5})
 		g.now += 300 * milli
-		g.step(Outcome{ID: get.ID, Server: get.Server, Code: code, Note: NoteHit, Spent: 300 * milli, Closed: true})
+		g.step(Outcome{ID: get.ID, Server: get.Server, Code: code, Note: NoteHit, Spent: 300 * milli,
+			Closed: true})
 		for i := range 40 {
 			_, out := g.ask(Request{Object: uint64(1000 + i)})
 			for _, a := range out {
 				if refused, ok := a.(Refuse); ok && refused.Cause.Server != get.Server {
-					t.Errorf("%s: refused by what is believed of %d, %d answered: %+v", name, refused.Cause.Server, get.Server, refused.Cause)
+					t.Errorf("%s: refused by what is believed of %d, %d answered: %+v", name,
+						refused.Cause.Server, get.Server, refused.Cause)
 				}
 			}
 		}
@@ -163,7 +167,8 @@
 // What happens: short requests are refused for the first tens of requests of a class, though answers
 // take milliseconds.
 //
-// Why: until a class has answers its work is taken to be half its aim, and each answer moved that by a twentieth.
+// Why: until a class has answers its work is taken to be half its aim, and each answer moved that by a
+// twentieth.
 //
 // What showed it: lines "request refused" with slow=0 and expected_us=38430 where answers took 3 to 7 ms.
 func TestFirstAnswersOfAClassTellItsWork(t *testing.T) {
@@ -171,7 +176,8 @@
 	for i := range 10 {
 		get, _ := g.ask(Request{Object: uint64(i)})
 		g.now += 5 * milli
-		g.step(Outcome{ID: get.ID, Server: get.Server, Code: OK, Note: NoteHit, Spent: 5 * milli, Closed: true})
+		g.step(Outcome{ID: get.ID, Server: get.Server, Code: OK, Note: NoteHit, Spent: 5 * milli,
+			Closed: true})
 	}
 	for i := range 4 { // at once, so that none is alone
 		if get, out := g.ask(Request{Object: uint64(100 + i), Expires: 60 * milli}); get.ID == 0 {
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -187,7 +187,8 @@
 		r.hitBy[i] = 0.5
 	}
 	for _, c := range s.Classes {
-		r.mean, r.timed = append(r.mean, workPriorShare*float64(max(c.Aim, milli))), append(r.timed, 0)
+		r.mean = append(r.mean, workPriorShare*float64(max(c.Aim, milli)))
+		r.timed = append(r.timed, 0)
 		r.cost = max(r.cost, r.mean[len(r.mean)-1]/max(c.Worth, 0.01))
 	}
 	return r, nil
@@ -200,7 +201,8 @@
 		return err
 	}
 	for i := len(r.mean); i < len(s.Classes); i++ {
-		r.mean, r.timed = append(r.mean, workPriorShare*float64(max(s.Classes[i].Aim, milli))), append(r.timed, 0)
+		r.mean = append(r.mean, workPriorShare*float64(max(s.Classes[i].Aim, milli)))
+		r.timed = append(r.timed, 0)
 		for j, old := range s.Classes[:i] {
 			if old.Name == s.Classes[i].Name {
 				r.mean[i], r.timed[i] = r.mean[j], r.timed[j]
