--- a/review/3/main.go
+++ b/review/3/main.go
@@ -69,6 +69,7 @@
 		}
 		w.mu.Unlock()
 		time.Sleep(2 * time.Millisecond)
+		r.LogAt(c.At, "%s: serve %s for %s, agelim %q: held or filled %v, copy %s", c.Node.Name, c.ID, object, c.Fields["agelim"], held, tag(made))
 		if !held {
 			c.Answer("nothing", "rep=util:0.2;x0:0.5;x1:0.1", nil)
 			return
