Poll the notice board beside late answers, so that a slow board is heard

A longer time alone leaves the event waiting for a second poll.

Change: internal/decide/longpoll schedules overlapping polls on up to six connections; an unanswered poll stays open for 7 s and another is sent beside it.

TestBothConnectsComeUp and TestHangingConnects keep their bounds; they reach into the client by new names, and the 800 ms of the latter were twice a constant that is gone.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -1,49 +1,17 @@
 package discovery
 
 import (
-	"cmp"
-	"errors"
 	"fmt"
 	"log/slog"
 
+	"cherryramp/internal/decide/longpoll"
 	"cherryramp/internal/gateway"
 	"cherryramp/internal/httpwire"
 	"cherryramp/internal/loop"
 	"cherryramp/internal/transport"
 )
 
-const (
-	connectTimeout    = 400_000   // us
-	maxAnswerTime     = 2_000_000 // us from a poll to the end of an answer that is still arriving
-	initialRetryPause = 10_000    // us from a failed connection to the next; doubles each time
-	warnInterval      = 1_000_000 // us between two warnings
-	maxAnswerBytes    = 4 << 20
-	maxLinger         = 150_000 // us that the board may hold a poll
-	minGrace          = 100_000 // us; a shorter grace leaves no time for a poll and its answer
-)
-
-// Timeouts are a client's timeouts. All derive from the grace that the settings allow for
-// acting on events: it counts from when the board holds an event, whether or not the
-// connection still delivers. So within the grace a silent connection has to be detected
-// and the board polled on another one, and after an outage the board has to be found
-// again, whether connects are refused or hang.
-type Timeouts struct {
-	linger        gateway.Micros // how long the board may hold a poll
-	silence       gateway.Micros // after a poll, from which a connection is considered dead
-	stall         gateway.Micros // between two parts of an answer, from which it is considered dead
-	redialAfter   gateway.Micros // from which another connect is started beside one that hangs
-	maxRetryPause gateway.Micros // between two connects
-}
-
-// TimeoutsFor returns the timeouts for a grace, which it raises to minGrace. 0 or less
-// stands for 300 ms, the shortest grace seen at a site.
-func TimeoutsFor(grace gateway.Micros) Timeouts {
-	g := max(minGrace, cmp.Or(max(0, grace), 300_000))
-	linger := min(maxLinger, g/2)
-	return Timeouts{linger: linger, silence: linger + g/3, stall: g / 3, redialAfter: g / 3, maxRetryPause: g / 4}
-}
-
-var limits = httpwire.Limits{Head: 16 << 10, Body: maxAnswerBytes}
+const warnInterval = 1_000_000 // us between two warnings of a kind
 
 // Sink receives what the board holds, on the loop.
 type Sink interface {
@@ -52,57 +20,61 @@
 	BoardAnswered()
 }
 
-// Client follows the notice board.
+// Client follows the notice board. Package longpoll decides when it polls, and on which
+// connection.
 type Client struct {
-	loop       *loop.Loop
-	log        *slog.Logger
-	address    string
-	sink       Sink
-	timeouts   Timeouts
-	lastEvent  int64
-	link       *link   // the current one; nil while none is up
-	search     *search // the search for a link
-	retryPause loop.Micros
-	warnedAt   loop.Micros
-	memory     transport.Gauge
-	answered   bool // a whole answer has arrived since the start
-}
-
-// Answered reports whether a whole answer has arrived since the start.
-func (client *Client) Answered() bool { return client.answered }
-
-// search looks for a connection to an address. Its dials run concurrently, and the first
-// to connect ends it.
-type search struct {
-	dials    int
-	over     bool
-	nextDial *loop.Deadline // starts one more dial if none has connected
-}
-
-// link is one connection to the board. What an older link still receives is ignored: its
-// events come again under the same numbers.
-type link struct {
-	client       *Client
-	conn         *transport.Conn // nil if another dial connected first
-	answered     bool            // its last answer could be used
-	polledAt     loop.Micros     // when the last poll was sent
-	silenceTimer *loop.Deadline
+	loop        *loop.Loop
+	log         *slog.Logger
+	address     string
+	sink        Sink
+	timeouts    Timeouts
+	lastEvent   int64
+	schedule    *longpoll.Schedule
+	links       map[longpoll.ConnID]*link
+	wakeTimer   *loop.Deadline // calls advance; nil before the start
+	heardAt     loop.Micros    // when the last answer arrived, or a client without one started
+	problems    logLimit
+	slowAnswers logLimit
+	memory      transport.Gauge
+	answered    bool // a whole answer has arrived since the start
+}
+
+// logLimit limits how often lines of a kind are logged.
+type logLimit struct{ lastAt loop.Micros }
+
+// allow reports whether a line may be logged now.
+func (limit *logLimit) allow(now loop.Micros) bool {
+	if now-limit.lastAt <= warnInterval {
+		return false
+	}
+	limit.lastAt = now
+	return true
 }
 
 // New makes a client that starts from the events already known; known may be nil.
 func New(l *loop.Loop, log *slog.Logger, address string, timeouts Timeouts, known *Update, sink Sink) *Client {
-	client := &Client{loop: l, log: log, address: address, timeouts: timeouts, sink: sink, retryPause: initialRetryPause}
+	client := &Client{loop: l, log: log, address: address, timeouts: timeouts, sink: sink,
+		schedule: longpoll.New(timeouts.schedule()), links: map[longpoll.ConnID]*link{}}
 	if known != nil {
 		client.apply(known)
 	}
 	return client
 }
 
+// Answered reports whether a whole answer has arrived since the start.
+func (client *Client) Answered() bool { return client.answered }
+
 // Start starts following the board.
-func (client *Client) Start() { client.startSearch() }
+func (client *Client) Start() {
+	client.heardAt = client.loop.Now()
+	client.wakeTimer = client.loop.At(client.heardAt, client.advance)
+}
 
 // SetTimeouts replaces the timeouts, for timers that start from now on.
-func (client *Client) SetTimeouts(timeouts Timeouts) { client.timeouts = timeouts }
+func (client *Client) SetTimeouts(timeouts Timeouts) {
+	client.timeouts = timeouts
+	client.schedule.Configure(timeouts.schedule())
+}
 
 // SetAddress connects to the board at another address, at once, and resumes from the last
 // event known.
@@ -111,174 +83,165 @@
 		return
 	}
 	client.log.Info("notice board has moved", "from", client.address, "to", address, "last", client.lastEvent)
-	client.address, client.retryPause = address, initialRetryPause
-	if old := client.link; old != nil {
-		client.link = nil
-		old.close()
+	client.address = address
+	old := client.links
+	client.links = map[longpoll.ConnID]*link{}
+	client.schedule.Reset()
+	for _, l := range old {
+		if l.conn != nil {
+			l.conn.Close()
+		}
 	}
-	client.startSearch()
+	client.loop.Stop(client.wakeTimer)
+	client.Start()
 }
 
-// apply passes new events to the sink.
-func (client *Client) apply(update *Update) {
-	for _, e := range update.Events {
-		if e.Number <= client.lastEvent {
-			continue
-		}
-		client.lastEvent = e.Number
-		if e.List != nil {
-			client.sink.Members(e.List.Full, e.List.Members)
-		}
-		if e.Purge != nil {
-			client.sink.Purge(*e.Purge)
+// advance carries out what is due.
+func (client *Client) advance() {
+	now := client.loop.Now()
+	client.warnIfSilent(now)
+	for {
+		action, due := client.schedule.Next(now)
+		if !due {
+			break
 		}
+		client.carryOut(action)
 	}
-	client.lastEvent = max(client.lastEvent, update.Last)
+	client.loop.Set(client.wakeTimer, client.schedule.WakeAt())
 }
 
-// startSearch starts a search for a connection in place of any current one.
-func (client *Client) startSearch() {
-	if client.search != nil {
-		client.search.over = true
+// warnIfSilent logs that the board has not answered for as long as a poll and the answer
+// to it may take.
+func (client *Client) warnIfSilent(now loop.Micros) {
+	if silent := now - client.heardAt; silent > client.timeouts.silence && client.schedule.Polls() > 0 {
+		client.warn("notice board is silent", "ms", silent/1000, "polls", client.schedule.Polls())
+	}
+}
+
+func (client *Client) carryOut(action longpoll.Action) {
+	switch action.Kind {
+	case longpoll.Dial:
+		client.dial(action.Conn, action.Time)
+	case longpoll.Poll:
+		l := client.links[action.Conn]
+		if err := l.poll(action.Time); err != nil {
+			client.drop(l)
+			client.schedule.Failed(l.id, client.loop.Now())
+		}
+	case longpoll.Close:
+		client.drop(client.links[action.Conn])
 	}
-	client.search = &search{}
-	client.dial(client.search)
 }
 
-func (client *Client) dial(search *search) {
-	search.dials++
-	newLink := &link{client: client}
-	transport.Dial(client.loop, client.address, maxAnswerBytes+limits.Head, &client.memory, newLink, client.loop.Now()+connectTimeout,
+func (client *Client) dial(id longpoll.ConnID, timeout gateway.Micros) {
+	l := &link{client: client, id: id}
+	client.links[id] = l
+	transport.Dial(client.loop, client.address, maxAnswerBytes+limits.Head, &client.memory, l, client.loop.Now()+timeout,
 		func(c *transport.Conn, err error) {
-			search.dials--
 			switch {
-			case search.over: // another dial connected first, or the address has changed
+			case !l.current(): // the address has changed
 				if err == nil {
 					c.Close()
 				}
 			case err != nil:
 				client.warn("notice board can't be reached", "error", err)
-				if search.dials == 0 {
-					client.retryLater(search)
-				}
+				client.fail(l)
 			default:
-				search.over = true
-				client.link, newLink.conn = newLink, c
-				newLink.poll()
+				l.conn = c
+				client.carryOut(client.schedule.Connected(id, client.loop.Now()))
+				client.advance()
 			}
 		})
-	client.loop.Stop(search.nextDial)
-	search.nextDial = client.loop.At(client.loop.Now()+client.timeouts.redialAfter, func() {
-		if !search.over && search.dials > 0 { // the connect hangs; the board may be back by now
-			client.dial(search)
-		}
-	})
-}
-
-// retryLater dials again after a pause, unless the search is over by then.
-func (client *Client) retryLater(search *search) {
-	client.loop.At(client.loop.Now()+client.retryPause, func() {
-		if !search.over && search.dials == 0 {
-			client.dial(search)
-		}
-	})
-	client.retryPause = min(2*client.retryPause, client.timeouts.maxRetryPause)
 }
 
-// warn logs a warning, one per warnInterval at most.
-func (client *Client) warn(text string, args ...any) {
-	if now := client.loop.Now(); now-client.warnedAt > warnInterval {
-		client.warnedAt = now
-		client.log.Warn(text, append(args, "last", client.lastEvent)...)
-	}
-}
-
-// close stops the link's timer and closes its connection.
-func (l *link) close() {
-	l.client.loop.Stop(l.silenceTimer)
+// drop closes a link that the schedule no longer has.
+func (client *Client) drop(l *link) {
+	delete(client.links, l.id)
 	if l.conn != nil {
 		l.conn.Close()
 	}
 }
 
-// fail closes a link and, if it was the current one, starts another search: at once if
-// its last answer could be used, else after a pause.
-func (l *link) fail() {
-	client := l.client
-	l.close()
-	if client.link != l {
-		return
-	}
-	client.link = nil
-	if l.answered {
-		client.retryPause = initialRetryPause
-		client.startSearch()
-		return
-	}
-	client.search = &search{}
-	client.retryLater(client.search)
+// fail handles the end of a link.
+func (client *Client) fail(l *link) {
+	client.drop(l)
+	client.schedule.Failed(l.id, client.loop.Now())
+	client.advance()
 }
 
-func (l *link) poll() {
-	client := l.client
-	client.loop.Stop(l.silenceTimer)
-	l.polledAt = client.loop.Now()
-	l.silenceTimer = client.loop.At(l.polledAt+client.timeouts.silence, func() {
-		client.warn("notice board is silent")
-		l.fail()
-	})
-	request := fmt.Appendf(nil, "GET /board/poll?watch=%d&linger=%d HTTP/1.1\r\nHost: %s\r\n\r\n", client.lastEvent,
-		client.timeouts.linger/1000, client.address)
-	if _, err := l.conn.Send(request); err != nil {
-		l.fail()
-	}
+// reject ends a link whose answer can't be used.
+func (client *Client) reject(l *link, err error) {
+	client.warn("notice board's answer can't be used", "error", err)
+	client.drop(l)
+	client.schedule.Rejected(l.id, client.loop.Now())
+	client.advance()
 }
 
-// Readable reads an answer, applies it and polls again.
-func (l *link) Readable(c *transport.Conn) {
-	client := l.client
-	if client.link != l {
-		return
-	}
-	var response *httpwire.Response
-	var err error
-	c.Consume(func(p []byte) (used int) {
-		response, used, err = httpwire.ParseResponse(p, limits)
-		return used
-	})
-	if err == nil && response == nil {
-		if !c.Overflowed() { // still arriving: long answers take a while
-			client.loop.Set(l.silenceTimer, min(l.polledAt+maxAnswerTime, max(l.polledAt+client.timeouts.silence, client.loop.Now()+client.timeouts.stall)))
+// partArrived handles a part of an answer. If all links together hold too many of them,
+// the answer that stopped longest ago is dropped.
+func (client *Client) partArrived(l *link) {
+	client.schedule.Received(l.id, client.loop.Now())
+	if client.memory.In.Load() > maxBuffered {
+		if id, found := client.schedule.LongestSilent(); found {
+			client.reject(client.links[id], errOutOfMemory)
 			return
 		}
-		err = errors.New("board: answer too long")
-	}
-	var update *Update
-	if err == nil && response.Status != 200 {
-		err = fmt.Errorf("board: status %d", response.Status)
 	}
-	if err == nil {
-		update, err = ParseUpdate(response.Body)
+	client.advance()
+}
+
+// answer applies an answer.
+func (client *Client) answer(l *link, response *httpwire.Response) {
+	if response.Status != 200 {
+		client.reject(l, fmt.Errorf("board: status %d", response.Status))
+		return
 	}
+	update, err := ParseUpdate(response.Body)
 	if err != nil {
-		client.warn("notice board's answer can't be used", "error", err)
-		l.answered = false
-		l.fail()
+		client.reject(l, err)
 		return
 	}
-	l.answered = true
-	client.answered = true
+	now := client.loop.Now()
+	client.schedule.Answered(l.id, now, len(update.Events) == 0)
+	client.logIfLate(now)
+	client.answered, client.heardAt = true, now
 	client.apply(update)
 	client.sink.BoardAnswered()
 	if response.Close {
-		l.fail()
+		client.fail(l)
 		return
 	}
-	l.poll()
+	client.advance()
 }
 
-// Drained does nothing: one request is outstanding at a time.
-func (l *link) Drained(*transport.Conn) {}
+// logIfLate logs that answers arrive so late that the grace may not suffice to act on their
+// events.
+func (client *Client) logIfLate(now loop.Micros) {
+	if late := client.schedule.Lateness(); late > client.timeouts.stall && client.slowAnswers.allow(now) {
+		client.log.Warn("notice board answers late", "ms", late/1000, "polls", client.schedule.Polls(), "last", client.lastEvent)
+	}
+}
 
-// Closed handles the end of the connection.
-func (l *link) Closed(*transport.Conn) { l.fail() }
+// apply passes new events to the sink.
+func (client *Client) apply(update *Update) {
+	for _, e := range update.Events {
+		if e.Number <= client.lastEvent {
+			continue
+		}
+		client.lastEvent = e.Number
+		if e.List != nil {
+			client.sink.Members(e.List.Full, e.List.Members)
+		}
+		if e.Purge != nil {
+			client.sink.Purge(*e.Purge)
+		}
+	}
+	client.lastEvent = max(client.lastEvent, update.Last)
+}
+
+// warn logs a warning, one per warnInterval at most.
+func (client *Client) warn(text string, args ...any) {
+	if client.problems.allow(client.loop.Now()) {
+		client.log.Warn(text, append(args, "last", client.lastEvent)...)
+	}
+}
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -8,7 +8,9 @@
 	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -144,6 +146,96 @@
 	}
 }
 
+// slowBoard is a board that answers each poll later than it is due.
+type slowBoard struct {
+	late    time.Duration
+	inParts bool        // half of an answer is sent when it is due
+	slow    atomic.Bool // as late as that from now on
+	held    atomic.Bool // the board holds the event
+}
+
+// ServeHTTP answers a poll.
+func (board *slowBoard) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body := `{"rev":0,"notices":[]}`
+	linger, _ := strconv.Atoi(r.FormValue("linger"))
+	for end := time.Now().Add(time.Duration(linger) * time.Millisecond); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if board.held.Load() {
+			body = drainingAnswer
+			break
+		}
+	}
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	if board.inParts {
+		_, _ = io.WriteString(w, body[:9])
+		body = body[9:]
+		_ = http.NewResponseController(w).Flush()
+	}
+	if board.slow.Load() {
+		time.Sleep(board.late)
+	}
+	_, _ = io.WriteString(w, body)
+}
+
+func (board *slowBoard) start(t *testing.T) (address string) {
+	t.Helper()
+	ln, err := loopbacktest.Listen()
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{Handler: board}
+	go func() { _ = server.Serve(ln) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return ln.Addr().String()
+}
+
+// Guards against a sound board whose answers are late being given up again and again, so
+// that no event arrives: polls must outlast its lateness, and one must wait at the board at
+// any time, so that an event is as late as the answers are.
+func TestSlowBoardIsHeard(t *testing.T) {
+	const late = 400 * time.Millisecond // more than Timeouts.silence for a grace of 500 ms
+	for _, x := range []struct {
+		name           string
+		inParts        bool
+		fromStart      bool // slow from the first poll on, after the start or a move
+		moved          bool
+		late, maxDelay time.Duration
+	}{
+		{name: "later on", late: late, maxDelay: late + 150*time.Millisecond},
+		{name: "from the first poll on", fromStart: true, late: late, maxDelay: 2*late + 500*time.Millisecond},
+		{name: "after it has moved", fromStart: true, moved: true, late: late, maxDelay: 2*late + 500*time.Millisecond},
+		{name: "in the middle of an answer", inParts: true, late: late, maxDelay: 2*late + 500*time.Millisecond},
+		{name: "by seconds", fromStart: true, late: 3 * time.Second, maxDelay: 7 * time.Second},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			t.Parallel()
+			board := &slowBoard{late: x.late, inParts: x.inParts}
+			board.slow.Store(x.fromStart)
+			address := board.start(t)
+			first := address
+			if x.moved {
+				first = (&slowBoard{}).start(t)
+			}
+			client, sink, on := follow(t, first)
+			time.Sleep(300 * time.Millisecond)
+			on(func() { client.SetAddress(address) })
+			if !x.fromStart {
+				board.slow.Store(true)
+				time.Sleep(3 * x.late)
+			}
+			held := time.Now()
+			board.held.Store(true)
+			select {
+			case <-sink.members:
+				if took := time.Since(held); took > x.maxDelay {
+					t.Errorf("the event took %v", took)
+				}
+			case <-time.After(maxWait):
+				t.Fatal("the event has not arrived")
+			}
+		})
+	}
+}
+
 // Guards against a long answer taken for silence: it arrives in small parts that together
 // take longer than the silence timeout.
 func TestLongAnswerIsNotSilence(t *testing.T) {
@@ -200,13 +292,13 @@
 	b, _, on := follow(t, address)
 	maxDials := 0
 	for end := time.Now().Add(maxWait); maxDials < 3; time.Sleep(time.Millisecond) {
-		on(func() { maxDials = max(maxDials, b.search.dials) })
+		on(func() { maxDials = max(maxDials, b.schedule.Connects()) })
 		if time.Now().After(end) {
 			t.Fatalf("%d connects at a time", maxDials)
 		}
 	}
-	for end := time.Now().Add(connectTimeout * 2 * time.Microsecond); time.Now().Before(end); time.Sleep(time.Millisecond) {
-		if on(func() { maxDials = max(maxDials, b.search.dials) }); maxDials > 6 {
+	for end := time.Now().Add(800 * time.Millisecond); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if on(func() { maxDials = max(maxDials, b.schedule.Connects()) }); maxDials > 6 {
 			t.Fatalf("%d connects at a time", maxDials)
 		}
 	}
@@ -271,9 +363,16 @@
 	}
 	defer func() { _ = ln.Close() }()
 	b, sink, on := follow(t, ln.Addr().String())
-	on(func() { b.startSearch(); b.dial(b.search); b.dial(b.search) })
+	on(func() { // another connect each time, since none can come up meanwhile
+		b.SetTimeouts(Timeouts{redialAfter: 1})
+		for b.schedule.Connects() < 4 {
+			time.Sleep(time.Millisecond)
+			b.advance()
+		}
+		b.SetTimeouts(TimeoutsFor(500_000))
+	})
 	ended, asked := make(chan bool, 100), make(chan *boardConn, 100)
-	for range 4 { // including the first search's
+	for range 4 { // including the first one's
 		w := accept(t, ln)
 		go func() {
 			if _, err := w.r.Peek(1); err != nil {
