Use own copies by what the notice board is known to have held, not by its last answer

The front serves copies of its own while the board has answered within the time to heed a purge. An answer that arrives late tells of the board as it was when the poll ended, so with a slow board that is now heard such copies could be served past a purge's grace.

Change: longpoll.Answered returns until when the board held no other events (the end of the wait of an empty answer, the start of the poll of another), and Gateway.BoardCurrent takes that time.

--- a/internal/decide/longpoll/longpoll.go
+++ b/internal/decide/longpoll/longpoll.go
@@ -169,20 +169,27 @@
 	c.lastPart = now
 }
 
-// Answered records a whole and usable answer, and whether it has no events.
-func (s *Schedule) Answered(id ConnID, now Micros, empty bool) {
+// Answered records a whole and usable answer, and whether it has no events. It returns
+// until when the server had no events but those of the answer: one without events tells so
+// of the whole time for which the server held the poll, one with events of its start.
+func (s *Schedule) Answered(id ConnID, now Micros, empty bool) (currentAt Micros) {
 	c := s.find(id)
 	if c == nil || c.state == connecting || c.state == idle {
-		return
+		return 0
 	}
 	arrivedAt := now
 	if c.state == receiving {
 		arrivedAt = c.firstPart
 	}
 	s.learnLateness(arrivedAt-c.since-c.linger, empty)
+	currentAt = c.since
+	if heldUntil := c.since + c.linger - lingerUnit; empty && arrivedAt >= heldUntil { // less a unit of the server's timer
+		currentAt = heldUntil
+	}
 	s.overtaken = max(s.overtaken, c.since)
 	s.retryPause, s.retryAt = initialRetryPause, 0
 	c.state, c.since, c.lastUsable = idle, now, true
+	return currentAt
 }
 
 // Rejected records an answer that can't be used; the caller closes the connection.
--- a/internal/decide/longpoll/longpoll_test.go
+++ b/internal/decide/longpoll/longpoll_test.go
@@ -20,14 +20,15 @@
 // model is a server in virtual time that holds an event from eventAt on, and its client.
 type model struct {
 	*Schedule
-	now       Micros
-	lateness  func(at Micros) Micros
-	connects  func(at Micros) (span Micros, ok bool) // of a connect that begins at a time
-	silencing Micros                                 // connections made before this fall silent then
-	eventAt   Micros
-	heardAt   Micros // when the event arrived; 0: not yet
-	dials     int
-	pending   []happening
+	now        Micros
+	lateness   func(at Micros) Micros
+	connects   func(at Micros) (span Micros, ok bool) // of a connect that begins at a time
+	silencing  Micros                                 // connections made before this fall silent then
+	eventAt    Micros
+	heardAt    Micros // when the event arrived; 0: not yet
+	dials      int
+	wrongTimes int // answers said to be of a later time than they were
+	pending    []happening
 }
 
 type happening struct {
@@ -64,7 +65,9 @@
 			if m.find(a.Conn) == nil {
 				return
 			}
-			m.Answered(a.Conn, m.now, !found)
+			if at := m.Answered(a.Conn, m.now, !found); at > heldUntil {
+				m.wrongTimes++
+			}
 			if found && m.heardAt == 0 {
 				m.heardAt = m.now
 			}
@@ -132,8 +135,8 @@
 		if !steady || m.eventAt < slowFrom+2*late+1000*ms || late > 1100*ms {
 			bound = 2*late + 500*ms // not yet known to be slow, or too slow for MaxConns
 		}
-		if m.heardAt == 0 || took > bound || conns > MaxConns {
-			t.Fatalf("event at %d heard after %d, bound %d, %d connections", m.eventAt, took, bound, conns)
+		if m.heardAt == 0 || took > bound || conns > MaxConns || m.wrongTimes > 0 {
+			t.Fatalf("event at %d heard after %d, bound %d, %d connections, %d wrong times", m.eventAt, took, bound, conns, m.wrongTimes)
 		}
 		if rate := float64(m.dials) / (float64(m.now)/1e6 + 1); steady && late <= 1100*ms && m.dials > 12 || rate > 4.5 {
 			t.Fatalf("%d connects, %.1f a second", m.dials, rate)
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -17,7 +17,9 @@
 type Sink interface {
 	Members(full bool, list []gateway.Member)
 	Purge(p gateway.Purge)
-	BoardAnswered()
+	// BoardCurrent is called after each answer, once its events have been passed on: at the
+	// time at, the board held no others.
+	BoardCurrent(at gateway.Micros)
 }
 
 // Client follows the notice board. Package longpoll decides when it polls, and on which
@@ -202,11 +204,11 @@
 		return
 	}
 	now := client.loop.Now()
-	client.schedule.Answered(l.id, now, len(update.Events) == 0)
+	currentAt := client.schedule.Answered(l.id, now, len(update.Events) == 0)
 	client.logIfLate(now)
 	client.answered, client.heardAt = true, now
 	client.apply(update)
-	client.sink.BoardAnswered()
+	client.sink.BoardCurrent(currentAt)
 	if response.Close {
 		client.fail(l)
 		return
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -44,8 +44,8 @@
 		s.members <- m
 	}
 }
-func (memberSink) Purge(gateway.Purge) {}
-func (memberSink) BoardAnswered()      {}
+func (memberSink) Purge(gateway.Purge)         {}
+func (memberSink) BoardCurrent(gateway.Micros) {}
 
 // follow starts a client of a board at an address. The function returned runs another
 // one on the client's loop and waits for it.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -284,8 +284,8 @@
 
 func groupKey(group int) uint64 { return hashKey(fmt.Sprintf("group %d", group)) }
 
-// BoardAnswered records that the notice board has just answered.
-func (g *Gateway) BoardAnswered() { g.cache.boardAnsweredAt = g.loop.Now() }
+// BoardCurrent records that all that the notice board held at a time has been passed on.
+func (g *Gateway) BoardCurrent(at Micros) { g.cache.boardCurrentAt = max(g.cache.boardCurrentAt, at) }
 
 // Submit takes a call. Exactly one answer follows, unless Leave is called first. A call
 // with the id of an open one fails: to the servers the two would be the same.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -154,9 +154,10 @@
 		{"object purged", 0, func(g *Gateway) { g.Purge(Purge{Object: "a", At: g.loop.Now()}) }, false},
 		{"group purged", 0, func(g *Gateway) { g.Purge(Purge{Group: 17, At: g.loop.Now()}) }, false},
 		{"other group purged", 0, func(g *Gateway) { g.Purge(Purge{Group: 18, At: g.loop.Now()}) }, true},
-		{"purges must be heeded sooner", 0, func(g *Gateway) { g.cache.limits.MaxPurgeDelay = second / 10; g.cache.boardAnsweredAt -= second / 5 }, false},
-		{"purges may be heeded later", 0, func(g *Gateway) { g.cache.limits.MaxPurgeDelay = 2 * second; g.cache.boardAnsweredAt -= second }, true},
-		{"board not heard", 0, func(g *Gateway) { g.cache.boardAnsweredAt -= second }, false},
+		{"purges must be heeded sooner", 0, func(g *Gateway) { g.cache.limits.MaxPurgeDelay = second / 10; g.cache.boardCurrentAt -= second / 5 }, false},
+		{"purges may be heeded later", 0, func(g *Gateway) { g.cache.limits.MaxPurgeDelay = 2 * second; g.cache.boardCurrentAt -= second }, true},
+		{"board not heard", 0, func(g *Gateway) { g.cache.boardCurrentAt -= second }, false},
+		{"board answers late", 0, func(g *Gateway) { g.cache.boardCurrentAt -= second; g.BoardCurrent(g.loop.Now() - second/2) }, false},
 		{"link busy", 0, func(g *Gateway) { g.cache.linkFreeAt = g.loop.Now() + second }, false},
 		{"fresh", 1, func(*Gateway) {}, true},
 		{"stale", 1, func(g *Gateway) { age(g, 9*second) }, false},
@@ -165,7 +166,7 @@
 	} {
 		t.Run(x.name, func(t *testing.T) {
 			g, n := newGateway(t)
-			g.BoardAnswered()
+			g.BoardCurrent(g.loop.Now())
 			submit(g, x.class, "a")
 			g.EndAttempt(n.started[0], AttemptResult{Code: rules.OK, Answer: Answer{Body: []byte("abc"), Tag: "t", CreatedAt: g.loop.Now()}})
 			x.between(g)
@@ -177,7 +178,7 @@
 	}
 	// An answer in flight when the purge came is passed on, but not kept.
 	g, n := newGateway(t)
-	g.BoardAnswered()
+	g.BoardCurrent(g.loop.Now())
 	submit(g, 0, "a")
 	born := g.loop.Now()
 	g.Purge(Purge{Object: "a", At: born + 1})
--- a/internal/gateway/localcache.go
+++ b/internal/gateway/localcache.go
@@ -7,8 +7,8 @@
 	"cherryramp/rules"
 )
 
-// defaultMaxPurgeDelay is how recently the notice board must have answered for local
-// copies to be served, where the settings give no time to obey a purge. A purge counts
+// defaultMaxPurgeDelay is how recent the knowledge of the notice board's events must be for
+// local copies to be served, where the settings give no time to obey a purge. A purge counts
 // from when the board holds it, whether the front has received it or not.
 const defaultMaxPurgeDelay = 300_000 // us
 
@@ -44,12 +44,12 @@
 // a transfer from a cache node: connections are what a busy front runs out of first.
 // Purges drop copies, and none is served past the freshness lifetime of its class.
 type localCache struct {
-	limits          LocalCacheLimits
-	byKey           map[copyKey]*list.Element
-	lru             *list.List // of *cachedCopy, the latest used first
-	bytes           int
-	linkFreeAt      Micros // when the link will have sent all answers so far
-	boardAnsweredAt Micros // when the notice board last answered
+	limits         LocalCacheLimits
+	byKey          map[copyKey]*list.Element
+	lru            *list.List // of *cachedCopy, the latest used first
+	bytes          int
+	linkFreeAt     Micros // when the link will have sent all answers so far
+	boardCurrentAt Micros // all that the notice board held at this time has been received
 }
 
 func newLocalCache(limits LocalCacheLimits) *localCache {
@@ -70,10 +70,10 @@
 }
 
 // find returns a copy to answer a call with now, or nil. The copy must be fresh, the link
-// nearly idle, and the last answer of the board recent enough that no purge was missed.
+// nearly idle, and what the board is known to have held recent enough that no purge was missed.
 func (lc *localCache) find(c *Call, class *rules.Class, now Micros) *cachedCopy {
 	e := lc.byKey[copyKey{c.Object, c.Part}]
-	if e == nil || lc.limits.Bytes == 0 || class.Write || now-lc.boardAnsweredAt > cmp.Or(lc.limits.MaxPurgeDelay, defaultMaxPurgeDelay) || lc.linkFreeAt > now+maxLinkWait {
+	if e == nil || lc.limits.Bytes == 0 || class.Write || now-lc.boardCurrentAt > cmp.Or(lc.limits.MaxPurgeDelay, defaultMaxPurgeDelay) || lc.linkFreeAt > now+maxLinkWait {
 		return nil
 	}
 	x := e.Value.(*cachedCopy)
--- a/lab/world/inprocess.go
+++ b/lab/world/inprocess.go
@@ -79,7 +79,7 @@
 func (prog *inProcess) leave(t *try)                  { prog.gw.Leave(t.call) }
 func (prog *inProcess) updateMember(m gateway.Member) { prog.gw.Members(false, []gateway.Member{m}) }
 func (prog *inProcess) purge(p gateway.Purge)         { prog.gw.Purge(p) }
-func (prog *inProcess) registerAnswered()             { prog.gw.BoardAnswered() }
+func (prog *inProcess) registerAnswered()             { prog.gw.BoardCurrent(prog.front.w.loop.Now()) }
 func (prog *inProcess) setRegisterDown(bool)          {}
 func (prog *inProcess) processEvents()                { prog.gw.ProcessEvents() }
 func (prog *inProcess) resources() (int, int, int)    { return prog.gw.OpenCalls(), 0, 0 }
