Let a node's answer arrive slowly: bound its pauses, not its whole transfer

An answer of a node had 0.5 s from its first byte to its last; a large one on a slow link was cut off each time, with all that was open on its connection, and payouts there count as may have run.

Change: 0.5 s may pass between two parts, and the longest give-up time of the settings in all (Config.AnswerTimeout). After 0.5 s pick treats the connection as a silent one, so nothing new waits behind it.

--- a/internal/program/settings.go
+++ b/internal/program/settings.go
@@ -59,7 +59,8 @@
 	c := upstream.Config{Lanes: classNames(classes), Streams: cfg.StreamsPerConn, ConnectTimeout: cfg.ConnectTimeout,
 		IdleTimeout: int64(idleShare * float64(cfg.ConnIdleTimeout)), Cancel: cfg.Settings.Cancel, Hedges: cfg.Settings.Hedges}
 	for _, class := range classes {
-		c.SilentTimeout = max(c.SilentTimeout, class.Aim/2) // long requests send nothing for a long time
+		c.SilentTimeout = max(c.SilentTimeout, class.Aim/2)  // long requests send nothing for a long time
+		c.AnswerTimeout = max(c.AnswerTimeout, class.GiveUp) // no client waits longer
 	}
 	for _, class := range classes { // unsafe requests get a connection of their own, so that other answers don't affect them
 		c.Exclusive = append(c.Exclusive, class.Effect == rules.Unsafe)
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -30,6 +30,7 @@
 	activeSince   gateway.Micros // when the last data arrived or, if later, an attempt was sent with nothing open
 	idleTimer     *loop.Deadline
 	answerTimer   *loop.Deadline // runs while part of an answer has arrived
+	answerBegan   gateway.Micros // when its first part arrived
 }
 
 // cutPartial closes a connection on which an attempt is only partly sent, so that its rest is
@@ -149,18 +150,33 @@
 	c.pool.dispatch()
 }
 
-// trackAnswer limits the time for a partly arrived answer to become complete.
+// trackAnswer limits the time for a partly arrived answer to become complete, and the time
+// without another part of it.
 func (c *conn) trackAnswer(begun bool) {
 	l := c.pool.pools.loop
+	now := l.Now()
 	switch {
 	case !begun:
 		l.Stop(c.answerTimer)
 		c.answerTimer = nil
 	case c.answerTimer == nil:
-		c.answerTimer = l.At(l.Now()+maxAnswerTime, func() { c.abort(errStalled) })
+		c.answerBegan = now
+		c.answerTimer = l.At(now+maxAnswerGap, func() { c.abort(errStalled) })
+	default:
+		l.Set(c.answerTimer, min(now+maxAnswerGap, c.answerBegan+c.pool.pools.cfg.AnswerTimeout))
 	}
 }
 
+// delays reports whether answers wait behind one that has been arriving for long.
+func (c *conn) delays() bool {
+	return c.answerTimer != nil && c.pool.pools.loop.Now()-c.answerBegan > maxAnswerGap
+}
+
+// silent reports whether attempts are open, and nothing has arrived for long.
+func (c *conn) silent() bool {
+	return len(c.open) > 0 && c.pool.pools.loop.Now()-c.activeSince > c.pool.pools.cfg.SilentTimeout
+}
+
 // abort closes a connection on which a malformed, too long or incomplete answer has
 // arrived. All attempts open on it may have run. They end as ConnectionBroken, which
 // says little about the server's health.
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -135,8 +135,8 @@
 
 // pick returns the connection with the lowest cost for an attempt, and the cost: the
 // number of attempts open there, plus exclusiveCost if one of them or this one is of an
-// exclusive class, plus silentCost if the connection is silent, since its answers may
-// never arrive. Two attempts of one call never share a connection, since their answers
+// exclusive class, plus silentCost if the connection is silent or delays answers, since they
+// may never arrive. Two attempts of one call never share a connection, since their answers
 // could not be distinguished.
 func (pool *serverPool) pick(a *gateway.Attempt) (best *conn, lowest int) {
 	for _, c := range pool.conns {
@@ -150,7 +150,7 @@
 		if c.exclusiveOpen > 0 || pool.pools.isExclusive(a) && (cost > 0 || c.stale()) {
 			cost += exclusiveCost
 		}
-		if len(c.open) > 0 && c.pool.pools.loop.Now()-c.activeSince > c.pool.pools.cfg.SilentTimeout {
+		if c.silent() || c.delays() {
 			cost += silentCost
 		}
 		if best == nil || cost < lowest {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -22,7 +22,7 @@
 	maxEndedIDs      = 512     // ended ids that a connection remembers before it is drained
 	maxUnanswered    = 2       // attempts given up on a silent connection before it is drained
 	minSilentTimeout = 300_000 // us; lower bound of Config.SilentTimeout
-	maxAnswerTime    = 500_000 // us from the first to the last byte of an answer
+	maxAnswerGap     = 500_000 // us between two parts of an answer, and from its first part until nothing new is sent behind it
 	shareThreshold   = 2       // open attempts on a connection from which another connection is opened
 	silentCost       = 1000    // in pick, for a silent connection: above any number of open attempts
 	exclusiveCost    = 2000    // in pick, where an exclusive attempt would share a connection or use a stale one
@@ -41,6 +41,7 @@
 	ConnectTimeout gateway.Micros // time limit of a dial
 	IdleTimeout    gateway.Micros // after which an idle connection is closed
 	SilentTimeout  gateway.Micros // without input, with attempts open, after which a connection counts as silent; minSilentTimeout at least
+	AnswerTimeout  gateway.Micros // from the first part of an answer until it must be whole, however slowly it arrives; maxAnswerGap at least
 	InputBuffer    int            // bytes of answers that a connection can buffer; minInputAnswers answers at least
 	Cancel         bool           // tell nodes of attempts that are given up
 	Hedges         bool           // two attempts of one call may be open at a time
@@ -75,15 +76,22 @@
 
 // New returns pools without connections.
 func New(cfg Config, n Network, l *loop.Loop, controller AttemptController, log *slog.Logger) *Pools {
-	cfg.SilentTimeout = max(cfg.SilentTimeout, minSilentTimeout)
+	cfg = cfg.withMinima()
 	return &Pools{cfg: cfg, network: n, loop: l, controller: controller, log: log, pools: map[rules.ServerID]*serverPool{},
 		connByAttempt: map[*gateway.Attempt]*conn{}}
 }
 
+// withMinima returns the configuration with its lower bounds applied.
+func (cfg Config) withMinima() Config {
+	cfg.SilentTimeout = max(cfg.SilentTimeout, minSilentTimeout)
+	cfg.AnswerTimeout = max(cfg.AnswerTimeout, maxAnswerGap)
+	return cfg
+}
+
 // UpdateConfig replaces the configuration. Known lanes must keep their indexes. Open
 // connections stay. MaxConns, MaxTotalConns and InputBuffer keep their initial values.
 func (p *Pools) UpdateConfig(cfg Config) {
-	cfg.SilentTimeout = max(cfg.SilentTimeout, minSilentTimeout)
+	cfg = cfg.withMinima()
 	cfg.MaxConns, cfg.MaxTotalConns, cfg.InputBuffer = p.cfg.MaxConns, p.cfg.MaxTotalConns, p.cfg.InputBuffer
 	p.cfg = cfg
 }
