Hear an ensemble of ephemeral nodes that answers later than its read time-out

Change: our dialer's connections extend the time for the first answer of a session; it doubles, up to eight times, each time one is missing. After the first answer the library's own time counts, as pings keep answers coming however late they are, so a connection that falls silent is noticed as before.

--- a/internal/ephemeral/ephemeral.go
+++ b/internal/ephemeral/ephemeral.go
@@ -68,7 +68,7 @@
 	f := &Follower{cfg: cfg, loop: l, sink: sink, log: log.With("path", cfg.Path),
 		changes: newChanges(cfg.Path), staleList: true, nodes: map[string]*node{}}
 	conn, _, err := zk.Connect(cfg.Servers, cfg.Session, zk.WithLogger(zkLogger{f.log}), zk.WithLogInfo(false),
-		zk.WithMaxBufferSize(maxPacket), zk.WithEventCallback(f.event), zk.WithDialer(dialWatched))
+		zk.WithMaxBufferSize(maxPacket), zk.WithEventCallback(f.event), zk.WithDialer(newDialer().dial))
 	if err != nil {
 		return fmt.Errorf("ephemeral: %w", err)
 	}
--- a/internal/ephemeral/ephemeral_test.go
+++ b/internal/ephemeral/ephemeral_test.go
@@ -12,6 +12,7 @@
 	"cherryramp/internal/ephemeral/zookeepertest"
 	"cherryramp/internal/gateway"
 	"cherryramp/internal/loop"
+	"cherryramp/lab/faultproxy"
 	"cherryramp/rules"
 )
 
@@ -81,12 +82,17 @@
 }
 
 func startWith(t *testing.T, server *zookeepertest.Server, s *sink, log io.Writer) {
+	t.Helper()
+	startAt(t, server.Addr(), 2*time.Second, s, log)
+}
+
+func startAt(t *testing.T, address string, session time.Duration, s *sink, log io.Writer) {
 	t.Helper()
 	l := loop.New(func() {})
 	done := make(chan struct{})
 	go func() { l.Run(); close(done) }()
 	t.Cleanup(func() { l.Post(l.Quit); <-done })
-	err := Start(Config{Servers: []string{server.Addr()}, Path: zookeepertest.Root, Session: 2 * time.Second}, l, s,
+	err := Start(Config{Servers: []string{address}, Path: zookeepertest.Root, Session: session}, l, s,
 		slog.New(slog.NewTextHandler(log, nil)))
 	if err != nil {
 		t.Fatal(err)
@@ -111,6 +117,25 @@
 	}
 }
 
+// Guards against a sound ensemble that is never heard because its answers are later than two
+// thirds of the session: the client library then ends each connection before the first.
+func TestSlowEnsembleIsHeard(t *testing.T) {
+	t.Parallel()
+	server := zookeepertest.New(t)
+	server.Set("s-1", box("SERVING"))
+	proxy, err := faultproxy.Open("", server.Addr(), 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = proxy.Close() })
+	proxy.Set(faultproxy.Backward, faultproxy.Settings{Delay: 900 * time.Millisecond})
+	s := &sink{lists: make(chan string, 100)}
+	startAt(t, proxy.Addr(), time.Second, s, io.Discard)
+	s.await(t, "true s-1+")
+	server.Set("s-1", box("DRAINING"))
+	s.await(t, "true s-1-")
+}
+
 func TestFollowsNodes(t *testing.T) {
 	server := zookeepertest.New(t)
 	server.Set("s-1", box("SERVING"))
