Keep a connect to a node that outlasts the connect time-out, for later attempts

Change: attempts that wait for a connect end in time as before (connect failed), but one connect of a pool may go on for up to 2 s, and its connection serves later attempts. The settings' time stays what counts as failed. Dials moved to dial.go.

Measured: TestSlowConnectIsUsedLater (the field longDial is new; before, the network itself gave the connect up at the time-out, so that no connection could come); internal/upstream under the race detector passes.

--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -4,7 +4,6 @@
 	"slices"
 
 	"cherryramp/internal/gateway"
-	"cherryramp/internal/transport"
 	"cherryramp/rules"
 )
 
@@ -15,11 +14,12 @@
 	addr       string
 	startedAt  gateway.Micros
 	conns      []*conn
-	dialing    int
-	dialFailed bool // the last dial failed
-	dialPaused bool // dialing waits for redialDelay after a resource shortage of this machine
-	shortages  int  // dials in a row that failed for a resource shortage
-	removed    bool // the server has left the list
+	dialing    int   // dials within Config.ConnectTimeout
+	longDial   *dial // the one that may take longer; nil: none
+	dialFailed bool  // the last dial failed
+	dialPaused bool  // dialing waits for redialDelay after a resource shortage of this machine
+	shortages  int   // dials in a row that failed for a resource shortage
+	removed    bool  // the server has left the list
 	waiting    []*gateway.Attempt
 }
 
@@ -191,37 +191,6 @@
 	}
 }
 
-// dial opens another connection.
-func (pool *serverPool) dial() {
-	pool.dialing++
-	p := pool.pools
-	p.numConns++
-	c := &conn{pool: pool, open: map[string]*gateway.Attempt{}, ended: map[string]endedID{}}
-	addr, startedAt := pool.addr, pool.startedAt
-	p.network.Dial(addr, max(p.cfg.InputBuffer, minInputAnswers*MaxAnswerBytes), c, p.loop.Now()+p.cfg.ConnectTimeout,
-		func(tc Conn, err error) {
-			pool.dialing--
-			if err != nil {
-				p.numConns--
-			}
-			if transport.IsResourceShortage(err) {
-				pool.redialLater(err)
-				return
-			}
-			pool.shortages = 0
-			if pool.dialFailed = err != nil; err == nil {
-				c.tc = tc
-				pool.conns = append(pool.conns, c)
-				c.draining = pool.removed || addr != pool.addr || startedAt != pool.startedAt
-				c.closeOrIdle()
-			} else if pool.dialing == 0 {
-				p.log.Warn("connect failed", "server", pool.name, "error", err)
-				pool.failWaiting()
-			}
-			pool.dispatch()
-		})
-}
-
 // redialLater dials again after redialDelay: this machine lacked resources for a connection, for
 // which the server is not to blame. After maxShortages in a row the waiting attempts are ended,
 // so that they can go to another server.
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -520,6 +520,35 @@
 func (n *fakeNetwork) CloseIfBlocked() bool { n.closed = n.closed || n.pending; return n.pending }
 func (n *fakeNetwork) Close()               { n.closed = true }
 
+// Guards against a sound server that gets no request because its connects take longer than
+// ConnectTimeout: what waits for one is ended in time, but the connection is used later. A
+// second connect beside it is not allowed to take as long.
+func TestSlowConnectIsUsedLater(t *testing.T) {
+	h := newHarness(t, 2)
+	net := &fakeNetwork{dials: make(chan func(), 2)}
+	h.onLoop(func() { h.pools.network = net; h.pools.cfg.ConnectTimeout = 50_000 })
+	a := h.start(10)
+	up := <-net.dials
+	if e := h.awaitEnd(a.Call.ID); e.Code != rules.ConnectFailed {
+		t.Errorf("ended as %d", e.Code)
+	}
+	h.onLoop(func() {
+		first := h.pools.pools[1].longDial
+		h.pools.pools[1].dial()
+		if h.pools.pools[1].longDial != first || first == nil {
+			t.Error("another connect may take longer, too")
+		}
+	})
+	h.onLoop(up)
+	h.onLoop(<-net.dials)
+	b := h.start(10)
+	h.onLoop(func() {
+		if h.pools.connByAttempt[b] == nil || h.pools.Connections() != 2 || h.pools.pools[1].dialing != 0 {
+			t.Errorf("not sent; %d connections, %d dials", h.pools.Connections(), h.pools.pools[1].dialing)
+		}
+	})
+}
+
 // Guards against an unsafe call that runs twice because its socket took the rest of it just as it
 // was given up, or as its connection was aborted: only bytes that are certainly never sent prove
 // that it has not run.
