Apply a fleet's version to the files in force, not to those of when it was checked

Cause: CheckVersion kept the whole result of the front's own files and the version; ActivateVersion applied it however old it was, so every key that SIGHUP had changed since went back. Version 0 (a roll-back) read the files on disk anew, taken over or not; and a SIGHUP that crossed an activation applied the version from before it.

Change: config.Files holds the front's own files as they were last taken over; a version is combined with them as it comes into force. The check still reads the files on disk too, which the next start would.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -10,7 +10,6 @@
 	"fmt"
 	"log/slog"
 	"net"
-	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -76,26 +75,11 @@
 // Load reads the configuration file that ROUTER_CONFIG names. ROUTER_NAME,
 // ROUTER_LISTEN and ROUTER_OPS override keys of the file.
 func Load(getenv func(string) string) (*Config, error) {
-	path := getenv("ROUTER_CONFIG")
-	if path == "" {
-		return nil, errors.New("config: ROUTER_CONFIG is not set")
-	}
-	data, err := os.ReadFile(path)
-	if err != nil {
-		return nil, fmt.Errorf("config: ROUTER_CONFIG: %w", err)
-	}
-	ops := getenv("ROUTER_OPS")
-	if ops != "" {
-		if err := checkAddress(ops); err != nil {
-			return nil, fmt.Errorf("config: ROUTER_OPS: %w", err)
-		}
-	}
-	c, err := Parse(data, getenv("ROUTER_NAME"), getenv("ROUTER_LISTEN"))
+	f, err := readPlatformFile(getenv)
 	if err != nil {
-		return nil, fmt.Errorf("config: %s: %w", path, err)
+		return nil, err
 	}
-	c.AdminAddress = cmp.Or(ops, c.AdminAddress)
-	return c, nil
+	return f.loadPlatform(&Version{})
 }
 
 // Parse reads and checks the platform's file. A nonempty name or listen address
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -82,20 +82,14 @@
 // LoadOperator reads the operator's file that CHERRYRAMP_OPERATOR names; where it is
 // not set, all sections are off.
 func LoadOperator(getenv func(string) string) (*Operator, error) {
-	const key = "CHERRYRAMP_OPERATOR"
-	path := getenv(key)
-	if path == "" {
-		return &Operator{}, nil
-	}
-	data, err := os.ReadFile(path)
-	if err != nil {
-		return nil, fmt.Errorf("config: %s: %w", key, err)
-	}
-	o, err := ParseOperator(data, filepath.Dir(path))
-	if err != nil {
-		return nil, fmt.Errorf("config: %s: %w", path, err)
+	f := &Files{operatorPath: getenv(operatorVariable)}
+	if f.operatorPath != "" {
+		var err error
+		if f.operator, err = os.ReadFile(f.operatorPath); err != nil {
+			return nil, fmt.Errorf("config: %s: %w", operatorVariable, err)
+		}
 	}
-	return o, nil
+	return f.loadOperator(&Version{})
 }
 
 // ParseOperator reads and checks an operator's file; relative paths in it are
--- a/internal/config/version.go
+++ b/internal/config/version.go
@@ -6,8 +6,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"os"
-	"path/filepath"
+	"maps"
 	"strings"
 )
 
@@ -76,42 +75,13 @@
 	return &v, nil
 }
 
-// LoadVersion reads the files that the environment names and applies a version's
-// patches to them; nil: no patches. Both results are checked in full.
-func LoadVersion(getenv func(string) string, v *Version) (*Config, *Operator, error) {
-	if v == nil {
-		c, err := Load(getenv)
-		o, err2 := LoadOperator(getenv)
-		return c, o, errors.Join(err, err2)
-	}
-	data, err := os.ReadFile(getenv("ROUTER_CONFIG"))
-	if err != nil {
-		return nil, nil, fmt.Errorf("config: ROUTER_CONFIG: %w", err)
-	}
-	if data, err = applyPatches(data, map[string]json.RawMessage{"settings": v.Settings}); err != nil {
-		return nil, nil, err
-	}
-	c, err := Parse(data, getenv("ROUTER_NAME"), getenv("ROUTER_LISTEN"))
-	if err != nil {
-		return nil, nil, err
-	}
-	if ops := getenv("ROUTER_OPS"); ops != "" {
-		c.AdminAddress = ops
-	}
-	path := getenv("CHERRYRAMP_OPERATOR")
-	if data, err = os.ReadFile(path); err != nil {
-		return nil, nil, fmt.Errorf("config: CHERRYRAMP_OPERATOR: %w", err)
-	}
-	if data, err = applyPatches(data, map[string]json.RawMessage{"clients": v.Clients, "signed": v.Signed}); err != nil {
-		return nil, nil, err
-	}
-	o, err := ParseOperator(data, filepath.Dir(path))
-	return c, o, err
-}
-
 // applyPatches applies a JSON merge patch (RFC 7396) to each named top-level key of
-// a file.
+// a file. Empty patches change nothing.
 func applyPatches(data []byte, patches map[string]json.RawMessage) ([]byte, error) {
+	maps.DeleteFunc(patches, func(_ string, raw json.RawMessage) bool { return len(raw) == 0 })
+	if len(patches) == 0 {
+		return data, nil
+	}
 	var file map[string]any
 	read := func(b []byte, to any) error {
 		d := json.NewDecoder(bytes.NewReader(b))
@@ -122,9 +92,6 @@
 		return nil, fmt.Errorf("not JSON: %w", err)
 	}
 	for key, raw := range patches {
-		if len(raw) == 0 {
-			continue
-		}
 		var patch any
 		if err := read(raw, &patch); err != nil {
 			return nil, fmt.Errorf("%s: %w", key, err)
--- a/internal/program/reload.go
+++ b/internal/program/reload.go
@@ -13,29 +13,44 @@
 // any time, it runs neither on the loop nor on the goroutine that handles shutdown signals.
 func (p *program) handleReloadSignals(signals <-chan os.Signal) {
 	for range signals {
-		version := make(chan *config.Version, 1)
-		p.loop.Post(func() { version <- p.versions.current })
-		cfg, operator, err := config.LoadVersion(os.Getenv, <-version)
+		files, err := config.ReadFiles(os.Getenv)
 		if err != nil {
-			p.log.Error("configuration can't be used, the old one stays", "error", err)
-			p.loop.Post(func() { p.counters.CountReload(false) })
+			p.loop.Post(func() { p.rejectReload(err) })
 			continue
 		}
-		p.loop.Post(func() { p.reload(cfg, operator) })
+		version := make(chan *config.Version, 1)
+		p.loop.Post(func() { version <- p.versions.current })
+		next := &checkedVersion{version: <-version}
+		err = next.combine(files)
+		p.loop.Post(func() { p.reload(next, err) })
 	}
 }
 
-// reload applies what a new configuration may change while the program runs.
-func (p *program) reload(cfg *config.Config, operator *config.Operator) {
-	if err := p.apply(cfg, operator); err != nil {
-		p.log.Error("configuration can't be used, the old one stays", "error", err)
-		p.counters.CountReload(false)
+// reload applies new files, on which the version in force is combined, or which err says
+// can't be used.
+func (p *program) reload(next *checkedVersion, err error) {
+	if err == nil && next.version != p.versions.current { // another version has come into force meanwhile
+		next.version = p.versions.current
+		err = next.combine(next.files)
+	}
+	if err == nil {
+		err = p.apply(next.cfg, next.operator)
+	}
+	if err != nil {
+		p.rejectReload(err)
 		return
 	}
+	p.files = next.files
 	p.counters.CountReload(true)
 	p.log.Info("configuration read again", "board", p.cfg.Board, "generation", p.table.Number(), "settings", p.cfg.Digest)
 }
 
+// rejectReload records files that can't be used.
+func (p *program) rejectReload(err error) {
+	p.log.Error("configuration can't be used, the old one stays", "error", err)
+	p.counters.CountReload(false)
+}
+
 // apply makes all parts use a configuration, or none of them if it is invalid.
 func (p *program) apply(cfg *config.Config, operator *config.Operator) error {
 	next, fixed := p.cfg.Reload(cfg)
--- a/internal/program/serve.go
+++ b/internal/program/serve.go
@@ -77,11 +77,11 @@
 	signal.Notify(reloads, syscall.SIGHUP)
 	log := logging.New(out, level)
 	slog.SetDefault(log)
-	cfg, err := config.Load(os.Getenv)
+	files, err := config.ReadFiles(os.Getenv)
 	if err != nil {
 		return err
 	}
-	operator, err := config.LoadOperator(os.Getenv)
+	cfg, operator, err := files.Load(nil)
 	if err != nil {
 		return err
 	}
@@ -97,6 +97,7 @@
 	if err != nil {
 		return err
 	}
+	p.files = files
 	go p.handleShutdownSignals(shutdowns)
 	go p.handleReloadSignals(reloads)
 	log.Info("serving", "name", cfg.Name, "listen", cfg.Listen, "ops", cfg.AdminAddress, "board", cfg.Board)
@@ -114,6 +115,7 @@
 type program struct {
 	log            *slog.Logger
 	cfg            *config.Config // in force
+	files          *config.Files  // the front's own, as last taken over
 	table          *generations.Table[rules.Class]
 	platform       *platform.Front
 	pools          *upstream.Pools
--- a/internal/program/versions.go
+++ b/internal/program/versions.go
@@ -16,7 +16,8 @@
 // checkedVersion is a version of the fleet combined with this front's own files.
 type checkedVersion struct {
 	sum      [sha256.Size]byte
-	version  *config.Version
+	version  *config.Version // nil: none, only the files
+	files    *config.Files
 	cfg      *config.Config
 	operator *config.Operator
 }
@@ -44,14 +45,20 @@
 	failurePercentStep    = 5  // percentages are rounded down to a multiple of this
 )
 
-// CheckVersion implements FleetHost. Files are read on a goroutine of its own.
+// CheckVersion implements FleetHost. The version has to fit this front's own files, both
+// those in force and those on disk, which the next SIGHUP or start reads. They are read on a
+// goroutine of its own.
 func (h fleetHost) CheckVersion(content []byte, done func(error)) {
 	p, sum := h.p, sha256.Sum256(content)
+	files := p.files
 	go func() {
-		checked := checkedVersion{sum: sum}
-		var err error
-		if checked.version, err = config.ParseVersion(content); err == nil {
-			checked.cfg, checked.operator, err = config.LoadVersion(os.Getenv, checked.version)
+		version, err := config.ParseVersion(content)
+		checked := checkedVersion{sum: sum, version: version}
+		if err == nil {
+			err = checked.fitsDisk()
+		}
+		if err == nil {
+			err = checked.combine(files)
 		}
 		p.loop.Post(func() {
 			if err == nil {
@@ -69,6 +76,23 @@
 	}()
 }
 
+// combine applies the version to a front's own files.
+func (checked *checkedVersion) combine(files *config.Files) (err error) {
+	checked.files = files
+	checked.cfg, checked.operator, err = files.Load(checked.version)
+	return err
+}
+
+// fitsDisk returns what prevents the version from being applied to the files on disk, or nil.
+func (checked *checkedVersion) fitsDisk() error {
+	onDisk, err := config.ReadFiles(os.Getenv)
+	if err != nil {
+		return err
+	}
+	_, _, err = onDisk.Load(checked.version)
+	return err
+}
+
 // checkApplicable returns what prevents this process from applying a version without a
 // restart, or nil.
 func (p *program) checkApplicable(candidate *checkedVersion) error {
@@ -97,9 +121,9 @@
 			return errors.New("it was not checked")
 		}
 		x = v.checked[i]
-	} else {
-		var err error
-		if x.cfg, x.operator, err = config.LoadVersion(os.Getenv, nil); err != nil {
+	}
+	if x.files != p.files { // SIGHUP has brought others since
+		if err := x.combine(p.files); err != nil {
 			return err
 		}
 	}
