A punctual ensemble ends the longer wait for first answers

Seen in reading the change again: the time that a connection to the ensemble waits for its first answer grew and never shrank, so after one slow moment a dead server would have been noticed later for the rest of the process.

Change: a first answer within the library's own time sets it back.

--- a/internal/ephemeral/watched.go
+++ b/internal/ephemeral/watched.go
@@ -25,7 +25,8 @@
 // dialer dials the client library's connections. The library ends one on which nothing has
 // arrived for two thirds of the session. The first answers of a server that is later than
 // that would never arrive, so each time one is missing the next connection waits twice as
-// long for it. Once answers have begun, the pings keep them coming, however late they are.
+// long for it, until one arrives within the library's time again. Once answers have begun,
+// the pings keep them coming, however late they are.
 type dialer struct {
 	patience atomic.Int64 // multiple of the library's time that a connection waits for its first answer
 }
@@ -44,10 +45,11 @@
 type watchedConn struct {
 	net.Conn
 	dialer    *dialer
-	started   bool // the connect request, which has no operation, was written
-	connected bool // an answer to it was received; used by the reader only, like the following
-	inSession bool // the library reads what follows that answer
-	answered  bool // some of that was received
+	started   bool      // the connect request, which has no operation, was written
+	connected bool      // an answer to it was received; used by the reader only, like the following
+	inSession bool      // the library reads what follows that answer
+	answered  bool      // some of that was received
+	deadline  time.Time // the library's for the first answer
 }
 
 // dial is the client library's dialer.
@@ -76,6 +78,7 @@
 	}
 	c.inSession = c.connected
 	if c.inSession && !c.answered {
+		c.deadline = deadline
 		extra := time.Until(deadline) * time.Duration(c.dialer.patience.Load()-1)
 		deadline = deadline.Add(extra)
 	}
@@ -90,6 +93,9 @@
 	case !c.inSession || c.answered:
 	case n > 0:
 		c.answered = true
+		if time.Now().Before(c.deadline) {
+			c.dialer.patience.Store(1)
+		}
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		c.dialer.patience.Store(min(maxPatience, 2*c.dialer.patience.Load()))
 	}
--- a/internal/ephemeral/watched_test.go
+++ b/internal/ephemeral/watched_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"testing"
+	"time"
 )
 
 // packet makes a packet of the protocol, with its length first.
@@ -47,3 +48,33 @@
 		}
 	}
 }
+
+// Guards against a dead server that is noticed ever later: only as long as first answers are
+// missing, or come after the library's own time, may the next connection wait for longer.
+func TestPatienceFollowsFirstAnswers(t *testing.T) {
+	const own = 100 * time.Millisecond // the library's time
+	for _, x := range []struct {
+		name        string
+		answerAfter time.Duration
+		want        int64
+	}{{"punctual", 0, 1}, {"late", 2 * own, 4}, {"missing", 10 * own, 8}} {
+		t.Run(x.name, func(t *testing.T) {
+			t.Parallel()
+			d := newDialer()
+			d.patience.Store(4)
+			client, server := net.Pipe()
+			c := &watchedConn{Conn: client, dialer: d, started: true}
+			time.AfterFunc(x.answerAfter, func() { _, _ = server.Write([]byte{0}) })
+			t.Cleanup(func() { _, _ = client.Close(), server.Close() })
+			for _, deadline := range []time.Time{time.Now().Add(own), {}, time.Now().Add(own)} {
+				if err := c.SetReadDeadline(deadline); err != nil {
+					t.Fatal(err)
+				}
+			}
+			_, _ = c.Read(make([]byte, 1))
+			if got := d.patience.Load(); got != x.want {
+				t.Errorf("patience %d, want %d", got, x.want)
+			}
+		})
+	}
+}
