Build and vet the tests on arm64

Seen: on arm64 `go vet ./...`, the first step of the test command, stopped: lab/syscallfault read the stack pointer from the registers of x86-64, and cmd/cherryramp's tests named unix.SYS_POLL, which arm64 lacks.

Test support only; no check, bound or case has changed.

--- a/cmd/cherryramp/syscalls_test.go
+++ b/cmd/cherryramp/syscalls_test.go
@@ -55,7 +55,7 @@
 	{"shutdown ENOTCONN", matchCalls(unix.SYS_SHUTDOWN), unix.ENOTCONN, 1, 1 << 30},
 	{"shutdown ENOBUFS", matchCalls(unix.SYS_SHUTDOWN), unix.ENOBUFS, 0.5, 3},
 	{"epoll_ctl ENOMEM", []syscallfault.Match{{Number: unix.SYS_EPOLL_CTL, Arg: 1, Value: unix.EPOLL_CTL_ADD}}, unix.ENOMEM, 1, 2},
-	{"poll EINTR", matchCalls(unix.SYS_POLL, unix.SYS_PPOLL), unix.EINTR, 0.5, 3},
+	{"poll EINTR", matchCalls(pollCalls...), unix.EINTR, 0.5, 3},
 }
 
 // shortWrites makes writes write half of their bytes.
@@ -79,8 +79,11 @@
 // concernsSocket reports whether a call is about a socket. Of epoll_ctl calls these are the ones that
 // start to wait until a full socket is writable.
 func concernsSocket(c syscallfault.Call) bool {
+	if slices.Contains(pollCalls, c.Number) {
+		return true
+	}
 	switch c.Number {
-	case unix.SYS_SOCKET, unix.SYS_POLL, unix.SYS_PPOLL:
+	case unix.SYS_SOCKET:
 		return true
 	case unix.SYS_EPOLL_CTL:
 		events, ok := c.ReadUint32(3)
--- a/lab/syscallfault/syscallfault.go
+++ b/lab/syscallfault/syscallfault.go
@@ -9,7 +9,7 @@
 //
 // Inputs are the command, the matches, and a function that decides about each call. The
 // function runs on one goroutine, and the calling thread is blocked while it runs. The
-// package supports Linux on amd64 only.
+// package supports Linux on amd64 and arm64.
 package syscallfault
 
 import (
@@ -308,11 +308,10 @@
 	if !status.Stopped() || status.StopSignal() != syscall.SIGTRAP {
 		return fmt.Errorf("unexpected wait status %#x", status)
 	}
-	var registers syscall.PtraceRegs
-	if err := syscall.PtraceGetRegs(process, &registers); err != nil {
+	address, err := stackPointer(process)
+	if err != nil {
 		return err
 	}
-	address := uintptr(registers.Rsp)
 	readWord := func() (uint64, error) {
 		var b [wordSize]byte
 		_, err := syscall.PtracePeekData(process, address, b[:])
