--- a/review/harness2/duplicate.go
+++ b/review/harness2/duplicate.go
@@ -13,7 +13,7 @@
 func purgeDuplicate(rec *record, dir string, trouble bool) (broken []string) {
 	s := newServers(rec, 3)
 	cleanUps = append(cleanUps, s.close)
-	list := newFleet(rec, dir, s, map[string]any{"grades.1.effect": "non_idempotent", "grades.1.goal-time-us": 1000000}, nil, map[string]any{"purges": map[string]any{}})
+	list := newFleet(rec, dir, s, map[string]any{"grades.0.effect": "non_idempotent", "grades.0.goal-time-us": 600000, "grades.0.aim-stretch": 2.0}, nil, map[string]any{"purges": map[string]any{}})
 	s.mu.Lock()
 	s.answer = func(n *node, r *run) (string, time.Duration) { return "", 300 * time.Millisecond }
 	s.mu.Unlock()
@@ -25,7 +25,7 @@
 		s.hold(object, 3*time.Second)
 		f := list[i%len(list)]
 		wg.Add(1)
-		go func() { defer wg.Done(); answers[i] = ask(rec, f.listen, "page-asset", object, 2*time.Second) }()
+		go func() { defer wg.Done(); answers[i] = ask(rec, f.listen, "guide-video", object, 3*time.Second) }()
 		time.Sleep(150 * time.Millisecond)
 		if trouble {
 			_ = f.tell(fmt.Sprintf(`FLEET PURGE ASK {"kind":"object","name":%q,"asked":"p%d"}`, object, i), nil)
@@ -34,8 +34,14 @@
 	}
 	wg.Wait()
 	for i, a := range answers {
-		if _, ran := s.runsOf(a.ID); len(ran) > 1 {
+		all, ran := s.runsOf(a.ID)
+		switch {
+		case len(ran) > 1:
 			broken = append(broken, fmt.Sprintf("request %s for form%d ran %d times: at %s, then at %s %d ms later; its client has %s", a.ID, i, len(ran), ran[0].Node, ran[1].Node, ran[1].At.Sub(ran[0].At).Milliseconds(), a))
+		case len(ran) == 1 && all[len(all)-1].At.After(ran[0].At):
+			broken = append(broken, fmt.Sprintf("request %s for form%d ran at %s and was sent again, %d times in all; its client has %s", a.ID, i, ran[0].Node, len(all), a))
+		case len(ran) == 1 && (a.Status == 503 || a.Status == 429):
+			broken = append(broken, fmt.Sprintf("request %s for form%d ran at %s, and its client is told that trying again is harmless: %s", a.ID, i, ran[0].Node, a))
 		}
 	}
 	return broken
